--- /dev/null
+++ b/catalog/catalog.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "catalog/name_index.h"
+#include "settings/declarations.h"
+#include "settings/settings_chain.h"
+
+namespace celeryspread {
+
+/// One revision of the settings tree with its name index, ready for use.
+/// @thread immutable after Load(); const access is safe to share, except
+/// Names(), which keeps the last error and serves one thread.
+class Catalog
+{
+public:
+  /// Builds a catalog from a settings text. @pre none.
+  /// @error null; aError tells the first fault.
+  static std::shared_ptr<const Catalog> Load(std::string_view aText,
+                                             Revision aRevision,
+                                             SettingsError& aError);
+  /// Returns the revision. @pre none.
+  [[nodiscard]] Revision CurrentRevision() const { return m_revision; }
+  /// Returns the settings tree. @pre none.
+  [[nodiscard]] const SettingsTree& Tree() const { return m_tree; }
+  /// Returns the name index. @pre none.
+  [[nodiscard]] const NameIndex& Names() const { return m_names; }
+  /// Returns effective settings at a place. @pre none.
+  [[nodiscard]] EffectiveSettings SettingsAt(const SettingsPlace& aPlace) const
+  {
+    return SettingsChain(m_tree, aPlace).Resolve();
+  }
+  /// Finds the calling service of a key "<service>.<secret>". @pre none.
+  /// @error empty when the service or the secret is wrong.
+  [[nodiscard]] std::optional<ServiceId> Authenticate(
+    std::string_view aKey) const;
+
+private:
+  Catalog() = default;
+
+  Revision m_revision;
+  SettingsTree m_tree;
+  NameIndex m_names;
+};
+
+} // namespace celeryspread
--- /dev/null
+++ b/core/ids.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace celeryspread {
+
+/// Textual identifier that cannot be mixed up with one of another kind.
+/// @thread immutable value, safe to share between threads.
+template<typename Tag>
+class StrongId
+{
+public:
+  /// Makes the empty identifier. @pre none.
+  StrongId() = default;
+  /// Wraps a text. @pre none; validity is checked where ids are declared.
+  explicit StrongId(std::string aValue)
+    : m_value(std::move(aValue))
+  {
+  }
+  /// Returns the text. @pre none.
+  [[nodiscard]] const std::string& Value() const { return m_value; }
+  /// Tells whether no text was given. @pre none.
+  [[nodiscard]] bool IsEmpty() const { return m_value.empty(); }
+  /// Orders by text. @pre none.
+  auto operator<=>(const StrongId&) const = default;
+
+private:
+  std::string m_value;
+};
+
+/// Integer with a unit or meaning of its own.
+/// @thread immutable value, safe to share between threads.
+template<typename Tag>
+class StrongNumber
+{
+public:
+  /// Makes zero. @pre none.
+  constexpr StrongNumber() = default;
+  /// Wraps a count. @pre none.
+  constexpr explicit StrongNumber(uint64_t aValue)
+    : m_value(aValue)
+  {
+  }
+  /// Returns the count. @pre none.
+  [[nodiscard]] constexpr uint64_t Value() const { return m_value; }
+  /// Orders by count. @pre none.
+  constexpr auto operator<=>(const StrongNumber&) const = default;
+  /// Adds. @pre the sum fits 64 bits.
+  constexpr StrongNumber operator+(StrongNumber aOther) const
+  {
+    return StrongNumber(m_value + aOther.m_value);
+  }
+  /// Subtracts. @pre aOther is not larger.
+  constexpr StrongNumber operator-(StrongNumber aOther) const
+  {
+    return StrongNumber(m_value - aOther.m_value);
+  }
+  /// Adds in place. @pre the sum fits 64 bits.
+  constexpr StrongNumber& operator+=(StrongNumber aOther)
+  {
+    m_value += aOther.m_value;
+    return *this;
+  }
+  /// Returns the following count. @pre not the largest value.
+  [[nodiscard]] constexpr StrongNumber Next() const
+  {
+    return StrongNumber(m_value + 1);
+  }
+
+private:
+  uint64_t m_value = 0;
+};
+
+using AdapterId = StrongId<struct AdapterTag>;
+using ChangeId = StrongId<struct ChangeTag>;
+using ClaimKey = StrongId<struct ClaimKeyTag>;
+using FailureDomainId = StrongId<struct FailureDomainTag>;
+using InstanceId = StrongId<struct InstanceTag>;
+using MemberId = StrongId<struct MemberTag>;
+using ModelId = StrongId<struct ModelTag>;
+using OperatorId = StrongId<struct OperatorTag>;
+using PlainServiceId = StrongId<struct PlainServiceTag>;
+using RegionId = StrongId<struct RegionTag>;
+using SchemeId = StrongId<struct SchemeTag>;
+using ServiceId = StrongId<struct ServiceTag>;
+using UpstreamId = StrongId<struct UpstreamTag>;
+using VersionId = StrongId<struct VersionTag>;
+
+using ByteCount = StrongNumber<struct ByteCountTag>;
+using FencingToken = StrongNumber<struct FencingTokenTag>;
+using LogIndex = StrongNumber<struct LogIndexTag>;
+using Revision = StrongNumber<struct RevisionTag>;
+using Term = StrongNumber<struct TermTag>;
+
+} // namespace celeryspread
+
+/// Hashes a strong id by its text.
+template<typename Tag>
+struct std::hash<celeryspread::StrongId<Tag>>
+{
+  size_t operator()(const celeryspread::StrongId<Tag>& aId) const noexcept
+  {
+    return std::hash<std::string>()(aId.Value());
+  }
+};
--- /dev/null
+++ b/core/json_text.cpp
@@ -0,0 +1,73 @@
+#include "core/json_text.h"
+
+#include <set>
+#include <vector>
+
+namespace celeryspread {
+
+bool JsonReader::IsTooDeep(std::string_view aText) const
+{
+  size_t depth = 0;
+  bool inString = false;
+  for (size_t i = 0; i < aText.size(); ++i) {
+    const char c = aText[i];
+    if (inString) {
+      if (c == '\\') {
+        ++i;
+      } else if (c == '"') {
+        inString = false;
+      }
+      continue;
+    }
+    if (c == '"') {
+      inString = true;
+    } else if (c == '{' || c == '[') {
+      if (++depth > m_limits.m_maxDepth) {
+        return true;
+      }
+    } else if ((c == '}' || c == ']') && depth > 0) {
+      --depth;
+    }
+  }
+  return false;
+}
+
+std::optional<nlohmann::json> JsonReader::Parse(std::string_view aText)
+{
+  using nlohmann::json;
+  if (IsTooDeep(aText)) {
+    m_lastReason = "JSON nested deeper than " +
+                   std::to_string(m_limits.m_maxDepth) + " levels";
+    return std::nullopt;
+  }
+  std::string duplicate;
+  std::vector<std::set<std::string>> keys;
+  const auto callback =
+    [&](int /*aDepth*/, json::parse_event_t aEvent, json& aValue) {
+      if (aEvent == json::parse_event_t::object_start) {
+        keys.emplace_back();
+      } else if (aEvent == json::parse_event_t::object_end) {
+        keys.pop_back();
+      } else if (aEvent == json::parse_event_t::key) {
+        const auto& key = aValue.get_ref<const std::string&>();
+        if (!keys.back().insert(key).second) {
+          duplicate = key;
+        }
+      }
+      return true;
+    };
+  try {
+    json parsed = m_limits.m_refuseDuplicateKeys ? json::parse(aText, callback)
+                                                 : json::parse(aText);
+    if (!duplicate.empty()) {
+      m_lastReason = "JSON key \"" + duplicate + "\" stands twice";
+      return std::nullopt;
+    }
+    return parsed;
+  } catch (const json::exception& error) {
+    m_lastReason = error.what();
+    return std::nullopt;
+  }
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/core/json_text.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace celeryspread {
+
+/// Limits on a JSON text that comes from outside.
+struct JsonLimits
+{
+  size_t m_maxDepth = 32;
+  bool m_refuseDuplicateKeys = true;
+};
+
+/// Parses JSON texts within limits; keeps the reason of the last failure.
+/// @thread one thread at a time.
+class JsonReader
+{
+public:
+  /// Sets the limits. @pre none.
+  explicit JsonReader(JsonLimits aLimits)
+    : m_limits(aLimits)
+  {
+  }
+  /// Parses aText. @pre none. @error empty result, see LastReason().
+  std::optional<nlohmann::json> Parse(std::string_view aText);
+  /// Returns why the last Parse() failed. @pre a Parse() failed.
+  [[nodiscard]] const std::string& LastReason() const { return m_lastReason; }
+
+private:
+  [[nodiscard]] bool IsTooDeep(std::string_view aText) const;
+
+  JsonLimits m_limits;
+  std::string m_lastReason;
+};
+
+} // namespace celeryspread
--- /dev/null
+++ b/core/random_source.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace celeryspread {
+
+/// Source of random numbers; a seed makes a run repeatable.
+/// @thread one thread at a time.
+class RandomSource
+{
+public:
+  virtual ~RandomSource() = default;
+  /// Returns a uniform number below aBound. @pre aBound > 0.
+  virtual uint64_t Below(uint64_t aBound) = 0;
+};
+
+/// Mersenne Twister source with a fixed seed.
+/// @thread one thread at a time.
+class SeededRandomSource : public RandomSource
+{
+public:
+  /// Starts the sequence of aSeed. @pre none.
+  explicit SeededRandomSource(uint64_t aSeed)
+    : m_engine(aSeed)
+  {
+  }
+  /// Returns a uniform number below aBound. @pre aBound > 0.
+  uint64_t Below(uint64_t aBound) override
+  {
+    return std::uniform_int_distribution<uint64_t>(0, aBound - 1)(m_engine);
+  }
+
+private:
+  std::mt19937_64 m_engine;
+};
+
+} // namespace celeryspread
--- /dev/null
+++ b/entry/call_session.cpp
@@ -0,0 +1,538 @@
+#include "entry/call_session.h"
+
+#include <algorithm>
+
+#include <strings.h>
+
+#include <nlohmann/json.hpp>
+
+#include "core/key_hash.h"
+
+namespace celeryspread {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kUnprocessable = 422;
+constexpr int kClientClosed = 499;
+constexpr int kFirstServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kRetryAfterSeconds = 1;
+/// Largest answer that is collected before it is passed on.
+constexpr size_t kMaxWholeAnswerBytes = 16'777'216;
+
+std::string HeaderValue(const HttpHeaders& aHeaders, const char* aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (strcasecmp(header.m_name.c_str(), aName) == 0) {
+      return header.m_value;
+    }
+  }
+  return {};
+}
+
+Refusal ServerRefusal(int aStatus,
+                      std::string aCode,
+                      std::string aMessage,
+                      CallOutcome aOutcome)
+{
+  Refusal refusal;
+  refusal.m_status = aStatus;
+  refusal.m_type = "server_error";
+  refusal.m_code = std::move(aCode);
+  refusal.m_message = std::move(aMessage);
+  refusal.m_outcome = aOutcome;
+  if (aOutcome == CallOutcome::NotRun) {
+    refusal.m_retryAfterSeconds = kRetryAfterSeconds;
+  }
+  return refusal;
+}
+
+CallOutcome OutcomeOf(RetryVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case RetryVerdict::NotRun:
+      return CallOutcome::NotRun;
+    case RetryVerdict::Failed:
+      return CallOutcome::Failed;
+    case RetryVerdict::Retry:
+    case RetryVerdict::Unknown:
+      break;
+  }
+  return CallOutcome::Unknown;
+}
+
+} // namespace
+
+CallSession::CallSession(EntryContext& aContext,
+                         std::unique_ptr<CallerCall> aCaller,
+                         PreparedCall aCall,
+                         Span aSpan,
+                         Finished aFinished)
+  : m_context(aContext)
+  , m_caller(std::move(aCaller))
+  , m_call(std::move(aCall))
+  , m_span(std::move(aSpan))
+  , m_finished(std::move(aFinished))
+  , m_retryPolicy(aContext.m_retryBudget)
+{
+  m_caller->SetObserver(this);
+}
+
+CallSession::~CallSession()
+{
+  *m_isAlive = false;
+}
+
+bool CallSession::NeedsClaim() const
+{
+  return !m_call.m_mayRepeat && !m_call.m_claimKey.IsEmpty();
+}
+
+void CallSession::Start()
+{
+  m_context.m_retryBudget.NoteFirstAttempt(
+    m_call.m_settings.Get(SettingKey::RetryBudgetPercent));
+  if (NeedsClaim()) {
+    RequestClaim();
+    return;
+  }
+  Route();
+}
+
+void CallSession::RequestClaim()
+{
+  m_claim.m_service = m_call.m_service;
+  m_claim.m_key = m_call.m_claimKey;
+  m_claim.m_bodyHash =
+    ContentHash(m_call.m_method + " " + m_call.MetricLabel() + " " +
+                m_call.m_path + "\n" + m_call.m_body);
+  m_claim.m_attemptId = m_span.m_context.m_traceId + m_span.m_context.m_spanId;
+  m_claim.m_retention = std::chrono::milliseconds(
+    m_call.m_settings.Get(SettingKey::ClaimRetentionMs));
+  ClaimService& claims = m_context.m_claims;
+  claims.Claim(m_claim,
+               [this, isAlive = m_isAlive, &claims, request = m_claim](
+                 const ClaimReply& aReply) {
+                 if (*isAlive && !m_isFinished) {
+                   HandleClaim(aReply);
+                   return;
+                 }
+                 // The call ended while it waited, so nothing was sent.
+                 if (aReply.m_verdict == ClaimVerdict::Granted) {
+                   claims.Close(request, ClaimOutcome::NotRun, {}, [](bool) {});
+                 }
+               });
+}
+
+void CallSession::HandleClaim(const ClaimReply& aReply)
+{
+  switch (aReply.m_verdict) {
+    case ClaimVerdict::Granted:
+      m_holdsClaim = true;
+      Route();
+      return;
+    case ClaimVerdict::Answered:
+      ReplyWhole(aReply.m_answer);
+      return;
+    case ClaimVerdict::Unknown:
+      Refuse(ServerRefusal(kConflict,
+                           "outcome_unknown",
+                           "a call with this Idempotency-Key is in progress "
+                           "or its outcome is unknown; it is not run again",
+                           CallOutcome::Unknown));
+      return;
+    case ClaimVerdict::Conflict:
+      Refuse(ServerRefusal(kUnprocessable,
+                           "idempotency_key_reused",
+                           "the Idempotency-Key was used with another request",
+                           CallOutcome::NotRun));
+      return;
+    case ClaimVerdict::Expired:
+      Refuse(ServerRefusal(kConflict,
+                           "idempotency_key_expired",
+                           "the Idempotency-Key is past its retention",
+                           CallOutcome::Unknown));
+      return;
+    case ClaimVerdict::Unavailable:
+      Refuse(ServerRefusal(kUnavailable,
+                           "claims_unavailable",
+                           "no quorum is reachable to claim this work; "
+                           "nothing was sent",
+                           CallOutcome::NotRun));
+      return;
+  }
+}
+
+void CallSession::Route()
+{
+  RouteQuery query;
+  if (m_call.m_plainService.IsEmpty()) {
+    query.m_engineName = m_call.m_target.EngineName();
+  }
+  query.m_plainService = m_call.m_plainService;
+  query.m_tried = m_tried;
+  query.m_remotePenalty = std::chrono::milliseconds(
+    m_call.m_settings.Get(SettingKey::RemoteDomainPenaltyMs));
+  query.m_maxQueued =
+    static_cast<uint32_t>(m_call.m_settings.Get(SettingKey::MaxQueuedCalls));
+  const std::optional<UpstreamId> chosen =
+    m_context.m_router.Choose(query, m_context.m_clock.Now());
+  if (!chosen) {
+    RefuseRoute();
+    return;
+  }
+  Send(*chosen);
+}
+
+void CallSession::RefuseRoute()
+{
+  struct Row
+  {
+    RouteError m_error;
+    int m_status;
+    const char* m_code;
+    const char* m_message;
+  };
+  static constexpr Row kRows[] = {
+    { RouteError::NotResident,
+      kUnavailable,
+      "not_resident",
+      "no upstream can serve this now" },
+    { RouteError::AllLeaving,
+      kUnavailable,
+      "upstreams_leaving",
+      "every upstream for this is leaving" },
+    { RouteError::AllTried,
+      kBadGateway,
+      "upstreams_failed",
+      "every upstream for this has failed" },
+    { RouteError::AllBusy,
+      kUnavailable,
+      "overloaded",
+      "every upstream for this is busy" },
+  };
+  const CallOutcome outcome =
+    OutcomeOf(RetryPolicy::FinalVerdict(DescribeFailure()));
+  for (const Row& row : kRows) {
+    if (row.m_error == m_context.m_router.LastError()) {
+      Refuse(ServerRefusal(row.m_status, row.m_code, row.m_message, outcome));
+      return;
+    }
+  }
+}
+
+UpstreamRequest CallSession::BuildRequest(const UpstreamState& aState) const
+{
+  const Duration remaining = m_call.m_deadline - m_context.m_clock.Now();
+  UpstreamRequest request;
+  request.m_address = { aState.m_declaration.m_address,
+                        aState.m_declaration.m_port };
+  request.m_method = m_call.m_method;
+  request.m_path = m_call.m_path;
+  request.m_headers = m_call.m_headers;
+  request.m_headers.push_back(
+    { "traceparent", m_attemptSpan.m_context.Header() });
+  request.m_headers.push_back(
+    { "X-Request-Deadline-Ms",
+      std::to_string(std::max<int64_t>(
+        1,
+        std::chrono::duration_cast<std::chrono::milliseconds>(remaining)
+          .count())) });
+  request.m_body = m_call.m_body;
+  request.m_firstByteTimeout = std::chrono::milliseconds(
+    m_call.m_settings.Get(SettingKey::FirstByteTimeoutMs));
+  request.m_progressTimeout = std::chrono::milliseconds(
+    m_call.m_settings.Get(SettingKey::ProgressTimeoutMs));
+  request.m_mayReuseConnection = m_call.m_mayRepeat;
+  return request;
+}
+
+void CallSession::Send(const UpstreamId& aUpstream)
+{
+  const UpstreamState& state = *m_context.m_table.All().at(aUpstream);
+  m_upstream = aUpstream;
+  m_tried.insert(aUpstream);
+  ++m_attempts;
+  m_attemptStart = m_context.m_clock.Now();
+  m_attemptSpan = m_context.m_tracer.StartChild("upstream", m_span.m_context);
+  m_attemptSpan.m_attributes.push_back({ "upstream", aUpstream.Value() });
+  m_status = 0;
+  m_answer.clear();
+  m_scanner = SseScanner();
+  m_context.m_table.NoteStart(aUpstream);
+  m_attempt = m_context.m_client.Start(BuildRequest(state), *this);
+}
+
+void CallSession::EndAttempt(AttemptResult aResult)
+{
+  if (m_attempt == nullptr) {
+    return;
+  }
+  m_attempt.reset();
+  const TimePoint now = m_context.m_clock.Now();
+  const bool isEjected =
+    m_context.m_table.NoteEnd(m_upstream, aResult, now - m_attemptStart, now);
+  if (isEjected) {
+    m_context.m_log.Write(EventId::UpstreamEjected,
+                          "upstream=" + m_upstream.Value());
+  }
+  m_context.m_metrics.ObserveLatency({ m_call.MetricLabel(), "upstream" },
+                                     now - m_attemptStart);
+  m_context.m_tracer.Finish(m_attemptSpan);
+}
+
+void CallSession::OnUpstreamHeaders(int aStatus, const HttpHeaders& aHeaders)
+{
+  m_status = aStatus;
+  m_answerHeaders = aHeaders;
+  m_isStream =
+    m_call.m_wantsStream && aStatus == kOk &&
+    HeaderValue(aHeaders, "Content-Type").starts_with("text/event-stream");
+}
+
+void CallSession::OnUpstreamBody(std::string_view aBytes)
+{
+  if (!m_hasFirstByte) {
+    m_hasFirstByte = true;
+    m_context.m_metrics.ObserveLatency({ m_call.MetricLabel(), "first_byte" },
+                                       m_context.m_clock.Now() -
+                                         m_call.m_arrivedAt);
+  }
+  if (m_isStream) {
+    RelayStream(aBytes);
+    return;
+  }
+  if (m_answer.size() + aBytes.size() > kMaxWholeAnswerBytes) {
+    FailAttempt(true, "the upstream's answer is too large");
+    return;
+  }
+  m_answer += aBytes;
+}
+
+void CallSession::RelayStream(std::string_view aBytes)
+{
+  const std::string_view events = m_scanner.Feed(aBytes);
+  if (!events.empty()) {
+    if (!m_hasAnswerBegun) {
+      m_hasAnswerBegun = true;
+      m_caller->StartStream(kOk,
+                            { { "Content-Type", "text/event-stream" },
+                              { "Cache-Control", "no-cache" } });
+    }
+    m_caller->SendChunk(events);
+  }
+  if (m_scanner.IsBroken()) {
+    FailAttempt(true, "the upstream sent bytes that are no event stream");
+    return;
+  }
+  const auto limit =
+    static_cast<size_t>(m_call.m_settings.Get(SettingKey::StreamBufferBytes));
+  if (m_attempt != nullptr && m_caller->PendingBytes() > limit) {
+    m_attempt->Pause();
+  }
+}
+
+void CallSession::OnCallerDrained()
+{
+  if (m_attempt != nullptr) {
+    m_attempt->Resume();
+  }
+}
+
+void CallSession::OnUpstreamEnd()
+{
+  if (m_isStream) {
+    if (!m_scanner.IsDone()) {
+      FailAttempt(true, "the stream ended without its last event");
+      return;
+    }
+    EndAttempt(AttemptResult::Answered);
+    m_caller->EndStream();
+    Finish(kOk);
+    return;
+  }
+  if (m_status >= kFirstServerError) {
+    // Only the upstream's own word proves that it has not begun the work.
+    const bool isProvedNotRun =
+      HeaderValue(m_answerHeaders, "X-Outcome") == "not_run";
+    FailAttempt(!isProvedNotRun,
+                "the upstream answered " + std::to_string(m_status));
+    return;
+  }
+  const bool isGarbage = m_call.m_plainService.IsEmpty() && m_status == kOk &&
+                         !nlohmann::json::accept(m_answer);
+  if (isGarbage) {
+    FailAttempt(true, "the upstream's answer is no JSON");
+    return;
+  }
+  EndAttempt(AttemptResult::Answered);
+  DeliverWhole();
+}
+
+void CallSession::OnUpstreamFailed(const UpstreamFailure& aFailure)
+{
+  FailAttempt(aFailure.m_maySent, aFailure.m_reason);
+}
+
+FailedAttempt CallSession::DescribeFailure() const
+{
+  FailedAttempt failed;
+  failed.m_attempts = m_attempts;
+  failed.m_maxAttempts = m_call.m_settings.Get(SettingKey::MaxAttempts);
+  failed.m_mayRepeat = m_call.m_mayRepeat;
+  failed.m_mayHaveRun = m_mayHaveRun;
+  failed.m_hasAnswerBegun = m_hasAnswerBegun;
+  failed.m_now = m_context.m_clock.Now();
+  failed.m_deadline = m_call.m_deadline;
+  return failed;
+}
+
+void CallSession::FailAttempt(bool aMayHaveRun, const std::string& aReason)
+{
+  EndAttempt(AttemptResult::Failed);
+  m_mayHaveRun = m_mayHaveRun || aMayHaveRun;
+  if (m_hasAnswerBegun) {
+    BreakStream(aReason);
+    return;
+  }
+  const RetryVerdict verdict = m_retryPolicy.Decide(DescribeFailure());
+  if (verdict == RetryVerdict::Retry) {
+    m_context.m_metrics.Count("celeryspread_retries_total");
+    Route();
+    return;
+  }
+  m_context.m_log.Write(EventId::CallFailed,
+                        "upstream=" + m_upstream.Value() + " trace=" +
+                          m_span.m_context.m_traceId + " reason=" + aReason);
+  Refuse(
+    ServerRefusal(kBadGateway, "upstream_failed", aReason, OutcomeOf(verdict)));
+}
+
+void CallSession::BreakStream(const std::string& aReason)
+{
+  m_context.m_log.Write(EventId::StreamBroken,
+                        "upstream=" + m_upstream.Value() + " trace=" +
+                          m_span.m_context.m_traceId + " reason=" + aReason);
+  const CallOutcome outcome =
+    m_call.m_mayRepeat ? CallOutcome::Failed : CallOutcome::Unknown;
+  const Refusal refusal =
+    ServerRefusal(kBadGateway, "stream_broken", aReason, outcome);
+  m_caller->SendChunk("event: error\ndata: " + ErrorBody(refusal) + "\n\n");
+  m_caller->EndStream();
+  Finish(kBadGateway);
+}
+
+void CallSession::DeliverWhole()
+{
+  StoredAnswer answer{ m_status,
+                       HeaderValue(m_answerHeaders, "Content-Type"),
+                       std::move(m_answer) };
+  if (!m_holdsClaim) {
+    ReplyWhole(answer);
+    return;
+  }
+  CloseClaimThenReply(answer);
+}
+
+void CallSession::CloseClaimThenReply(const StoredAnswer& aAnswer)
+{
+  // The outcome is made durable first, so that a resend that overtakes this
+  // reply finds it. The work has run either way, so the caller gets the
+  // answer even when the close could not be confirmed.
+  m_holdsClaim = false;
+  m_context.m_claims.Close(
+    m_claim,
+    ClaimOutcome::Answered,
+    aAnswer,
+    [this, isAlive = m_isAlive, aAnswer](bool /*aIsDurable*/) {
+      if (*isAlive && !m_isFinished) {
+        ReplyWhole(aAnswer);
+      }
+    });
+}
+
+void CallSession::ReplyWhole(const StoredAnswer& aAnswer)
+{
+  HttpHeaders headers;
+  if (!aAnswer.m_contentType.empty()) {
+    headers.push_back({ "Content-Type", aAnswer.m_contentType });
+  }
+  m_caller->Reply(aAnswer.m_status, headers, aAnswer.m_body);
+  Finish(aAnswer.m_status);
+}
+
+void CallSession::Refuse(const Refusal& aRefusal)
+{
+  if (m_holdsClaim) {
+    m_holdsClaim = false;
+    const ClaimOutcome outcome = aRefusal.m_outcome == CallOutcome::NotRun
+                                   ? ClaimOutcome::NotRun
+                                   : ClaimOutcome::Unknown;
+    m_context.m_claims.Close(m_claim, outcome, {}, [](bool) {});
+  }
+  m_caller->Reply(
+    aRefusal.m_status, ErrorHeaders(aRefusal), ErrorBody(aRefusal));
+  Finish(aRefusal.m_status);
+}
+
+void CallSession::HandleDeadline()
+{
+  if (m_isFinished) {
+    return;
+  }
+  m_mayHaveRun = m_mayHaveRun || m_attempt != nullptr;
+  EndAttempt(AttemptResult::Cancelled);
+  if (m_hasAnswerBegun) {
+    BreakStream("the deadline passed");
+    return;
+  }
+  const CallOutcome outcome =
+    OutcomeOf(RetryPolicy::FinalVerdict(DescribeFailure()));
+  Refuse(ServerRefusal(
+    kGatewayTimeout, "deadline_passed", "the deadline passed", outcome));
+}
+
+void CallSession::OnCallerGone()
+{
+  if (m_isFinished) {
+    return;
+  }
+  if (!m_call.m_mayRepeat && m_attempt != nullptr) {
+    // Work that may not repeat goes on, so that its outcome is stored.
+    return;
+  }
+  EndAttempt(AttemptResult::Cancelled);
+  if (m_holdsClaim) {
+    m_holdsClaim = false;
+    m_context.m_claims.Close(m_claim,
+                             m_attempts == 0 ? ClaimOutcome::NotRun
+                                             : ClaimOutcome::Unknown,
+                             {},
+                             [](bool) {});
+  }
+  Finish(kClientClosed);
+}
+
+void CallSession::Finish(int aStatus)
+{
+  if (m_isFinished) {
+    return;
+  }
+  m_isFinished = true;
+  m_caller->SetObserver(nullptr);
+  const Duration elapsed = m_context.m_clock.Now() - m_call.m_arrivedAt;
+  m_context.m_metrics.ObserveLatency({ m_call.MetricLabel(), "entry" },
+                                     elapsed);
+  m_context.m_metrics.CountOutcome({ m_call.m_service.Value(), aStatus });
+  m_context.m_limits.Release(m_call.m_service);
+  m_span.m_attributes.push_back({ "http.status", std::to_string(aStatus) });
+  m_span.m_attributes.push_back({ "model", m_call.MetricLabel() });
+  m_context.m_tracer.Finish(m_span);
+  m_finished(*this);
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/entry/entry_app.cpp
@@ -0,0 +1,297 @@
+#include "entry/entry_app.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace celeryspread {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+constexpr Duration kDeadlineTick = std::chrono::milliseconds(20);
+
+void ReplyJson(CallerCall& aCall, int aStatus, const json& aBody)
+{
+  aCall.Reply(aStatus,
+              { { "Content-Type", "application/json" } },
+              aBody.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+Refusal SimpleRefusal(int aStatus, std::string aCode, std::string aMessage)
+{
+  Refusal refusal;
+  refusal.m_status = aStatus;
+  refusal.m_type = "invalid_request_error";
+  refusal.m_code = std::move(aCode);
+  refusal.m_message = std::move(aMessage);
+  return refusal;
+}
+
+} // namespace
+
+EntryApp::EntryApp(EntryContext& aContext,
+                   FailureDomainId aOwnDomain,
+                   AdminForwarder* aAdmin)
+  : m_context(aContext)
+  , m_preparer(std::move(aOwnDomain))
+  , m_admin(aAdmin)
+  , m_deadlineTimer(
+      aContext.m_timers.Every(kDeadlineTick, [this] { CheckDeadlines(); }))
+{
+}
+
+EntryApp::~EntryApp() = default;
+
+void EntryApp::SetCatalog(std::shared_ptr<const Catalog> aCatalog)
+{
+  const bool isOlder = m_catalog != nullptr && aCatalog->CurrentRevision() <=
+                                                 m_catalog->CurrentRevision();
+  if (isOlder) {
+    return;
+  }
+  m_catalog = std::move(aCatalog);
+  m_context.m_table.SetCatalog(*m_catalog);
+  m_context.m_metrics.SetGauge(
+    "celeryspread_config_revision",
+    static_cast<double>(m_catalog->CurrentRevision().Value()));
+  m_context.m_log.Write(EventId::ConfigInForce,
+                        "revision=" +
+                          std::to_string(m_catalog->CurrentRevision().Value()));
+}
+
+const EntryApp::Row* EntryApp::FindRow(std::string_view aPath)
+{
+  static constexpr Row kRows[] = {
+    { "/v1/chat/completions", false, &EntryApp::HandleCompletion },
+    { "/v1/completions", false, &EntryApp::HandleCompletion },
+    { "/v1/models", false, &EntryApp::HandleModels },
+    { "/services/", true, &EntryApp::HandlePlain },
+    { "/healthz", false, &EntryApp::HandleHealth },
+    { "/readyz", false, &EntryApp::HandleReady },
+    { "/metrics", false, &EntryApp::HandleMetrics },
+    { "/status", false, &EntryApp::HandleStatus },
+    { "/admin/", true, &EntryApp::HandleAdmin },
+  };
+  for (const Row& row : kRows) {
+    const bool fits =
+      row.m_isPrefix ? aPath.starts_with(row.m_path) : aPath == row.m_path;
+    if (fits) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+void EntryApp::OnCall(std::unique_ptr<CallerCall> aCall)
+{
+  const Row* row = FindRow(aCall->Path());
+  if (row == nullptr) {
+    Refuse(*aCall, SimpleRefusal(kNotFound, "path_not_found", "no such path"));
+    return;
+  }
+  (this->*row->m_handler)(std::move(aCall));
+}
+
+void EntryApp::Refuse(CallerCall& aCall, const Refusal& aRefusal)
+{
+  m_context.m_metrics.CountOutcome({ "", aRefusal.m_status });
+  aCall.Reply(aRefusal.m_status, ErrorHeaders(aRefusal), ErrorBody(aRefusal));
+}
+
+void EntryApp::HandleCompletion(std::unique_ptr<CallerCall> aCall)
+{
+  if (aCall->Method() != "POST") {
+    Refuse(
+      *aCall,
+      SimpleRefusal(kMethodNotAllowed, "method_not_allowed", "use POST here"));
+    return;
+  }
+  if (m_catalog == nullptr) {
+    Refuse(
+      *aCall,
+      SimpleRefusal(kUnavailable, "not_ready", "no settings are in force yet"));
+    return;
+  }
+  std::optional<PreparedCall> prepared =
+    m_preparer.PrepareCompletion(*aCall, m_catalog, m_context.m_clock.Now());
+  if (!prepared) {
+    Refuse(*aCall, m_preparer.LastRefusal());
+    return;
+  }
+  StartSession(std::move(aCall), std::move(*prepared));
+}
+
+void EntryApp::HandlePlain(std::unique_ptr<CallerCall> aCall)
+{
+  if (m_catalog == nullptr) {
+    Refuse(
+      *aCall,
+      SimpleRefusal(kUnavailable, "not_ready", "no settings are in force yet"));
+    return;
+  }
+  std::optional<PreparedCall> prepared =
+    m_preparer.PreparePlain(*aCall, m_catalog, m_context.m_clock.Now());
+  if (!prepared) {
+    Refuse(*aCall, m_preparer.LastRefusal());
+    return;
+  }
+  StartSession(std::move(aCall), std::move(*prepared));
+}
+
+void EntryApp::StartSession(std::unique_ptr<CallerCall> aCall,
+                            PreparedCall aPrepared)
+{
+  const ServiceLimit limit{
+    aPrepared.m_settings.Get(SettingKey::MaxConcurrentCalls),
+    aPrepared.m_settings.Get(SettingKey::MaxRequestsPerSecond)
+  };
+  if (!m_context.m_limits.TryAdmit(
+        aPrepared.m_service, limit, m_context.m_clock.Now())) {
+    Refusal refusal = SimpleRefusal(kTooManyRequests,
+                                    "rate_limit_exceeded",
+                                    "the limit of this key is reached");
+    refusal.m_type = "rate_limit_error";
+    refusal.m_retryAfterSeconds = 1;
+    Refuse(*aCall, refusal);
+    return;
+  }
+  Span span = m_context.m_tracer.StartRoot(
+    "entry",
+    aCall->Header("traceparent"),
+    aPrepared.m_settings.Get(SettingKey::TraceSamplePercent));
+  auto session = std::make_unique<CallSession>(
+    m_context,
+    std::move(aCall),
+    std::move(aPrepared),
+    std::move(span),
+    [this](CallSession& aSession) { Retire(aSession); });
+  CallSession* key = session.get();
+  m_deadlines.emplace(key->Deadline(), key);
+  m_sessions.emplace(key, std::move(session));
+  key->Start();
+}
+
+void EntryApp::Retire(CallSession& aSession)
+{
+  const auto [first, last] = m_deadlines.equal_range(aSession.Deadline());
+  const auto entry = std::find_if(first, last, [&](const auto& aEntry) {
+    return aEntry.second == &aSession;
+  });
+  if (entry != last) {
+    m_deadlines.erase(entry);
+  }
+  const auto found = m_sessions.find(&aSession);
+  // The session is still on the stack, so it is destroyed by a later event.
+  m_retired.push_back(std::move(found->second));
+  m_sessions.erase(found);
+  if (m_retireTimer == nullptr) {
+    m_retireTimer = m_context.m_timers.After(Duration::zero(), [this] {
+      m_retireTimer.reset();
+      m_retired.clear();
+    });
+  }
+}
+
+void EntryApp::CheckDeadlines()
+{
+  const TimePoint now = m_context.m_clock.Now();
+  while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+    CallSession* session = m_deadlines.begin()->second;
+    m_deadlines.erase(m_deadlines.begin());
+    session->HandleDeadline();
+  }
+}
+
+void EntryApp::HandleModels(std::unique_ptr<CallerCall> aCall)
+{
+  if (m_catalog == nullptr) {
+    Refuse(
+      *aCall,
+      SimpleRefusal(kUnavailable, "not_ready", "no settings are in force yet"));
+    return;
+  }
+  const auto service = m_preparer.Authenticate(*aCall, *m_catalog);
+  if (!service) {
+    Refuse(*aCall, m_preparer.LastRefusal());
+    return;
+  }
+  const auto& allowed = m_catalog->Tree().m_services.at(*service).m_models;
+  json list = json::array();
+  for (const NameEntry& entry : m_catalog->Names().Entries()) {
+    if (!allowed.empty() && !allowed.contains(entry.m_target.m_model)) {
+      continue;
+    }
+    list.push_back({ { "id", entry.m_name },
+                     { "object", "model" },
+                     { "created", 0 },
+                     { "owned_by", "celeryspread" },
+                     { "naming_scheme", entry.m_scheme.Value() },
+                     { "reaches", entry.m_target.EngineName() } });
+  }
+  ReplyJson(*aCall, kOk, { { "object", "list" }, { "data", list } });
+}
+
+void EntryApp::HandleHealth(std::unique_ptr<CallerCall> aCall)
+{
+  ReplyJson(*aCall, kOk, { { "status", "ok" } });
+}
+
+void EntryApp::HandleReady(std::unique_ptr<CallerCall> aCall)
+{
+  const bool isReady = !m_isDraining && m_catalog != nullptr;
+  ReplyJson(*aCall, isReady ? kOk : kUnavailable, { { "ready", isReady } });
+}
+
+void EntryApp::HandleMetrics(std::unique_ptr<CallerCall> aCall)
+{
+  m_context.m_metrics.SetGauge("celeryspread_calls_in_progress",
+                               static_cast<double>(m_sessions.size()));
+  aCall->Reply(kOk,
+               { { "Content-Type", "text/plain; version=0.0.4" } },
+               m_context.m_metrics.PrometheusText());
+}
+
+void EntryApp::HandleStatus(std::unique_ptr<CallerCall> aCall)
+{
+  json upstreams = json::object();
+  for (const auto& [id, state] : m_context.m_table.All()) {
+    upstreams[id.Value()] = { { "load", state->EstimatedLoad() },
+                              { "outstanding", state->m_outstanding },
+                              { "leaving", state->IsLeaving() },
+                              { "resident", state->m_resident } };
+  }
+  const uint64_t revision =
+    m_catalog == nullptr ? 0 : m_catalog->CurrentRevision().Value();
+  ReplyJson(*aCall,
+            kOk,
+            { { "revision", revision },
+              { "calls", m_sessions.size() },
+              { "draining", m_isDraining },
+              { "upstreams", upstreams } });
+}
+
+void EntryApp::HandleAdmin(std::unique_ptr<CallerCall> aCall)
+{
+  if (m_admin == nullptr) {
+    Refuse(*aCall,
+           SimpleRefusal(kUnavailable,
+                         "no_control",
+                         "this instance knows no control instance"));
+    return;
+  }
+  m_admin->Forward(std::move(aCall));
+}
+
+void EntryApp::BeginDrain()
+{
+  m_isDraining = true;
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/entry/entry_context.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "admission/service_limits.h"
+#include "core/clock.h"
+#include "core/timers.h"
+#include "http/upstream_client.h"
+#include "ledger/claim_service.h"
+#include "retry/retry_budget.h"
+#include "routing/router.h"
+#include "telemetry/event_log.h"
+#include "telemetry/metrics.h"
+#include "telemetry/trace.h"
+
+namespace celeryspread {
+
+/// Everything that calls in progress share at one entry instance.
+/// @thread loop thread only; all references outlive every call.
+struct EntryContext
+{
+  const Clock& m_clock;
+  Timers& m_timers;
+  UpstreamClient& m_client;
+  ClaimService& m_claims;
+  UpstreamTable& m_table;
+  Router& m_router;
+  ServiceLimits& m_limits;
+  RetryBudget& m_retryBudget;
+  Tracer& m_tracer;
+  Metrics& m_metrics;
+  EventLog& m_log;
+};
+
+} // namespace celeryspread
--- /dev/null
+++ b/entry/entry_process.cpp
@@ -0,0 +1,173 @@
+#include "entry/entry_process.h"
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+#include <event2/event.h>
+
+#include "core/system_clock.h"
+#include "entry/entry_app.h"
+#include "entry/no_claim_service.h"
+#include "entry/report_poller.h"
+#include "http/event_timers.h"
+#include "http/evhttp_upstream_client.h"
+#include "main/exit_code.h"
+#include "telemetry/otlp_file_exporter.h"
+
+namespace celeryspread {
+
+namespace {
+
+struct EventBaseDeleter
+{
+  void operator()(event_base* aBase) const { event_base_free(aBase); }
+};
+
+constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(20);
+
+} // namespace
+
+class EntryProcess::Impl
+{
+public:
+  explicit Impl(InstanceSettings aSettings)
+    : m_settings(std::move(aSettings))
+    , m_base(event_base_new())
+    , m_random(std::random_device()())
+    , m_timers(m_base.get())
+    , m_client(m_base.get(), m_clock)
+    , m_log(m_settings.m_instance.Value())
+    , m_router(m_table, m_settings.m_failureDomain, m_random)
+    , m_exporter(m_settings.m_traceFile, "celeryspread-entry")
+    , m_tracer(m_clock, m_random, &m_exporter)
+    , m_context{ m_clock,  m_timers,  m_client, m_claims,
+                 m_table,  m_router,  m_limits, m_retryBudget,
+                 m_tracer, m_metrics, m_log }
+    , m_app(m_context, m_settings.m_failureDomain, nullptr)
+    , m_server(m_base.get(), m_clock, Limits(), m_app)
+  {
+  }
+
+  int Run()
+  {
+    signal(SIGPIPE, SIG_IGN);
+    m_log.Write(EventId::Started,
+                std::string("version=") + CELERYSPREAD_VERSION);
+    if (!LoadTreeFile()) {
+      return ExitCode::BadSettings;
+    }
+    if (!m_server.Listen(m_settings.m_address, m_settings.m_httpPort)) {
+      m_log.Write(EventId::ListenFailed,
+                  "address=" + m_settings.m_address + ":" +
+                    std::to_string(m_settings.m_httpPort));
+      return ExitCode::CannotListen;
+    }
+    m_log.Write(EventId::Listening, "port=" + std::to_string(m_server.Port()));
+    std::cout << "listening " << m_server.Port() << std::endl;
+    m_poller = std::make_unique<ReportPoller>(
+      m_context, std::chrono::milliseconds(m_settings.m_reportPeriodMs));
+    m_poller->PollAll();
+    event* onTerm = evsignal_new(m_base.get(), SIGTERM, OnSignal, this);
+    event* onInterrupt = evsignal_new(m_base.get(), SIGINT, OnSignal, this);
+    event_add(onTerm, nullptr);
+    event_add(onInterrupt, nullptr);
+    event_base_dispatch(m_base.get());
+    event_free(onTerm);
+    event_free(onInterrupt);
+    m_log.Write(EventId::Stopped, "");
+    return ExitCode::Success;
+  }
+
+private:
+  [[nodiscard]] CallerServerLimits Limits() const
+  {
+    CallerServerLimits limits;
+    limits.m_maxConnections = static_cast<size_t>(m_settings.m_maxConnections);
+    return limits;
+  }
+
+  bool LoadTreeFile()
+  {
+    if (m_settings.m_treeFile.empty()) {
+      return true;
+    }
+    const auto text = ReadWholeFile(m_settings.m_treeFile);
+    SettingsError error{ m_settings.m_treeFile, "no readable file", "a tree" };
+    std::shared_ptr<const Catalog> catalog;
+    if (text) {
+      catalog = Catalog::Load(*text, Revision(1), error);
+    }
+    if (catalog == nullptr) {
+      m_log.Write(EventId::SettingsRefused, error.Text());
+      return false;
+    }
+    m_app.SetCatalog(std::move(catalog));
+    return true;
+  }
+
+  static void OnSignal(int /*aSignal*/, short /*aWhat*/, void* aSelf)
+  {
+    static_cast<Impl*>(aSelf)->BeginDrain();
+  }
+
+  void BeginDrain()
+  {
+    if (m_drainTimer != nullptr) {
+      return;
+    }
+    m_log.Write(EventId::DrainStarted, "");
+    m_app.BeginDrain();
+    // The balancer goes on sending until it has seen readiness turn off.
+    m_drainTimer = m_timers.After(
+      std::chrono::milliseconds(m_settings.m_drainLagMs), [this] {
+        m_server.BeginDrain();
+        m_endTimer =
+          m_timers.Every(kDrainCheckPeriod, [this] { CheckDrained(); });
+      });
+  }
+
+  void CheckDrained()
+  {
+    // A connection that still has bytes to send counts as a call.
+    if (m_app.CallCount() == 0 && m_server.BusyCount() == 0) {
+      event_base_loopbreak(m_base.get());
+    }
+  }
+
+  InstanceSettings m_settings;
+  std::unique_ptr<event_base, EventBaseDeleter> m_base;
+  SystemClock m_clock;
+  SeededRandomSource m_random;
+  EventTimers m_timers;
+  EvhttpUpstreamClient m_client;
+  EasyEventLog m_log;
+  UpstreamTable m_table;
+  Router m_router;
+  ServiceLimits m_limits;
+  RetryBudget m_retryBudget;
+  OtlpFileExporter m_exporter;
+  Tracer m_tracer;
+  Metrics m_metrics;
+  NoClaimService m_claims;
+  EntryContext m_context;
+  EntryApp m_app;
+  CallerServer m_server;
+  std::unique_ptr<ReportPoller> m_poller;
+  std::unique_ptr<Timer> m_drainTimer;
+  std::unique_ptr<Timer> m_endTimer;
+};
+
+EntryProcess::EntryProcess(InstanceSettings aSettings)
+  : m_impl(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+EntryProcess::~EntryProcess() = default;
+
+int EntryProcess::Run()
+{
+  return m_impl->Run();
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/http/caller_server.cpp
@@ -0,0 +1,320 @@
+#include "http/caller_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstring>
+#include <vector>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include "http/evhttp_caller_call.h"
+
+namespace celeryspread {
+
+namespace {
+
+constexpr timeval kSweepPeriod = { 1, 0 };
+constexpr int kHttpBadRequest = 400;
+
+/// Finds framing that two parties could read in two ways.
+bool HasAmbiguousFraming(evhttp_request* aRequest)
+{
+  size_t lengths = 0;
+  size_t encodings = 0;
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* pair = headers->tqh_first; pair != nullptr;
+       pair = pair->next.tqe_next) {
+    lengths += evutil_ascii_strcasecmp(pair->key, "Content-Length") == 0;
+    const bool isEncoding =
+      evutil_ascii_strcasecmp(pair->key, "Transfer-Encoding") == 0;
+    if (isEncoding && evutil_ascii_strcasecmp(pair->value, "chunked") != 0) {
+      return true;
+    }
+    encodings += isEncoding;
+  }
+  return lengths + encodings > 1;
+}
+
+} // namespace
+
+CallerServer::CallerServer(event_base* aBase,
+                           const Clock& aClock,
+                           CallerServerLimits aLimits,
+                           CallHandler& aHandler)
+  : m_base(aBase)
+  , m_clock(aClock)
+  , m_limits(aLimits)
+  , m_handler(aHandler)
+  , m_http(evhttp_new(aBase))
+  , m_sweepTimer(event_new(aBase, -1, EV_PERSIST, OnSweep, this))
+  , m_refusal(event_new(aBase, -1, 0, OnRefusal, this))
+{
+  evhttp_set_gencb(m_http, OnRequest, this);
+  evhttp_set_bevcb(m_http, OnNewConnection, this);
+  evhttp_set_max_headers_size(
+    m_http, static_cast<ev_ssize_t>(aLimits.m_maxHeaderBytes));
+  evhttp_set_max_body_size(m_http,
+                           static_cast<ev_ssize_t>(aLimits.m_maxBodyBytes));
+  constexpr int kAllMethods =
+    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
+  evhttp_set_allowed_methods(m_http, kAllMethods);
+  evhttp_set_default_content_type(m_http, nullptr);
+  // The sweep keeps the time-outs; evhttp's own would cut long streams.
+  constexpr int kEvhttpTimeoutSeconds = 7 * 86'400;
+  evhttp_set_timeout(m_http, kEvhttpTimeoutSeconds);
+  event_add(m_sweepTimer, &kSweepPeriod);
+}
+
+CallerServer::~CallerServer()
+{
+  event_free(m_sweepTimer);
+  event_free(m_refusal);
+  std::vector<evhttp_connection*> open;
+  for (const auto& [bev, state] : m_connections) {
+    if (state->m_connection != nullptr) {
+      open.push_back(state->m_connection);
+    }
+  }
+  for (evhttp_connection* connection : open) {
+    evhttp_connection_free(connection);
+  }
+  evhttp_free(m_http);
+  for (const auto& [bev, state] : m_connections) {
+    bufferevent_decref(bev);
+  }
+}
+
+bool CallerServer::Listen(const std::string& aAddress, uint16_t aPort)
+{
+  m_socket = evhttp_bind_socket_with_handle(m_http, aAddress.c_str(), aPort);
+  if (m_socket == nullptr) {
+    return false;
+  }
+  sockaddr_storage address{};
+  socklen_t length = sizeof(address);
+  const int fd = evhttp_bound_socket_get_fd(m_socket);
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length) != 0) {
+    return false;
+  }
+  m_port = ntohs(reinterpret_cast<const sockaddr_in*>(&address)->sin_port);
+  return true;
+}
+
+bufferevent* CallerServer::OnNewConnection(event_base* aBase, void* aSelf)
+{
+  auto* self = static_cast<CallerServer*>(aSelf);
+  bufferevent* bev = bufferevent_socket_new(aBase, -1, BEV_OPT_CLOSE_ON_FREE);
+  // The reference keeps the pointer valid until evhttp names its connection,
+  // since evhttp does not tell when it frees one that never sent a request.
+  bufferevent_incref(bev);
+  auto state = std::make_unique<Connection>();
+  state->m_server = self;
+  state->m_bufferevent = bev;
+  state->m_since = self->m_clock.Now();
+  state->m_inputWatch =
+    evbuffer_add_cb(bufferevent_get_input(bev), OnInput, state.get());
+  if (self->m_connections.size() >= self->m_limits.m_maxConnections) {
+    ++self->m_refused;
+    state->m_isRefused = true;
+    event_active(self->m_refusal, 0, 0);
+  }
+  self->m_connections.emplace(bev, std::move(state));
+  return bev;
+}
+
+void CallerServer::OnInput(evbuffer* /*aBuffer*/,
+                           const evbuffer_cb_info* aInfo,
+                           void* aConnection)
+{
+  auto* state = static_cast<Connection*>(aConnection);
+  if (aInfo->n_added > 0 && state->m_phase == Phase::Idle) {
+    state->m_phase = Phase::Receiving;
+    state->m_since = state->m_server->m_clock.Now();
+  }
+}
+
+CallerServer::Connection& CallerServer::Adopt(evhttp_connection* aConnection)
+{
+  bufferevent* bev = evhttp_connection_get_bufferevent(aConnection);
+  Connection& state = *m_connections.at(bev);
+  if (state.m_connection == nullptr) {
+    state.m_connection = aConnection;
+    evhttp_connection_set_closecb(aConnection, OnConnectionClosed, this);
+    bufferevent_decref(bev);
+  }
+  return state;
+}
+
+void CallerServer::OnConnectionClosed(evhttp_connection* aConnection,
+                                      void* aSelf)
+{
+  auto* self = static_cast<CallerServer*>(aSelf);
+  bufferevent* bev = evhttp_connection_get_bufferevent(aConnection);
+  const auto found = self->m_connections.find(bev);
+  if (found == self->m_connections.end()) {
+    return;
+  }
+  EvhttpCallerCall* call = found->second->m_call;
+  evbuffer_remove_cb_entry(bufferevent_get_input(bev),
+                           found->second->m_inputWatch);
+  self->m_connections.erase(found);
+  if (call != nullptr) {
+    call->HandleConnectionClosed();
+  }
+}
+
+void CallerServer::OnRequest(evhttp_request* aRequest, void* aSelf)
+{
+  auto* self = static_cast<CallerServer*>(aSelf);
+  Connection& state = self->Adopt(evhttp_request_get_connection(aRequest));
+  if (HasAmbiguousFraming(aRequest)) {
+    evhttp_add_header(
+      evhttp_request_get_output_headers(aRequest), "Connection", "close");
+    evhttp_send_error(aRequest, kHttpBadRequest, "ambiguous message framing");
+    return;
+  }
+  auto call = std::make_unique<EvhttpCallerCall>(*self, aRequest);
+  state.m_phase = Phase::Answering;
+  state.m_since = self->m_clock.Now();
+  state.m_pendingAtSweep = 0;
+  state.m_call = call.get();
+  self->m_handler.OnCall(std::move(call));
+}
+
+void CallerServer::FinishCall(evhttp_connection* aConnection)
+{
+  const auto found =
+    m_connections.find(evhttp_connection_get_bufferevent(aConnection));
+  if (found != m_connections.end()) {
+    found->second->m_call = nullptr;
+    found->second->m_phase = Phase::Idle;
+    found->second->m_since = m_clock.Now();
+  }
+}
+
+void CallerServer::BeginDrain()
+{
+  if (m_isDraining) {
+    return;
+  }
+  m_isDraining = true;
+  if (m_socket != nullptr) {
+    evhttp_del_accept_socket(m_http, m_socket);
+    m_socket = nullptr;
+  }
+  Sweep();
+}
+
+size_t CallerServer::PendingBytes() const
+{
+  size_t bytes = 0;
+  for (const auto& [bev, state] : m_connections) {
+    bytes += evbuffer_get_length(bufferevent_get_output(bev));
+  }
+  return bytes;
+}
+
+size_t CallerServer::BusyCount() const
+{
+  size_t count = 0;
+  for (const auto& [bev, state] : m_connections) {
+    const bool hasOutput = evbuffer_get_length(bufferevent_get_output(bev)) > 0;
+    count += state->m_phase != Phase::Idle || hasOutput ? 1 : 0;
+  }
+  return count;
+}
+
+void CallerServer::OnSweep(int /*aFd*/, short /*aWhat*/, void* aSelf)
+{
+  static_cast<CallerServer*>(aSelf)->Sweep();
+}
+
+void CallerServer::OnRefusal(int /*aFd*/, short /*aWhat*/, void* aSelf)
+{
+  static_cast<CallerServer*>(aSelf)->Sweep();
+}
+
+bool CallerServer::IsReaderStuck(Connection& aState) const
+{
+  const size_t pending =
+    evbuffer_get_length(bufferevent_get_output(aState.m_bufferevent));
+  const bool isStuck = pending > 0 && aState.m_pendingAtSweep > 0 &&
+                       pending >= aState.m_pendingAtSweep;
+  if (!isStuck) {
+    aState.m_since = m_clock.Now();
+  }
+  aState.m_pendingAtSweep = pending;
+  return isStuck && m_clock.Now() - aState.m_since > m_limits.m_readerTimeout;
+}
+
+bool CallerServer::IsOverdue(Connection& aState) const
+{
+  const Duration age = m_clock.Now() - aState.m_since;
+  const bool hasOutput =
+    evbuffer_get_length(bufferevent_get_output(aState.m_bufferevent)) > 0;
+  if (aState.m_phase == Phase::Answering || hasOutput) {
+    return IsReaderStuck(aState);
+  }
+  if (aState.m_phase == Phase::Receiving) {
+    return age > m_limits.m_receiveTimeout;
+  }
+  return m_isDraining || age > m_limits.m_idleTimeout;
+}
+
+void CallerServer::Close(Connection& aState)
+{
+  if (aState.m_connection != nullptr) {
+    evhttp_connection_free(aState.m_connection);
+    return;
+  }
+  bufferevent_trigger_event(
+    aState.m_bufferevent, BEV_EVENT_READING | BEV_EVENT_EOF, 0);
+}
+
+void CallerServer::Release(bufferevent* aBufferevent)
+{
+  const auto found = m_connections.find(aBufferevent);
+  evbuffer_remove_cb_entry(bufferevent_get_input(aBufferevent),
+                           found->second->m_inputWatch);
+  m_connections.erase(found);
+  bufferevent_decref(aBufferevent);
+}
+
+void CallerServer::Sweep()
+{
+  std::vector<Connection*> overdue;
+  std::vector<bufferevent*> freed;
+  for (auto& [bev, state] : m_connections) {
+    bufferevent_event_cb eventCallback = nullptr;
+    bufferevent_getcb(bev, nullptr, nullptr, &eventCallback, nullptr);
+    const bool isFreed =
+      state->m_connection == nullptr && eventCallback == nullptr;
+    if (isFreed) {
+      freed.push_back(bev);
+    } else if (state->m_isRefused || IsOverdue(*state)) {
+      overdue.push_back(state.get());
+    }
+  }
+  for (Connection* state : overdue) {
+    bufferevent* bev = state->m_bufferevent;
+    const bool isHeldHere = state->m_connection == nullptr;
+    Close(*state);
+    if (isHeldHere) {
+      freed.push_back(bev);
+    }
+  }
+  for (bufferevent* bev : freed) {
+    Release(bev);
+  }
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/http/evhttp_caller_call.cpp
@@ -0,0 +1,235 @@
+#include "http/evhttp_caller_call.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+namespace celeryspread {
+
+namespace {
+
+/// Bytes of pipelined requests kept while an answer is in progress.
+constexpr size_t kMaxPipelinedBytes = 65'536;
+
+std::string_view MethodName(evhttp_cmd_type aType)
+{
+  switch (aType) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "OTHER";
+  }
+}
+
+bool IsSafeHeaderValue(const std::string& aValue)
+{
+  return aValue.find_first_of("\r\n") == std::string::npos;
+}
+
+} // namespace
+
+EvhttpCallerCall::EvhttpCallerCall(CallerServer& aServer,
+                                   evhttp_request* aRequest)
+  : m_server(aServer)
+  , m_request(aRequest)
+  , m_connection(evhttp_request_get_connection(aRequest))
+{
+  WatchForClose();
+}
+
+EvhttpCallerCall::~EvhttpCallerCall()
+{
+  if (m_request != nullptr) {
+    Abort();
+  }
+}
+
+void EvhttpCallerCall::WatchForClose()
+{
+  // evhttp stops reading once a request is whole; a caller that leaves is
+  // only noticed when reading goes on without evhttp's own read callback.
+  bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
+  bufferevent_data_cb writeCallback = nullptr;
+  bufferevent_event_cb eventCallback = nullptr;
+  void* argument = nullptr;
+  bufferevent_getcb(bev, nullptr, &writeCallback, &eventCallback, &argument);
+  bufferevent_setcb(bev, nullptr, writeCallback, eventCallback, argument);
+  bufferevent_setwatermark(bev, EV_READ, 0, kMaxPipelinedBytes);
+  bufferevent_set_timeouts(bev, nullptr, nullptr);
+  bufferevent_enable(bev, EV_READ);
+}
+
+std::string_view EvhttpCallerCall::Method() const
+{
+  return MethodName(evhttp_request_get_command(m_request));
+}
+
+std::string_view EvhttpCallerCall::Path() const
+{
+  const char* path =
+    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(m_request));
+  return path == nullptr ? "/" : path;
+}
+
+std::string_view EvhttpCallerCall::Query() const
+{
+  const char* query =
+    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(m_request));
+  return query == nullptr ? "" : query;
+}
+
+std::optional<std::string_view> EvhttpCallerCall::Header(
+  const char* aName) const
+{
+  const char* value =
+    evhttp_find_header(evhttp_request_get_input_headers(m_request), aName);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+HttpHeaders EvhttpCallerCall::AllHeaders() const
+{
+  HttpHeaders headers;
+  const evkeyvalq* queue = evhttp_request_get_input_headers(m_request);
+  for (const evkeyval* pair = queue->tqh_first; pair != nullptr;
+       pair = pair->next.tqe_next) {
+    headers.push_back({ pair->key, pair->value });
+  }
+  return headers;
+}
+
+std::string_view EvhttpCallerCall::Body()
+{
+  evbuffer* buffer = evhttp_request_get_input_buffer(m_request);
+  const size_t length = evbuffer_get_length(buffer);
+  const unsigned char* bytes = evbuffer_pullup(buffer, -1);
+  return { reinterpret_cast<const char*>(bytes), length };
+}
+
+void EvhttpCallerCall::SetObserver(CallerObserver* aObserver)
+{
+  m_observer = aObserver;
+}
+
+void EvhttpCallerCall::AddHeaders(const HttpHeaders& aHeaders)
+{
+  evkeyvalq* out = evhttp_request_get_output_headers(m_request);
+  for (const HttpHeader& header : aHeaders) {
+    if (IsSafeHeaderValue(header.m_value)) {
+      evhttp_add_header(out, header.m_name.c_str(), header.m_value.c_str());
+    }
+  }
+  if (m_server.m_isDraining) {
+    evhttp_add_header(out, "Connection", "close");
+  }
+}
+
+void EvhttpCallerCall::Reply(int aStatus,
+                             const HttpHeaders& aHeaders,
+                             std::string_view aBody)
+{
+  if (m_request == nullptr) {
+    return;
+  }
+  AddHeaders(aHeaders);
+  evbuffer* body = evhttp_request_get_output_buffer(m_request);
+  evbuffer_add(body, aBody.data(), aBody.size());
+  evhttp_request* request = m_request;
+  m_request = nullptr;
+  m_server.FinishCall(m_connection);
+  evhttp_send_reply(request, aStatus, nullptr, nullptr);
+}
+
+void EvhttpCallerCall::StartStream(int aStatus, const HttpHeaders& aHeaders)
+{
+  if (m_request == nullptr) {
+    return;
+  }
+  AddHeaders(aHeaders);
+  m_isStreaming = true;
+  evhttp_send_reply_start(m_request, aStatus, nullptr);
+}
+
+void EvhttpCallerCall::OnChunkWritten(evhttp_connection* /*aConnection*/,
+                                      void* aSelf)
+{
+  auto* self = static_cast<EvhttpCallerCall*>(aSelf);
+  if (self->m_observer != nullptr) {
+    self->m_observer->OnCallerDrained();
+  }
+}
+
+void EvhttpCallerCall::SendChunk(std::string_view aBytes)
+{
+  if (m_request == nullptr || aBytes.empty()) {
+    return;
+  }
+  evbuffer* chunk = evhttp_request_get_output_buffer(m_request);
+  evbuffer_add(chunk, aBytes.data(), aBytes.size());
+  evhttp_send_reply_chunk_with_cb(m_request, chunk, OnChunkWritten, this);
+}
+
+void EvhttpCallerCall::EndStream()
+{
+  if (m_request == nullptr) {
+    return;
+  }
+  evhttp_request* request = m_request;
+  m_request = nullptr;
+  m_server.FinishCall(m_connection);
+  evhttp_send_reply_end(request);
+}
+
+void EvhttpCallerCall::Abort()
+{
+  if (m_request == nullptr) {
+    return;
+  }
+  evhttp_connection* connection = m_connection;
+  m_request = nullptr;
+  m_server.FinishCall(connection);
+  evhttp_connection_free(connection);
+}
+
+size_t EvhttpCallerCall::PendingBytes() const
+{
+  if (m_request == nullptr) {
+    return 0;
+  }
+  bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
+  return evbuffer_get_length(bufferevent_get_output(bev));
+}
+
+void EvhttpCallerCall::HandleConnectionClosed()
+{
+  // evhttp hands a request that was still being answered over to its user
+  // when the peer closes; one that it still holds it frees itself.
+  const bool isOurs =
+    m_request != nullptr && evhttp_request_get_connection(m_request) == nullptr;
+  if (isOurs) {
+    evhttp_request_free(m_request);
+  }
+  m_request = nullptr;
+  if (m_observer != nullptr) {
+    m_observer->OnCallerGone();
+  }
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/http/evhttp_upstream_call.cpp
@@ -0,0 +1,300 @@
+#include "http/evhttp_upstream_call.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace celeryspread {
+
+namespace {
+
+constexpr int64_t kMicrosPerSecond = 1'000'000;
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr ev_ssize_t kMaxAnswerHeaderBytes = 65'536;
+
+timeval ToTimeval(Duration aDuration)
+{
+  return { aDuration.count() / kMicrosPerSecond,
+           aDuration.count() % kMicrosPerSecond };
+}
+
+evhttp_cmd_type CommandOf(const std::string& aMethod)
+{
+  struct Row
+  {
+    const char* m_name;
+    evhttp_cmd_type m_type;
+  };
+  static constexpr Row kRows[] = {
+    { "GET", EVHTTP_REQ_GET },       { "POST", EVHTTP_REQ_POST },
+    { "HEAD", EVHTTP_REQ_HEAD },     { "PUT", EVHTTP_REQ_PUT },
+    { "DELETE", EVHTTP_REQ_DELETE }, { "OPTIONS", EVHTTP_REQ_OPTIONS },
+    { "PATCH", EVHTTP_REQ_PATCH },
+  };
+  for (const Row& row : kRows) {
+    if (aMethod == row.m_name) {
+      return row.m_type;
+    }
+  }
+  return EVHTTP_REQ_GET;
+}
+
+HttpHeaders ReadHeaders(evhttp_request* aRequest)
+{
+  HttpHeaders headers;
+  const evkeyvalq* queue = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* pair = queue->tqh_first; pair != nullptr;
+       pair = pair->next.tqe_next) {
+    headers.push_back({ pair->key, pair->value });
+  }
+  return headers;
+}
+
+bool AsksToClose(evhttp_request* aRequest)
+{
+  const char* value = evhttp_find_header(
+    evhttp_request_get_input_headers(aRequest), "Connection");
+  return value != nullptr && evutil_ascii_strcasecmp(value, "close") == 0;
+}
+
+} // namespace
+
+EvhttpUpstreamCall::EvhttpUpstreamCall(EvhttpUpstreamClient& aClient,
+                                       evhttp_connection* aConnection,
+                                       UpstreamRequest aRequest,
+                                       UpstreamObserver& aObserver)
+  : m_client(aClient)
+  , m_connection(aConnection)
+  , m_request(std::move(aRequest))
+  , m_observer(aObserver)
+  , m_deferred(event_new(aClient.m_base, -1, 0, OnDeferred, this))
+  , m_link(std::make_unique<Link>(Link{ this }))
+{
+  Send();
+}
+
+EvhttpUpstreamCall::~EvhttpUpstreamCall()
+{
+  event_free(m_deferred);
+  if (m_deletedFlag != nullptr) {
+    *m_deletedFlag = true;
+  }
+  if (m_isOver) {
+    return;
+  }
+  Detach();
+  m_link->m_call = nullptr;
+  m_client.FreeLater(m_connection, std::move(m_link));
+}
+
+void EvhttpUpstreamCall::Send()
+{
+  evhttp_request* request = evhttp_request_new(OnDone, m_link.get());
+  evhttp_request_set_header_cb(request, OnHeaders);
+  evhttp_request_set_chunked_cb(request, OnChunk);
+  evhttp_request_set_error_cb(request,
+                              [](evhttp_request_error aError, void* aSelf) {
+                                OnError(static_cast<int>(aError), aSelf);
+                              });
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", m_request.m_address.m_address.c_str());
+  for (const HttpHeader& header : m_request.m_headers) {
+    evhttp_add_header(headers, header.m_name.c_str(), header.m_value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(request),
+               m_request.m_body.data(),
+               m_request.m_body.size());
+  m_request.m_body.clear();
+  m_request.m_body.shrink_to_fit();
+  evhttp_connection_set_max_headers_size(m_connection, kMaxAnswerHeaderBytes);
+  const timeval connectTimeout = ToTimeval(kConnectTimeout);
+  evhttp_connection_set_timeout_tv(m_connection, &connectTimeout);
+  bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
+  m_outputWatch = evbuffer_add_cb(bufferevent_get_output(bev), OnOutput, this);
+  const int result = evhttp_make_request(m_connection,
+                                         request,
+                                         CommandOf(m_request.m_method),
+                                         m_request.m_path.c_str());
+  m_hasStarted = result == 0;
+  if (!m_hasStarted) {
+    event_active(m_deferred, 0, 0);
+  }
+}
+
+void EvhttpUpstreamCall::SetTimeout(Duration aTimeout)
+{
+  const timeval timeout = ToTimeval(aTimeout);
+  bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
+  bufferevent_set_timeouts(bev, &timeout, &timeout);
+}
+
+void EvhttpUpstreamCall::OnOutput(evbuffer* /*aBuffer*/,
+                                  const evbuffer_cb_info* aInfo,
+                                  void* aSelf)
+{
+  auto* self = static_cast<EvhttpUpstreamCall*>(aSelf);
+  if (aInfo->n_deleted == 0 || self->m_hasSentBytes) {
+    return;
+  }
+  self->m_hasSentBytes = true;
+  event_active(self->m_deferred, 0, 0);
+}
+
+int EvhttpUpstreamCall::OnHeaders(evhttp_request* aRequest, void* aSelf)
+{
+  EvhttpUpstreamCall* self = static_cast<Link*>(aSelf)->m_call;
+  if (self == nullptr) {
+    return 0;
+  }
+  self->m_hasHeaders = true;
+  self->SetTimeout(self->m_request.m_progressTimeout);
+  self->m_observer.OnUpstreamHeaders(evhttp_request_get_response_code(aRequest),
+                                     ReadHeaders(aRequest));
+  return 0;
+}
+
+bool EvhttpUpstreamCall::DeliverBody(evhttp_request* aRequest)
+{
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  const size_t length = evbuffer_get_length(input);
+  if (length == 0) {
+    return true;
+  }
+  const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+  bool isDeleted = false;
+  m_deletedFlag = &isDeleted;
+  m_observer.OnUpstreamBody({ bytes, length });
+  if (isDeleted) {
+    return false;
+  }
+  m_deletedFlag = nullptr;
+  return true;
+}
+
+void EvhttpUpstreamCall::OnChunk(evhttp_request* aRequest, void* aSelf)
+{
+  EvhttpUpstreamCall* self = static_cast<Link*>(aSelf)->m_call;
+  if (self == nullptr || !self->DeliverBody(aRequest)) {
+    return;
+  }
+  if (self->m_isPaused) {
+    event_active(self->m_deferred, 0, 0);
+  }
+}
+
+void EvhttpUpstreamCall::OnError(int aError, void* aSelf)
+{
+  EvhttpUpstreamCall* self = static_cast<Link*>(aSelf)->m_call;
+  if (self != nullptr) {
+    self->m_error = aError;
+  }
+}
+
+void EvhttpUpstreamCall::Detach()
+{
+  if (m_outputWatch != nullptr) {
+    bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
+    evbuffer_remove_cb_entry(bufferevent_get_output(bev), m_outputWatch);
+    m_outputWatch = nullptr;
+  }
+}
+
+void EvhttpUpstreamCall::Fail(UpstreamFailureKind aKind, std::string aReason)
+{
+  Detach();
+  m_isOver = true;
+  m_client.FreeLater(m_connection, std::move(m_link));
+  m_observer.OnUpstreamFailed({ aKind, m_hasSentBytes, std::move(aReason) });
+}
+
+void EvhttpUpstreamCall::Complete(evhttp_request* aRequest)
+{
+  if (!DeliverBody(aRequest)) {
+    return;
+  }
+  Detach();
+  m_isOver = true;
+  if (AsksToClose(aRequest)) {
+    m_client.FreeLater(m_connection, std::move(m_link));
+  } else {
+    m_client.Keep(m_request.m_address, m_connection);
+  }
+  m_observer.OnUpstreamEnd();
+}
+
+void EvhttpUpstreamCall::OnDone(evhttp_request* aRequest, void* aSelf)
+{
+  EvhttpUpstreamCall* self = static_cast<Link*>(aSelf)->m_call;
+  if (self == nullptr) {
+    return;
+  }
+  const bool isWhole = aRequest != nullptr && self->m_error < 0 &&
+                       evhttp_request_get_response_code(aRequest) != 0;
+  if (isWhole) {
+    self->Complete(aRequest);
+    return;
+  }
+  if (!self->m_hasSentBytes) {
+    self->Fail(UpstreamFailureKind::ConnectFailed,
+               "no connection to the upstream");
+    return;
+  }
+  switch (self->m_error) {
+    case EVREQ_HTTP_TIMEOUT:
+      self->Fail(UpstreamFailureKind::Timeout, "the upstream fell silent");
+      return;
+    case EVREQ_HTTP_INVALID_HEADER:
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      self->Fail(UpstreamFailureKind::BadAnswer,
+                 "the upstream's answer is not valid HTTP");
+      return;
+    default:
+      self->Fail(UpstreamFailureKind::ConnectionLost,
+                 "the upstream closed the connection early");
+  }
+}
+
+void EvhttpUpstreamCall::Pause()
+{
+  if (m_isOver || m_isPaused) {
+    return;
+  }
+  m_isPaused = true;
+  // evhttp enables reading again when its callback returns, so reading is
+  // disabled from an event of its own.
+  event_active(m_deferred, 0, 0);
+}
+
+void EvhttpUpstreamCall::Resume()
+{
+  if (m_isOver || !m_isPaused) {
+    return;
+  }
+  m_isPaused = false;
+  bufferevent_enable(evhttp_connection_get_bufferevent(m_connection), EV_READ);
+}
+
+void EvhttpUpstreamCall::OnDeferred(int /*aFd*/, short /*aWhat*/, void* aSelf)
+{
+  auto* self = static_cast<EvhttpUpstreamCall*>(aSelf);
+  if (self->m_isOver) {
+    return;
+  }
+  if (!self->m_hasStarted) {
+    self->Fail(UpstreamFailureKind::ConnectFailed,
+               "no connection to the upstream");
+    return;
+  }
+  if (self->m_isPaused) {
+    bufferevent_disable(evhttp_connection_get_bufferevent(self->m_connection),
+                        EV_READ);
+    return;
+  }
+  if (self->m_hasSentBytes && !self->m_hasHeaders) {
+    self->SetTimeout(self->m_request.m_firstByteTimeout);
+  }
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/http/evhttp_upstream_client.cpp
@@ -0,0 +1,171 @@
+#include "http/evhttp_upstream_client.h"
+
+#include <algorithm>
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "http/evhttp_upstream_call.h"
+
+namespace celeryspread {
+
+namespace {
+
+constexpr timeval kHousekeepingPeriod = { 1, 0 };
+/// Idle connections close before common upstream keep-alive limits end.
+constexpr Duration kMaxIdleTime = std::chrono::seconds(4);
+constexpr size_t kMaxIdlePerUpstream = 64;
+
+} // namespace
+
+EvhttpUpstreamClient::EvhttpUpstreamClient(event_base* aBase,
+                                           const Clock& aClock)
+  : m_base(aBase)
+  , m_clock(aClock)
+  , m_housekeeping(event_new(aBase, -1, EV_PERSIST, OnHousekeeping, this))
+  , m_reaper(event_new(
+      aBase,
+      -1,
+      0,
+      [](int, short, void* aSelf) {
+        static_cast<EvhttpUpstreamClient*>(aSelf)->FreeDoomed();
+      },
+      this))
+{
+  event_add(m_housekeeping, &kHousekeepingPeriod);
+}
+
+EvhttpUpstreamClient::~EvhttpUpstreamClient()
+{
+  event_free(m_housekeeping);
+  event_free(m_reaper);
+  for (auto& [address, connections] : m_idle) {
+    for (const IdleConnection& idle : connections) {
+      evhttp_connection_set_closecb(idle.m_connection, nullptr, nullptr);
+      evhttp_connection_free(idle.m_connection);
+    }
+  }
+  FreeDoomed();
+}
+
+size_t EvhttpUpstreamClient::IdleCount() const
+{
+  size_t count = 0;
+  for (const auto& [address, connections] : m_idle) {
+    count += connections.size();
+  }
+  return count;
+}
+
+evhttp_connection* EvhttpUpstreamClient::Connect(
+  const UpstreamAddress& aAddress)
+{
+  return evhttp_connection_base_bufferevent_new(
+    m_base, nullptr, nullptr, aAddress.m_address.c_str(), aAddress.m_port);
+}
+
+evhttp_connection* EvhttpUpstreamClient::TakeIdle(
+  const UpstreamAddress& aAddress)
+{
+  const auto found = m_idle.find(aAddress);
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  // The most recently used connection is the least likely to be stale.
+  evhttp_connection* connection = found->second.back().m_connection;
+  found->second.pop_back();
+  if (found->second.empty()) {
+    m_idle.erase(found);
+  }
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  return connection;
+}
+
+void EvhttpUpstreamClient::Keep(const UpstreamAddress& aAddress,
+                                evhttp_connection* aConnection)
+{
+  std::deque<IdleConnection>& idle = m_idle[aAddress];
+  if (idle.size() >= kMaxIdlePerUpstream) {
+    FreeLater(aConnection);
+    return;
+  }
+  evhttp_connection_set_closecb(aConnection, OnIdleClosed, this);
+  idle.push_back({ aConnection, m_clock.Now() });
+}
+
+void EvhttpUpstreamClient::OnIdleClosed(evhttp_connection* aConnection,
+                                        void* aSelf)
+{
+  auto* self = static_cast<EvhttpUpstreamClient*>(aSelf);
+  for (auto it = self->m_idle.begin(); it != self->m_idle.end(); ++it) {
+    auto& idle = it->second;
+    const auto found =
+      std::find_if(idle.begin(), idle.end(), [&](const IdleConnection& aEntry) {
+        return aEntry.m_connection == aConnection;
+      });
+    if (found == idle.end()) {
+      continue;
+    }
+    idle.erase(found);
+    if (idle.empty()) {
+      self->m_idle.erase(it);
+    }
+    self->FreeLater(aConnection);
+    return;
+  }
+}
+
+void EvhttpUpstreamClient::FreeLater(evhttp_connection* aConnection,
+                                     std::shared_ptr<void> aArgument)
+{
+  evhttp_connection_set_closecb(aConnection, nullptr, nullptr);
+  m_doomed.push_back({ aConnection, std::move(aArgument) });
+  event_active(m_reaper, 0, 0);
+}
+
+void EvhttpUpstreamClient::FreeDoomed()
+{
+  std::vector<DoomedConnection> doomed;
+  doomed.swap(m_doomed);
+  for (const DoomedConnection& entry : doomed) {
+    evhttp_connection_free(entry.m_connection);
+  }
+}
+
+void EvhttpUpstreamClient::OnHousekeeping(int /*aFd*/,
+                                          short /*aWhat*/,
+                                          void* aSelf)
+{
+  static_cast<EvhttpUpstreamClient*>(aSelf)->CloseExpired();
+}
+
+void EvhttpUpstreamClient::CloseExpired()
+{
+  const TimePoint oldest = m_clock.Now() - kMaxIdleTime;
+  for (auto it = m_idle.begin(); it != m_idle.end();) {
+    auto& idle = it->second;
+    while (!idle.empty() && idle.front().m_since < oldest) {
+      FreeLater(idle.front().m_connection);
+      idle.pop_front();
+    }
+    it = idle.empty() ? m_idle.erase(it) : std::next(it);
+  }
+}
+
+std::unique_ptr<UpstreamCall> EvhttpUpstreamClient::Start(
+  UpstreamRequest aRequest,
+  UpstreamObserver& aObserver)
+{
+  evhttp_connection* connection = nullptr;
+  if (aRequest.m_mayReuseConnection) {
+    connection = TakeIdle(aRequest.m_address);
+  }
+  if (connection == nullptr) {
+    connection = Connect(aRequest.m_address);
+  }
+  return std::make_unique<EvhttpUpstreamCall>(
+    *this, connection, std::move(aRequest), aObserver);
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/routing/upstream_table.cpp
@@ -0,0 +1,148 @@
+#include "routing/upstream_table.h"
+
+#include <algorithm>
+
+namespace celeryspread {
+
+namespace {
+
+constexpr uint32_t kFailuresBeforeEjection = 3;
+constexpr Duration kFirstEjection = std::chrono::seconds(1);
+constexpr uint32_t kMaxEjectionDoublings = 5;
+/// Weight of the newest service time in the smoothed one, as 1 / 2^3.
+constexpr int64_t kSmoothingDivisor = 8;
+
+} // namespace
+
+UpstreamState* UpstreamTable::Find(const UpstreamId& aId)
+{
+  const auto found = m_upstreams.find(aId);
+  return found == m_upstreams.end() ? nullptr : found->second.get();
+}
+
+void UpstreamTable::SetCatalog(const Catalog& aCatalog)
+{
+  std::map<UpstreamId, std::unique_ptr<UpstreamState>> next;
+  for (const auto& [id, declaration] : aCatalog.Tree().m_upstreams) {
+    const auto old = m_upstreams.find(id);
+    std::unique_ptr<UpstreamState> state;
+    const bool isSameUpstream =
+      old != m_upstreams.end() &&
+      old->second->m_declaration.m_address == declaration.m_address &&
+      old->second->m_declaration.m_port == declaration.m_port;
+    if (isSameUpstream) {
+      state = std::move(old->second);
+    } else {
+      state = std::make_unique<UpstreamState>();
+      state->m_id = id;
+    }
+    state->m_declaration = declaration;
+    next.emplace(id, std::move(state));
+  }
+  m_upstreams = std::move(next);
+  Reindex();
+}
+
+void UpstreamTable::Reindex()
+{
+  m_holders.clear();
+  m_servers.clear();
+  for (const auto& [id, state] : m_upstreams) {
+    if (!state->m_declaration.m_plainService.IsEmpty()) {
+      m_servers[state->m_declaration.m_plainService].push_back(state.get());
+    }
+    for (const std::string& name : state->m_resident) {
+      m_holders[name].push_back(state.get());
+    }
+  }
+}
+
+void UpstreamTable::ApplyReport(const UpstreamId& aId,
+                                const LoadReport& aReport)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr || aReport.m_takenAt < state->m_reportedAt) {
+    return;
+  }
+  state->m_reportedAt = aReport.m_takenAt;
+  state->m_reportedLoad = aReport.m_running + aReport.m_waiting;
+  state->m_startedSinceReport = 0;
+  state->m_endedSinceReport = 0;
+  state->m_reportsLeaving = aReport.m_isLeaving;
+  if (state->m_resident != aReport.m_resident) {
+    state->m_resident = aReport.m_resident;
+    Reindex();
+  }
+}
+
+void UpstreamTable::SetPlatformLeaving(const UpstreamId& aId, bool aIsLeaving)
+{
+  UpstreamState* state = Find(aId);
+  // The list lags and may go back, so leaving is never taken back by it; an
+  // upstream that returns is declared anew with its new address.
+  if (state != nullptr && aIsLeaving) {
+    state->m_platformSaysLeaving = true;
+  }
+}
+
+void UpstreamTable::NoteStart(const UpstreamId& aId)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr) {
+    return;
+  }
+  ++state->m_outstanding;
+  ++state->m_startedSinceReport;
+}
+
+bool UpstreamTable::NoteEnd(const UpstreamId& aId,
+                            AttemptResult aResult,
+                            Duration aElapsed,
+                            TimePoint aNow)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr) {
+    return false;
+  }
+  if (state->m_outstanding > 0) {
+    --state->m_outstanding;
+  }
+  ++state->m_endedSinceReport;
+  if (aResult == AttemptResult::Cancelled) {
+    return false;
+  }
+  if (aResult == AttemptResult::Answered) {
+    state->m_consecutiveFailures = 0;
+    state->m_ejectedUntil = TimePoint();
+    const Duration change = aElapsed - state->m_serviceTime;
+    state->m_serviceTime += state->m_serviceTime == Duration::zero()
+                              ? change
+                              : change / kSmoothingDivisor;
+    return false;
+  }
+  ++state->m_consecutiveFailures;
+  if (state->m_consecutiveFailures < kFailuresBeforeEjection) {
+    return false;
+  }
+  const uint32_t doublings =
+    std::min(state->m_consecutiveFailures - kFailuresBeforeEjection,
+             kMaxEjectionDoublings);
+  state->m_ejectedUntil = aNow + kFirstEjection * (1U << doublings);
+  return true;
+}
+
+const UpstreamTable::Candidates& UpstreamTable::HoldersOf(
+  std::string_view aEngineName) const
+{
+  const auto found = m_holders.find(aEngineName);
+  return found == m_holders.end() ? m_none : found->second;
+}
+
+const UpstreamTable::Candidates& UpstreamTable::ServersOf(
+  const PlainServiceId& aId) const
+{
+  const auto found = m_servers.find(aId);
+  return found == m_servers.end() ? m_none : found->second;
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/routing/upstream_table.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "catalog/catalog.h"
+#include "routing/load_report.h"
+#include "routing/upstream_state.h"
+
+namespace celeryspread {
+
+/// How a call at an upstream ended, as far as routing cares.
+enum class AttemptResult
+{
+  Answered,
+  Failed,
+  Cancelled
+};
+
+/// State of every known upstream, indexed by what each can serve, so that a
+/// decision costs nothing for upstreams that do not hold the model.
+/// @thread loop thread only.
+class UpstreamTable
+{
+public:
+  using Candidates = std::vector<UpstreamState*>;
+
+  /// Takes the upstreams of a new revision; state of those that stay is kept.
+  /// @pre none.
+  void SetCatalog(const Catalog& aCatalog);
+  /// Takes an engine's report; an older one than the last is dropped.
+  /// @pre none.
+  void ApplyReport(const UpstreamId& aId, const LoadReport& aReport);
+  /// Notes what the platform's list says. @pre none.
+  void SetPlatformLeaving(const UpstreamId& aId, bool aIsLeaving);
+  /// Notes that a call started. @pre none.
+  void NoteStart(const UpstreamId& aId);
+  /// Notes that a call ended. @pre NoteStart() came before.
+  /// @return true when the upstream was ejected by this failure.
+  bool NoteEnd(const UpstreamId& aId,
+               AttemptResult aResult,
+               Duration aElapsed,
+               TimePoint aNow);
+  /// Returns the upstreams on which an engine name is resident. @pre none.
+  [[nodiscard]] const Candidates& HoldersOf(std::string_view aEngineName) const;
+  /// Returns the upstreams of a plain service. @pre none.
+  [[nodiscard]] const Candidates& ServersOf(const PlainServiceId& aId) const;
+  /// Returns every upstream. @pre none.
+  [[nodiscard]] const std::map<UpstreamId, std::unique_ptr<UpstreamState>>&
+  All() const
+  {
+    return m_upstreams;
+  }
+
+private:
+  UpstreamState* Find(const UpstreamId& aId);
+  void Reindex();
+
+  std::map<UpstreamId, std::unique_ptr<UpstreamState>> m_upstreams;
+  std::map<std::string, Candidates, std::less<>> m_holders;
+  std::map<PlainServiceId, Candidates> m_servers;
+  Candidates m_none;
+};
+
+} // namespace celeryspread
--- /dev/null
+++ b/telemetry/event_catalog.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace celeryspread {
+
+/// Severity of an event.
+enum class EventLevel
+{
+  Info,
+  Warning,
+  Error
+};
+
+/// Number of an event; numbers are never reused.
+enum class EventId : uint16_t
+{
+  Started = 100,
+  Listening = 101,
+  DrainStarted = 102,
+  Stopped = 103,
+  SettingsRefused = 104,
+  ListenFailed = 105,
+  ConfigInForce = 200,
+  ConfigRefused = 201,
+  ControlLinkUp = 202,
+  ControlLinkLost = 203,
+  UpstreamEjected = 300,
+  UpstreamReturned = 301,
+  UpstreamLeaving = 302,
+  UpstreamReportLost = 303,
+  CallFailed = 400,
+  StreamBroken = 401,
+  BecameLeader = 500,
+  LostLeadership = 501,
+  LogTailCut = 502,
+  LogCorrupt = 503,
+  StorageFailed = 504,
+  ReplicaNotVoting = 505,
+  OrderSent = 600,
+  OrderFailed = 601,
+  PlacementRefused = 602,
+  ClaimSettled = 700,
+  AdminRefused = 701
+};
+
+/// One row of the catalogue; docs/EVENTS.md is held against these rows.
+struct EventSpec
+{
+  EventId m_id;
+  EventLevel m_level;
+  std::string_view m_name;
+  std::string_view m_description;
+};
+
+/// Returns every event in order of number. @pre none. @thread any.
+std::span<const EventSpec> AllEventSpecs();
+
+/// Returns the row of aId. @pre aId is in the catalogue. @thread any.
+const EventSpec& SpecOf(EventId aId);
+
+} // namespace celeryspread
--- /dev/null
+++ b/telemetry/metrics.cpp
@@ -0,0 +1,109 @@
+#include "telemetry/metrics.h"
+
+#include <sstream>
+
+#include <boost/histogram.hpp>
+
+namespace celeryspread {
+
+namespace bh = boost::histogram;
+
+namespace {
+
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using LatencyHistogram = decltype(bh::make_histogram(std::declval<LogAxis>()));
+
+constexpr unsigned kBins = 24;
+constexpr double kLowestSeconds = 0.0001;
+constexpr double kHighestSeconds = 400.0;
+constexpr double kMicrosPerSecond = 1e6;
+
+std::string Escaped(const std::string& aText)
+{
+  std::string escaped;
+  for (const char c : aText) {
+    if (c == '"' || c == '\\') {
+      escaped += '\\';
+    }
+    escaped += c == '\n' ? ' ' : c;
+  }
+  return escaped;
+}
+
+} // namespace
+
+struct Metrics::Series
+{
+  LatencyHistogram m_histogram =
+    bh::make_histogram(LogAxis(kBins, kLowestSeconds, kHighestSeconds));
+  double m_sumSeconds = 0;
+  uint64_t m_count = 0;
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::ObserveLatency(const LatencyKey& aKey, Duration aLatency)
+{
+  std::unique_ptr<Series>& series = m_latencies[aKey];
+  if (series == nullptr) {
+    series = std::make_unique<Series>();
+  }
+  const double seconds =
+    static_cast<double>(aLatency.count()) / kMicrosPerSecond;
+  series->m_histogram(seconds);
+  series->m_sumSeconds += seconds;
+  ++series->m_count;
+}
+
+void Metrics::CountOutcome(const OutcomeKey& aKey)
+{
+  ++m_outcomes[aKey];
+}
+
+void Metrics::Count(const std::string& aName, uint64_t aAmount)
+{
+  m_counters[aName] += aAmount;
+}
+
+void Metrics::SetGauge(const std::string& aName, double aValue)
+{
+  m_gauges[aName] = aValue;
+}
+
+std::string Metrics::PrometheusText() const
+{
+  std::ostringstream out;
+  out << "# TYPE celeryspread_latency_seconds histogram\n";
+  for (const auto& [key, series] : m_latencies) {
+    const std::string labels = "model=\"" + Escaped(key.m_model) + "\",hop=\"" +
+                               Escaped(key.m_hop) + "\"";
+    const auto& axis = series->m_histogram.axis();
+    double cumulative = series->m_histogram.at(-1);
+    for (int bin = 0; bin < axis.size(); ++bin) {
+      cumulative += series->m_histogram.at(bin);
+      out << "celeryspread_latency_seconds_bucket{" << labels << ",le=\""
+          << axis.bin(bin).upper() << "\"} " << cumulative << "\n";
+    }
+    out << "celeryspread_latency_seconds_bucket{" << labels << ",le=\"+Inf\"} "
+        << series->m_count << "\n";
+    out << "celeryspread_latency_seconds_sum{" << labels << "} "
+        << series->m_sumSeconds << "\n";
+    out << "celeryspread_latency_seconds_count{" << labels << "} "
+        << series->m_count << "\n";
+  }
+  out << "# TYPE celeryspread_calls_total counter\n";
+  for (const auto& [key, count] : m_outcomes) {
+    out << "celeryspread_calls_total{service=\"" << Escaped(key.m_service)
+        << "\",status=\"" << key.m_status << "\"} " << count << "\n";
+  }
+  for (const auto& [name, count] : m_counters) {
+    out << "# TYPE " << name << " counter\n" << name << " " << count << "\n";
+  }
+  for (const auto& [name, value] : m_gauges) {
+    out << "# TYPE " << name << " gauge\n" << name << " " << value << "\n";
+  }
+  return out.str();
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/telemetry/trace.cpp
@@ -0,0 +1,107 @@
+#include "telemetry/trace.h"
+
+#include <algorithm>
+
+namespace celeryspread {
+
+namespace {
+
+constexpr size_t kTraceIdChars = 32;
+constexpr size_t kSpanIdChars = 16;
+constexpr size_t kHeaderChars = 55;
+constexpr size_t kTraceIdAt = 3;
+constexpr size_t kSpanIdAt = 36;
+constexpr size_t kFlagsAt = 53;
+constexpr std::string_view kHexDigits = "0123456789abcdef";
+
+bool IsHex(std::string_view aText)
+{
+  return aText.find_first_not_of(kHexDigits) == std::string_view::npos;
+}
+
+bool IsAllZero(std::string_view aText)
+{
+  return aText.find_first_not_of('0') == std::string_view::npos;
+}
+
+} // namespace
+
+std::optional<TraceContext> TraceContext::Parse(std::string_view aHeader)
+{
+  if (aHeader.size() != kHeaderChars || aHeader.substr(0, 3) != "00-" ||
+      aHeader[kSpanIdAt - 1] != '-' || aHeader[kFlagsAt - 1] != '-') {
+    return std::nullopt;
+  }
+  const std::string_view traceId = aHeader.substr(kTraceIdAt, kTraceIdChars);
+  const std::string_view spanId = aHeader.substr(kSpanIdAt, kSpanIdChars);
+  const std::string_view flags = aHeader.substr(kFlagsAt);
+  const bool isValid = IsHex(traceId) && IsHex(spanId) && IsHex(flags) &&
+                       !IsAllZero(traceId) && !IsAllZero(spanId);
+  if (!isValid) {
+    return std::nullopt;
+  }
+  const bool isSampled = (kHexDigits.find(flags[1]) & 1U) != 0;
+  return TraceContext{ std::string(traceId), std::string(spanId), isSampled };
+}
+
+std::string TraceContext::Header() const
+{
+  return "00-" + m_traceId + "-" + m_spanId + (m_isSampled ? "-01" : "-00");
+}
+
+std::string Tracer::RandomHex(size_t aChars)
+{
+  std::string text(aChars, '0');
+  for (char& c : text) {
+    c = kHexDigits[m_random.Below(kHexDigits.size())];
+  }
+  // An all-zero id is invalid in a traceparent header.
+  text.back() = kHexDigits[1 + m_random.Below(kHexDigits.size() - 1)];
+  return text;
+}
+
+Span Tracer::StartRoot(std::string aName,
+                       std::optional<std::string_view> aTraceparent,
+                       int64_t aSamplePercent)
+{
+  constexpr uint64_t kWhole = 100;
+  Span span;
+  span.m_name = std::move(aName);
+  span.m_start = m_clock.WallTime();
+  const std::optional<TraceContext> parent =
+    aTraceparent ? TraceContext::Parse(*aTraceparent) : std::nullopt;
+  if (parent) {
+    span.m_context.m_traceId = parent->m_traceId;
+    span.m_parentSpanId = parent->m_spanId;
+    span.m_context.m_isSampled = parent->m_isSampled;
+  } else {
+    span.m_context.m_traceId = RandomHex(kTraceIdChars);
+  }
+  if (!span.m_context.m_isSampled) {
+    span.m_context.m_isSampled =
+      m_random.Below(kWhole) < static_cast<uint64_t>(aSamplePercent);
+  }
+  span.m_context.m_spanId = RandomHex(kSpanIdChars);
+  return span;
+}
+
+Span Tracer::StartChild(std::string aName, const TraceContext& aParent)
+{
+  Span span;
+  span.m_name = std::move(aName);
+  span.m_start = m_clock.WallTime();
+  span.m_context = aParent;
+  span.m_parentSpanId = aParent.m_spanId;
+  span.m_context.m_spanId = RandomHex(kSpanIdChars);
+  return span;
+}
+
+void Tracer::Finish(Span& aSpan)
+{
+  aSpan.m_end = m_clock.WallTime();
+  if (m_exporter != nullptr && aSpan.m_context.m_isSampled) {
+    m_exporter->Export(aSpan);
+  }
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/tools/fake_engine_server.cpp
@@ -0,0 +1,310 @@
+#include "tools/fake_engine_server.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <nlohmann/json.hpp>
+
+namespace celeryspread {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kInsufficient = 507;
+constexpr std::string_view kRepository = "/v2/repository/models/";
+
+/// Reads "name=number" out of a prompt; aMissing when it is not there.
+int64_t Directive(const std::string& aPrompt,
+                  const std::string& aName,
+                  int64_t aMissing)
+{
+  const size_t at = aPrompt.find(aName + "=");
+  if (at == std::string::npos) {
+    return aMissing;
+  }
+  return std::strtoll(aPrompt.c_str() + at + aName.size() + 1, nullptr, 10);
+}
+
+std::string PromptOf(const json& aBody)
+{
+  if (aBody.contains("messages") && aBody["messages"].is_array() &&
+      !aBody["messages"].empty()) {
+    return aBody["messages"].back().value("content", "");
+  }
+  return aBody.value("prompt", "");
+}
+
+void ReplyJson(CallerCall& aCall, int aStatus, const json& aBody)
+{
+  aCall.Reply(
+    aStatus, { { "Content-Type", "application/json" } }, aBody.dump());
+}
+
+} // namespace
+
+/// One completion in progress.
+class FakeEngine::Stream : public CallerObserver
+{
+public:
+  Stream(FakeEngine& aEngine,
+         std::unique_ptr<CallerCall> aCall,
+         const json& aBody)
+    : m_engine(aEngine)
+    , m_call(std::move(aCall))
+    , m_model(aBody.value("model", ""))
+    , m_prompt(PromptOf(aBody))
+    , m_wantsStream(aBody.value("stream", false))
+    , m_tokens(Directive(m_prompt, "tokens", aEngine.m_options.m_defaultTokens))
+    , m_first(aBody.value("continue_from", 0))
+  {
+    m_call->SetObserver(this);
+    m_next = m_first;
+  }
+
+  void Start()
+  {
+    if (m_wantsStream) {
+      m_call->StartStream(kOk, { { "Content-Type", "text/event-stream" } });
+    }
+    const auto interval =
+      Directive(m_prompt,
+                "interval_ms",
+                m_engine.m_options.m_tokenInterval.count() / 1000);
+    m_timer = m_engine.m_timers.Every(
+      std::max<Duration>(std::chrono::milliseconds(interval), Duration(100)),
+      [this] { Step(); });
+  }
+
+  void OnCallerGone() override
+  {
+    ++m_engine.m_cancelled;
+    End();
+  }
+  void OnCallerDrained() override {}
+
+private:
+  [[nodiscard]] std::string TokenText(int64_t aIndex) const
+  {
+    return "t" + std::to_string(aIndex) + " ";
+  }
+
+  bool Misbehave()
+  {
+    const int64_t sent = m_next - m_first;
+    if (sent == Directive(m_prompt, "stop_after", -1)) {
+      m_call->Abort();
+      End();
+      return true;
+    }
+    if (sent == Directive(m_prompt, "garbage_after", -1)) {
+      m_call->SendChunk("\x01garbage without framing\n\n");
+      m_call->EndStream();
+      End();
+      return true;
+    }
+    if (sent == Directive(m_prompt, "short_after", -1)) {
+      m_call->EndStream();
+      End();
+      return true;
+    }
+    return sent == Directive(m_prompt, "silent_after", -1);
+  }
+
+  void Step()
+  {
+    if (Misbehave()) {
+      return;
+    }
+    if (m_next < m_tokens) {
+      SendToken();
+      return;
+    }
+    if (m_wantsStream) {
+      m_call->SendChunk("data: [DONE]\n\n");
+      m_call->EndStream();
+    } else {
+      ReplyWhole();
+    }
+    End();
+  }
+
+  void SendToken()
+  {
+    const std::string text = TokenText(m_next++);
+    m_text += text;
+    if (!m_wantsStream) {
+      return;
+    }
+    const json delta = { { "content", text } };
+    const json choice = { { "index", 0 },
+                          { "delta", delta },
+                          { "finish_reason", nullptr } };
+    const json event = { { "object", "chat.completion.chunk" },
+                         { "model", m_model },
+                         { "choices", json::array({ choice }) } };
+    m_call->SendChunk("data: " + event.dump() + "\n\n");
+  }
+
+  void ReplyWhole()
+  {
+    const json message = { { "role", "assistant" },
+                           { "content", m_text + "for:" + m_prompt } };
+    const json choice = { { "index", 0 },
+                          { "message", message },
+                          { "finish_reason", "stop" } };
+    ReplyJson(*m_call,
+              kOk,
+              { { "object", "chat.completion" },
+                { "model", m_model },
+                { "choices", json::array({ choice }) } });
+  }
+
+  void End()
+  {
+    m_timer.reset();
+    m_engine.Remove(this);
+  }
+
+  FakeEngine& m_engine;
+  std::unique_ptr<CallerCall> m_call;
+  std::string m_model;
+  std::string m_prompt;
+  std::string m_text;
+  bool m_wantsStream;
+  int64_t m_tokens;
+  int64_t m_first;
+  int64_t m_next = 0;
+  std::unique_ptr<Timer> m_timer;
+};
+
+FakeEngine::FakeEngine(Timers& aTimers, FakeEngineOptions aOptions)
+  : m_timers(aTimers)
+  , m_options(std::move(aOptions))
+{
+}
+
+FakeEngine::~FakeEngine() = default;
+
+void FakeEngine::OnCall(std::unique_ptr<CallerCall> aCall)
+{
+  m_ended.clear();
+  const std::string_view path = aCall->Path();
+  if (path == "/v1/chat/completions" || path == "/v1/completions") {
+    HandleCompletion(std::move(aCall));
+  } else if (path == "/metrics") {
+    HandleReport(*aCall);
+  } else if (path.starts_with(kRepository)) {
+    HandleOrder(std::move(aCall));
+  } else {
+    ReplyJson(*aCall, kNotFound, { { "error", "no such path" } });
+  }
+}
+
+void FakeEngine::HandleCompletion(std::unique_ptr<CallerCall> aCall)
+{
+  const json body = json::parse(aCall->Body(), nullptr, false);
+  if (!body.is_object()) {
+    ReplyJson(*aCall, kBadRequest, { { "error", "no JSON" } });
+    return;
+  }
+  if (!m_options.m_resident.contains(body.value("model", ""))) {
+    ReplyJson(*aCall, kNotFound, { { "error", "model is not resident" } });
+    return;
+  }
+  const int64_t status = Directive(PromptOf(body), "status", kOk);
+  if (status != kOk) {
+    aCall->Reply(static_cast<int>(status),
+                 { { "X-Outcome", "not_run" } },
+                 "{\"error\":\"refused\"}");
+    return;
+  }
+  ++m_begun;
+  auto stream = std::make_unique<Stream>(*this, std::move(aCall), body);
+  Stream* key = stream.get();
+  m_streams.emplace(key, std::move(stream));
+  key->Start();
+}
+
+void FakeEngine::Remove(Stream* aStream)
+{
+  const auto found = m_streams.find(aStream);
+  if (found != m_streams.end()) {
+    m_ended.push_back(std::move(found->second));
+    m_streams.erase(found);
+  }
+}
+
+void FakeEngine::HandleReport(CallerCall& aCall) const
+{
+  std::string page;
+  page += "# TYPE engine_requests_running gauge\n";
+  page += "engine_requests_running " + std::to_string(m_streams.size()) + "\n";
+  page += "engine_requests_waiting 0\n";
+  page += std::string("engine_leaving ") + (m_isLeaving ? "1" : "0") + "\n";
+  for (const std::string& model : m_options.m_resident) {
+    page += "engine_resident{model=\"" + model + "\"} 1\n";
+  }
+  aCall.Reply(kOk, { { "Content-Type", "text/plain" } }, page);
+}
+
+void FakeEngine::HandleOrder(std::unique_ptr<CallerCall> aCall)
+{
+  const std::string rest(aCall->Path().substr(kRepository.size()));
+  const size_t slash = rest.rfind('/');
+  const std::string name = rest.substr(0, slash);
+  const bool isLoad =
+    slash != std::string::npos && rest.substr(slash) == "/load";
+  const json body = json::parse(aCall->Body(), nullptr, false);
+  const uint64_t token =
+    body.is_object() ? body.value("fencing_token", uint64_t{ 0 }) : 0;
+  if (m_options.m_checksFencing && token < m_fencingToken) {
+    ReplyJson(*aCall, kConflict, { { "error", "old fencing token" } });
+    return;
+  }
+  m_fencingToken = std::max(m_fencingToken, token);
+  const uint64_t bytes =
+    body.is_object() ? body.value("memory_bytes", uint64_t{ 0 }) : 0;
+  uint64_t held = 0;
+  for (const auto& [resident, size] : m_memory) {
+    held += size;
+  }
+  const bool isFull = isLoad && m_options.m_memoryBytes != 0 &&
+                      !m_memory.contains(name) &&
+                      held + bytes > m_options.m_memoryBytes;
+  if (isFull) {
+    m_peakMemory = std::max(m_peakMemory, held + bytes);
+    ReplyJson(*aCall, kInsufficient, { { "error", "out of memory" } });
+    return;
+  }
+  if (isLoad) {
+    m_memory[name] = bytes;
+    m_peakMemory = std::max(m_peakMemory, held + bytes);
+  }
+  std::shared_ptr<CallerCall> call = std::move(aCall);
+  m_loads.push_back(
+    m_timers.After(isLoad ? m_options.m_loadTime : Duration::zero(),
+                   [this, call, name, isLoad, bytes] {
+                     ApplyOrder(name, isLoad, bytes);
+                     ReplyJson(*call, kOk, json::object());
+                   }));
+}
+
+void FakeEngine::ApplyOrder(const std::string& aName,
+                            bool aIsLoad,
+                            uint64_t aBytes)
+{
+  if (aIsLoad) {
+    m_memory[aName] = aBytes;
+    m_options.m_resident.insert(aName);
+    return;
+  }
+  m_memory.erase(aName);
+  m_options.m_resident.erase(aName);
+}
+
+} // namespace celeryspread
