--- /dev/null
+++ b/control/commands.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "core/clock.h"
+#include "ledger/claim_ledger.h"
+
+namespace celeryspread {
+
+/// An operator's change of the settings tree, as a JSON merge patch.
+struct SettingsChange
+{
+  ChangeId m_changeId;
+  OperatorId m_operator;
+  Revision m_expected;
+  std::string m_patch;
+};
+
+/// Close of a claim.
+struct CloseClaim
+{
+  ClaimRequest m_request;
+  ClaimOutcome m_outcome = ClaimOutcome::Unknown;
+  StoredAnswer m_answer;
+};
+
+/// One command of the replicated log.
+struct Command
+{
+  /// The leader's wall time, so that every replica sees the same.
+  Duration m_now{};
+  std::variant<SettingsChange, ClaimRequest, CloseClaim, ClaimSettlement>
+    m_body;
+};
+
+/// Encodes a command. @pre none. @thread any.
+std::string EncodeCommand(const Command& aCommand);
+/// Decodes a command. @pre none. @thread any. @error empty when malformed.
+std::optional<Command> DecodeCommand(std::string_view aBytes);
+
+} // namespace celeryspread
--- /dev/null
+++ b/control/control_process.cpp
@@ -0,0 +1,307 @@
+#include "control/control_process.h"
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+#include <event2/event.h>
+#include <nlohmann/json.hpp>
+
+#include "control/control_service.h"
+#include "core/system_clock.h"
+#include "http/caller_server.h"
+#include "http/event_timers.h"
+#include "main/exit_code.h"
+#include "storage/posix_file_system.h"
+#include "telemetry/metrics.h"
+#include "wire/wire_server.h"
+
+namespace celeryspread {
+
+namespace {
+
+struct EventBaseDeleter
+{
+  void operator()(event_base* aBase) const { event_base_free(aBase); }
+};
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+constexpr Duration kJoinPeriod = std::chrono::milliseconds(500);
+constexpr size_t kMinClusterKeyBytes = 16;
+constexpr const char* kFirstReplicaSuffix = ".1";
+
+ReplicaId RandomReplicaId(const InstanceId& aInstance)
+{
+  std::random_device device;
+  const uint64_t high = device();
+  const uint64_t low = device();
+  constexpr unsigned kHalfBits = 32;
+  return ReplicaId(aInstance.Value() + "." +
+                   std::to_string((high << kHalfBits) | low));
+}
+
+} // namespace
+
+class ControlProcess::Impl : public CallHandler
+{
+public:
+  Impl(InstanceSettings aSettings, ControlStart aStart)
+    : m_settings(std::move(aSettings))
+    , m_start(aStart)
+    , m_base(event_base_new())
+    , m_port(m_base.get())
+    , m_random(std::random_device()())
+    , m_timers(m_base.get())
+    , m_log(m_settings.m_instance.Value())
+    , m_files(m_settings.m_dataFolder)
+    , m_store(m_files)
+    , m_server(m_base.get(), m_clock, CallerServerLimits{}, *this)
+  {
+  }
+
+  ~Impl() noexcept override = default;
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  int Run()
+  {
+    signal(SIGPIPE, SIG_IGN);
+    m_log.Write(EventId::Started,
+                std::string("version=") + CELERYSPREAD_VERSION);
+    const auto key = ReadWholeFile(m_settings.m_clusterKeyFile);
+    if (!key || key->size() < kMinClusterKeyBytes) {
+      m_log.Write(EventId::SettingsRefused,
+                  "/cluster_key_file: expected a file of 16 bytes or more");
+      return ExitCode::BadSettings;
+    }
+    if (!OpenStore()) {
+      return ExitCode::CannotUseDisk;
+    }
+    Assemble(ClusterKey(*key));
+    if (!Listen(ClusterKey(*key))) {
+      m_log.Write(EventId::ListenFailed, "address=" + m_settings.m_address);
+      return ExitCode::CannotListen;
+    }
+    Serve();
+    m_log.Write(EventId::Stopped, "");
+    return m_host->IsFailed() ? ExitCode::CannotUseDisk : ExitCode::Success;
+  }
+
+  void OnCall(std::unique_ptr<CallerCall> aCall) override
+  {
+    constexpr int kOk = 200;
+    constexpr int kNotFound = 404;
+    if (aCall->Path() == "/metrics") {
+      aCall->Reply(kOk, { { "Content-Type", "text/plain" } }, MetricsPage());
+      return;
+    }
+    const bool isKnown =
+      aCall->Path() == "/healthz" || aCall->Path() == "/readyz";
+    const nlohmann::json body = { { "leader",
+                                    m_host->Replica().Leader().Value() },
+                                  { "failed", m_host->IsFailed() } };
+    aCall->Reply(isKnown ? kOk : kNotFound,
+                 { { "Content-Type", "application/json" } },
+                 body.dump());
+  }
+
+private:
+  bool OpenStore()
+  {
+    if (!m_files.Prepare()) {
+      m_log.Write(EventId::StorageFailed,
+                  "folder=" + m_settings.m_dataFolder +
+                    " can't be made or is in use");
+      return false;
+    }
+    if (!m_store.Open()) {
+      const StorageError& error = m_store.LastError();
+      m_log.Write(EventId::LogCorrupt,
+                  "file=" + error.m_file +
+                    " offset=" + std::to_string(error.m_offset));
+      return false;
+    }
+    if (m_store.CutBytes() > 0) {
+      m_log.Write(EventId::LogTailCut,
+                  "bytes=" + std::to_string(m_store.CutBytes()));
+    }
+    if (!m_store.Identity().IsEmpty()) {
+      return true;
+    }
+    return m_start == ControlStart::Bootstrap ? FormatFirst() : FormatNew();
+  }
+
+  bool FormatFirst()
+  {
+    Snapshot first;
+    first.m_index = LogIndex(1);
+    first.m_term = Term(1);
+    for (const PeerAddress& peer : m_settings.m_control) {
+      first.m_replicas
+        .m_voters[ReplicaId(peer.m_instance.Value() + kFirstReplicaSuffix)] = {
+        peer.m_instance, peer.m_address, peer.m_port
+      };
+    }
+    return m_store.Format(
+      ReplicaId(m_settings.m_instance.Value() + kFirstReplicaSuffix), first);
+  }
+
+  bool FormatNew()
+  {
+    m_log.Write(EventId::ReplicaNotVoting, "the data folder is empty");
+    return m_store.Format(RandomReplicaId(m_settings.m_instance), Snapshot());
+  }
+
+  void Assemble(const ClusterKey& aKey)
+  {
+    m_peers = std::make_unique<PeerLinks>(
+      m_port,
+      aKey,
+      ReplicaAddress{
+        m_settings.m_instance, m_settings.m_address, m_settings.m_wirePort },
+      m_log);
+    RaftOptions options;
+    options.m_self = m_store.Identity();
+    m_host = std::make_unique<ReplicaHost>(
+      ReplicaHost::Parts{
+        m_clock, m_timers, m_random, m_store, *m_peers, m_log },
+      options,
+      static_cast<uint64_t>(m_settings.m_snapshotEntries));
+    m_admin = std::make_unique<AdminApi>(
+      *m_host, m_instances, m_clock, m_log, m_settings.m_operatorKeyHash);
+    auto service = kj::heap<ControlService>(
+      m_port, m_clock, *m_host, *m_peers, *m_admin, m_instances);
+    m_service = service.get();
+    m_host->SetRevisionListener([this] { m_service->NotifyRevision(); });
+    m_node = kj::mv(service);
+  }
+
+  bool Listen(const ClusterKey& aKey)
+  {
+    m_wire =
+      std::make_unique<WireServer>(m_port, aKey, KJ_ASSERT_NONNULL(m_node));
+    if (!m_wire->Listen(m_settings.m_address, m_settings.m_wirePort) ||
+        !m_server.Listen(m_settings.m_address, m_settings.m_httpPort)) {
+      return false;
+    }
+    m_log.Write(EventId::Listening,
+                "wire_port=" + std::to_string(m_wire->Port()) +
+                  " http_port=" + std::to_string(m_server.Port()));
+    std::cout << "listening " << m_server.Port() << std::endl;
+    return true;
+  }
+
+  void Serve()
+  {
+    m_tick = m_timers.Every(kTickPeriod, [this] {
+      m_host->Tick();
+      if (m_host->IsFailed()) {
+        event_base_loopbreak(m_base.get());
+      }
+    });
+    m_joinTimer = m_timers.Every(kJoinPeriod, [this] {
+      JoinIfNeeded();
+      m_service->ReportInstances();
+    });
+    event* onTerm = evsignal_new(m_base.get(), SIGTERM, OnSignal, this);
+    event* onInterrupt = evsignal_new(m_base.get(), SIGINT, OnSignal, this);
+    event_add(onTerm, nullptr);
+    event_add(onInterrupt, nullptr);
+    event_base_dispatch(m_base.get());
+    event_free(onTerm);
+    event_free(onInterrupt);
+  }
+
+  static void OnSignal(int /*aSignal*/, short /*aWhat*/, void* aSelf)
+  {
+    event_base_loopbreak(static_cast<Impl*>(aSelf)->m_base.get());
+  }
+
+  [[nodiscard]] bool IsSettledMember() const
+  {
+    const ReplicaSet& replicas = m_host->Replica().Replicas();
+    size_t own = 0;
+    for (const auto& [id, address] : replicas.m_voters) {
+      own += address.m_instance == m_settings.m_instance ? 1 : 0;
+    }
+    return own == 1 && replicas.m_voters.contains(m_store.Identity());
+  }
+
+  void JoinIfNeeded()
+  {
+    if (IsSettledMember()) {
+      return;
+    }
+    for (const PeerAddress& peer : m_settings.m_control) {
+      if (peer.m_instance == m_settings.m_instance) {
+        continue;
+      }
+      WireLink& link =
+        m_peers->To({ peer.m_instance, peer.m_address, peer.m_port });
+      if (!link.IsUp()) {
+        continue;
+      }
+      auto request = link.Node().joinRequest();
+      auto replica = request.initReplica();
+      replica.setReplica(m_store.Identity().Value());
+      replica.setInstance(m_settings.m_instance.Value());
+      replica.setAddress(m_settings.m_address);
+      replica.setPort(m_settings.m_wirePort);
+      link.WithDeadline<void>(request.send().ignoreResult(), kJoinPeriod)
+        .detach([](kj::Exception&&) {});
+    }
+  }
+
+  std::string MetricsPage()
+  {
+    Metrics metrics;
+    metrics.SetGauge("celeryspread_control_is_leader",
+                     m_host->Replica().IsLeader() ? 1 : 0);
+    metrics.SetGauge(
+      "celeryspread_control_commit_index",
+      static_cast<double>(m_host->Replica().CommitIndex().Value()));
+    metrics.SetGauge("celeryspread_control_syncs",
+                     static_cast<double>(m_host->SyncCount()));
+    metrics.SetGauge("celeryspread_control_claims",
+                     static_cast<double>(m_host->State().Claims().Size()));
+    metrics.SetGauge("celeryspread_config_revision",
+                     static_cast<double>(
+                       m_host->State().Settings().CurrentRevision().Value()));
+    return metrics.PrometheusText();
+  }
+
+  InstanceSettings m_settings;
+  ControlStart m_start;
+  std::unique_ptr<event_base, EventBaseDeleter> m_base;
+  LoopPort m_port;
+  SystemClock m_clock;
+  SeededRandomSource m_random;
+  EventTimers m_timers;
+  EasyEventLog m_log;
+  PosixFileSystem m_files;
+  ReplicaStore m_store;
+  InstanceRegistry m_instances;
+  std::unique_ptr<PeerLinks> m_peers;
+  std::unique_ptr<ReplicaHost> m_host;
+  std::unique_ptr<AdminApi> m_admin;
+  ControlService* m_service = nullptr;
+  kj::Maybe<wire::ControlNode::Client> m_node;
+  std::unique_ptr<WireServer> m_wire;
+  CallerServer m_server;
+  std::unique_ptr<Timer> m_tick;
+  std::unique_ptr<Timer> m_joinTimer;
+};
+
+ControlProcess::ControlProcess(InstanceSettings aSettings, ControlStart aStart)
+  : m_impl(std::make_unique<Impl>(std::move(aSettings), aStart))
+{
+}
+
+ControlProcess::~ControlProcess() = default;
+
+int ControlProcess::Run()
+{
+  return m_impl->Run();
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/control/control_service.cpp
@@ -0,0 +1,321 @@
+#include "control/control_service.h"
+
+#include "wire/claim_codec.h"
+#include "wire/codec.h"
+#include "wire/message_bytes.h"
+
+namespace celeryspread {
+
+namespace {
+
+/// A fetch without news is answered after this time, which also shows the
+/// asker that the link is alive.
+constexpr int64_t kLongPollMicros = 1'000'000;
+constexpr Duration kForwardDeadline = std::chrono::seconds(5);
+/// An entry asks at least once in a long poll, so older news is no news.
+constexpr Duration kReportedAge = std::chrono::seconds(3);
+/// Changes sent one by one; further behind, the whole tree is shorter.
+constexpr size_t kMaxSentChanges = 1'000;
+
+void WriteChange(const AcceptedChange& aChange,
+                 wire::StoredChange::Builder aOut)
+{
+  aOut.setChangeId(aChange.m_changeId.Value());
+  aOut.setOperator(aChange.m_operator.Value());
+  aOut.setRevision(aChange.m_revision.Value());
+  aOut.setPatch(aChange.m_patch);
+  aOut.setAtMicros(aChange.m_at.count());
+}
+
+void WriteFetchReply(const SettingsStore& aSettings,
+                     Revision aAfter,
+                     wire::FetchReply::Builder aOut)
+{
+  aOut.setRevision(aSettings.CurrentRevision().Value());
+  const auto changes = aSettings.ChangesAfter(aAfter);
+  const bool isShort =
+    changes && changes->size() <= kMaxSentChanges && aAfter.Value() != 0;
+  if (!isShort) {
+    aOut.setTree(aSettings.TreeText());
+    return;
+  }
+  auto list = aOut.initChanges(static_cast<unsigned>(changes->size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    WriteChange((*changes)[i], list[i]);
+  }
+}
+
+} // namespace
+
+ControlService::ControlService(LoopPort& aPort,
+                               const Clock& aClock,
+                               ReplicaHost& aHost,
+                               PeerLinks& aPeers,
+                               AdminApi& aAdmin,
+                               InstanceRegistry& aInstances)
+  : m_port(aPort)
+  , m_clock(aClock)
+  , m_host(aHost)
+  , m_peers(aPeers)
+  , m_admin(aAdmin)
+  , m_instances(aInstances)
+{
+}
+
+WireLink* ControlService::LeaderLink()
+{
+  const ReplicaAddress* leader = m_host.LeaderAddress();
+  if (leader == nullptr || m_host.Replica().IsLeader()) {
+    return nullptr;
+  }
+  WireLink& link = m_peers.To(*leader);
+  return link.IsUp() ? &link : nullptr;
+}
+
+kj::Promise<void> ControlService::ping(PingContext /*aContext*/)
+{
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::raft(RaftContext aContext)
+{
+  const auto message = ReadRaftMessage(aContext.getParams().getMessage());
+  if (message) {
+    const auto from = aContext.getParams().getFrom();
+    m_host.Step(*message,
+                { InstanceId(TextOf(from.getInstance())),
+                  TextOf(from.getAddress()),
+                  from.getPort() });
+  }
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::WaitForChange()
+{
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  std::erase_if(m_waiting, [](auto& aWaiter) { return !aWaiter->isWaiting(); });
+  m_waiting.push_back(kj::mv(paf.fulfiller));
+  return paf.promise.exclusiveJoin(
+    PromiseAfter(m_port.Base(), kLongPollMicros));
+}
+
+void ControlService::NotifyRevision()
+{
+  std::list<kj::Own<kj::PromiseFulfiller<void>>> waiting;
+  waiting.swap(m_waiting);
+  for (auto& waiter : waiting) {
+    waiter->fulfill();
+  }
+}
+
+kj::Promise<void> ControlService::AnswerFetch(FetchContext aContext,
+                                              bool aIsCurrent)
+{
+  const auto request = aContext.getParams().getRequest();
+  auto reply = aContext.getResults().initReply();
+  reply.setIsCurrent(aIsCurrent);
+  WriteFetchReply(
+    m_host.State().Settings(), Revision(request.getAfterRevision()), reply);
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::fetch(FetchContext aContext)
+{
+  const auto request = aContext.getParams().getRequest();
+  const Revision after(request.getAfterRevision());
+  if (!TextOf(request.getInstance()).empty()) {
+    m_instances.Note(InstanceId(TextOf(request.getInstance())),
+                     { FailureDomainId(TextOf(request.getFailureDomain())),
+                       after,
+                       m_clock.Now() });
+  }
+  if (request.getMustBeLatest()) {
+    if (m_host.HasLease()) {
+      return AnswerFetch(aContext, true);
+    }
+    WireLink* leader = LeaderLink();
+    if (leader == nullptr) {
+      return AnswerFetch(aContext, false);
+    }
+    auto forwarded = leader->Node().fetchRequest();
+    forwarded.setRequest(request);
+    return leader
+      ->WithDeadline<void>(
+        forwarded.send().then([aContext](auto&& aReply) mutable {
+          aContext.getResults().setReply(aReply.getReply());
+        }),
+        kForwardDeadline)
+      .catch_([this, aContext](kj::Exception&&) mutable {
+        return AnswerFetch(aContext, false);
+      });
+  }
+  if (m_host.State().Settings().CurrentRevision() > after) {
+    return AnswerFetch(aContext, false);
+  }
+  return WaitForChange().then(
+    [this, aContext]() mutable { return AnswerFetch(aContext, false); });
+}
+
+kj::Promise<void> ControlService::HandleAdminHere(AdminContext aContext)
+{
+  const auto request = aContext.getParams().getRequest();
+  const AdminRequest asked{ TextOf(request.getMethod()),
+                            TextOf(request.getPath()),
+                            TextOf(request.getQuery()),
+                            TextOf(request.getAuthorization()),
+                            BytesOf(request.getBody()) };
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+    kj::mv(paf.fulfiller));
+  m_admin.Handle(asked,
+                 [aContext, fulfiller](const AdminReply& aReply) mutable {
+                   if (!(*fulfiller)->isWaiting()) {
+                     return;
+                   }
+                   auto reply = aContext.getResults().initReply();
+                   reply.setStatus(static_cast<uint16_t>(aReply.m_status));
+                   reply.setBody(DataOf(aReply.m_body));
+                   (*fulfiller)->fulfill();
+                 });
+  return kj::mv(paf.promise);
+}
+
+kj::Promise<void> ControlService::admin(AdminContext aContext)
+{
+  const auto request = aContext.getParams().getRequest();
+  WireLink* leader = request.getIsForwarded() ? nullptr : LeaderLink();
+  if (leader == nullptr) {
+    return HandleAdminHere(aContext);
+  }
+  auto forwarded = leader->Node().adminRequest();
+  forwarded.setRequest(request);
+  forwarded.getRequest().setIsForwarded(true);
+  return leader->WithDeadline<void>(
+    forwarded.send().then([aContext](auto&& aReply) mutable {
+      aContext.getResults().setReply(aReply.getReply());
+    }),
+    kForwardDeadline);
+}
+
+kj::Promise<void> ControlService::claim(ClaimContext aContext)
+{
+  const auto params = aContext.getParams();
+  WireLink* leader = params.getIsForwarded() ? nullptr : LeaderLink();
+  if (leader != nullptr) {
+    auto forwarded = leader->Node().claimRequest();
+    forwarded.setRequest(params.getRequest());
+    forwarded.setIsForwarded(true);
+    return leader->WithDeadline<void>(
+      forwarded.send().then([aContext](auto&& aReply) mutable {
+        aContext.getResults().setReply(aReply.getReply());
+      }),
+      kForwardDeadline);
+  }
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+    kj::mv(paf.fulfiller));
+  auto answer = [aContext, fulfiller](const ClaimReply& aReply) mutable {
+    if (!(*fulfiller)->isWaiting()) {
+      return;
+    }
+    auto reply = aContext.getResults().initReply();
+    reply.setVerdict(static_cast<uint8_t>(aReply.m_verdict));
+    WriteAnswer(aReply.m_answer, reply.initAnswer());
+    (*fulfiller)->fulfill();
+  };
+  const bool isProposed = m_host.Propose(
+    { {}, ReadClaimRequest(params.getRequest()) },
+    [answer](const std::optional<CommandResult>& aResult) mutable {
+      const auto* reply =
+        aResult ? std::get_if<ClaimReply>(&*aResult) : nullptr;
+      answer(reply == nullptr ? ClaimReply{} : *reply);
+    });
+  if (!isProposed) {
+    answer(ClaimReply{});
+  }
+  return kj::mv(paf.promise);
+}
+
+kj::Promise<void> ControlService::closeClaim(CloseClaimContext aContext)
+{
+  const auto params = aContext.getParams();
+  WireLink* leader = params.getIsForwarded() ? nullptr : LeaderLink();
+  if (leader != nullptr) {
+    auto forwarded = leader->Node().closeClaimRequest();
+    forwarded.setClose(params.getClose());
+    forwarded.setIsForwarded(true);
+    return leader->WithDeadline<void>(
+      forwarded.send().then([aContext](auto&& aReply) mutable {
+        aContext.getResults().setIsDurable(aReply.getIsDurable());
+      }),
+      kForwardDeadline);
+  }
+  const auto close = params.getClose();
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+    kj::mv(paf.fulfiller));
+  const bool isProposed = m_host.Propose(
+    { {},
+      CloseClaim{ ReadClaimRequest(close.getRequest()),
+                  ReadOutcome(close.getOutcome()),
+                  ReadAnswer(close.getAnswer()) } },
+    [aContext, fulfiller](const std::optional<CommandResult>& aResult) mutable {
+      if ((*fulfiller)->isWaiting()) {
+        aContext.getResults().setIsDurable(aResult.has_value());
+        (*fulfiller)->fulfill();
+      }
+    });
+  if (!isProposed) {
+    aContext.getResults().setIsDurable(false);
+    return kj::READY_NOW;
+  }
+  return kj::mv(paf.promise);
+}
+
+void ControlService::ReportInstances()
+{
+  WireLink* leader = LeaderLink();
+  if (leader == nullptr) {
+    return;
+  }
+  const auto seen = m_instances.SeenSince(m_clock.Now() - kReportedAge);
+  auto request = leader->Node().reportInstancesRequest();
+  auto list = request.initInstances(static_cast<unsigned>(seen.size()));
+  unsigned at = 0;
+  for (const auto& [id, known] : seen) {
+    list[at].setInstance(id.Value());
+    list[at].setFailureDomain(known.m_failureDomain.Value());
+    list[at].setRevision(known.m_revision.Value());
+    ++at;
+  }
+  leader->WithDeadline<void>(request.send().ignoreResult(), kForwardDeadline)
+    .detach([](kj::Exception&&) {});
+}
+
+kj::Promise<void> ControlService::reportInstances(
+  ReportInstancesContext aContext)
+{
+  for (const auto known : aContext.getParams().getInstances()) {
+    m_instances.Note(InstanceId(TextOf(known.getInstance())),
+                     { FailureDomainId(TextOf(known.getFailureDomain())),
+                       Revision(known.getRevision()),
+                       m_clock.Now() });
+  }
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::join(JoinContext aContext)
+{
+  const auto replica = aContext.getParams().getReplica();
+  const bool isLeader = m_host.Replica().IsLeader();
+  if (isLeader) {
+    m_host.Join(ReplicaId(TextOf(replica.getReplica())),
+                { InstanceId(TextOf(replica.getInstance())),
+                  TextOf(replica.getAddress()),
+                  replica.getPort() });
+  }
+  aContext.getResults().setIsAccepted(isLeader);
+  return kj::READY_NOW;
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/control/peer_links.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "control/replica_host.h"
+#include "wire/wire_link.h"
+
+namespace celeryspread {
+
+/// Links to the other control instances; PeerTransport over Cap'n Proto RPC.
+/// @thread loop thread only.
+class PeerLinks : public PeerTransport
+{
+public:
+  /// Opens links on demand from the instance at aSelf. @pre references
+  /// outlive the links.
+  PeerLinks(LoopPort& aPort,
+            ClusterKey aKey,
+            ReplicaAddress aSelf,
+            EventLog& aLog);
+
+  void Send(const RaftMessage& aMessage,
+            const ReplicaAddress& aAddress) override;
+  /// Returns the link to an instance, opening it. @pre none.
+  WireLink& To(const ReplicaAddress& aAddress);
+
+private:
+  struct Peer
+  {
+    ReplicaAddress m_address;
+    std::unique_ptr<WireLink> m_link;
+  };
+
+  LoopPort& m_port;
+  ClusterKey m_key;
+  ReplicaAddress m_self;
+  EventLog& m_log;
+  std::map<InstanceId, Peer> m_peers;
+};
+
+} // namespace celeryspread
--- /dev/null
+++ b/control/state_machine.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "control/settings_store.h"
+#include "ledger/claim_ledger.h"
+
+namespace celeryspread {
+
+/// Answer to a settled claim.
+struct SettleResult
+{
+  bool m_isSettled = false;
+};
+
+/// Answer to a closed claim.
+struct CloseResult
+{};
+
+/// What applying a command gave.
+using CommandResult =
+  std::variant<ChangeResult, ClaimReply, CloseResult, SettleResult>;
+
+/// The system's own state: settings and claims.
+/// @thread loop thread only.
+class StateMachine
+{
+public:
+  /// Applies a committed command. @pre aBytes came from EncodeCommand().
+  CommandResult Apply(std::string_view aBytes);
+  /// Returns the whole state. @pre none.
+  [[nodiscard]] std::string Save() const;
+  /// Replaces the whole state. @pre none. @error false when malformed.
+  bool Restore(std::string_view aBytes);
+  /// Returns the settings. @pre none.
+  [[nodiscard]] const SettingsStore& Settings() const { return m_settings; }
+  /// Returns the claims. @pre none.
+  [[nodiscard]] const ClaimLedger& Claims() const { return m_claims; }
+
+private:
+  SettingsStore m_settings;
+  ClaimLedger m_claims;
+};
+
+} // namespace celeryspread
--- /dev/null
+++ b/ctl/admin_client.cpp
@@ -0,0 +1,88 @@
+#include "ctl/admin_client.h"
+
+#include <event2/event.h>
+
+#include "core/system_clock.h"
+#include "http/evhttp_upstream_client.h"
+
+namespace celeryspread {
+
+namespace {
+
+constexpr Duration kTimeout = std::chrono::seconds(15);
+
+/// Collects one answer and ends the loop.
+class Collector : public UpstreamObserver
+{
+public:
+  explicit Collector(event_base* aBase)
+    : m_base(aBase)
+  {
+  }
+  void OnUpstreamHeaders(int aStatus, const HttpHeaders& /*aHeaders*/) override
+  {
+    m_status = aStatus;
+  }
+  void OnUpstreamBody(std::string_view aBytes) override { m_body += aBytes; }
+  void OnUpstreamEnd() override { event_base_loopbreak(m_base); }
+  void OnUpstreamFailed(const UpstreamFailure& aFailure) override
+  {
+    m_failure = aFailure.m_reason;
+    event_base_loopbreak(m_base);
+  }
+
+  int m_status = 0;
+  std::string m_body;
+  std::string m_failure;
+
+private:
+  event_base* m_base;
+};
+
+} // namespace
+
+AdminClient::AdminClient(UpstreamAddress aAddress, std::string aKey)
+  : m_address(std::move(aAddress))
+  , m_key(std::move(aKey))
+  , m_base(event_base_new())
+{
+}
+
+AdminClient::~AdminClient()
+{
+  event_base_free(m_base);
+}
+
+std::optional<AdminAnswer> AdminClient::Ask(const std::string& aMethod,
+                                            const std::string& aPath,
+                                            const std::string& aBody)
+{
+  const SystemClock clock;
+  EvhttpUpstreamClient client(m_base, clock);
+  Collector collector(m_base);
+  UpstreamRequest request;
+  request.m_address = m_address;
+  request.m_method = aMethod;
+  request.m_path = aPath;
+  request.m_headers = { { "Authorization", "Bearer " + m_key },
+                        { "Content-Type", "application/json" } };
+  request.m_body = aBody;
+  request.m_firstByteTimeout = kTimeout;
+  request.m_progressTimeout = kTimeout;
+  const auto call = client.Start(std::move(request), collector);
+  event_base_dispatch(m_base);
+  if (!collector.m_failure.empty()) {
+    m_lastReason = collector.m_failure + " (" + m_address.m_address + ":" +
+                   std::to_string(m_address.m_port) + ")";
+    return std::nullopt;
+  }
+  AdminAnswer answer{ collector.m_status,
+                      nlohmann::json::parse(collector.m_body, nullptr, false) };
+  if (answer.m_body.is_discarded()) {
+    m_lastReason = "the answer is no JSON";
+    return std::nullopt;
+  }
+  return answer;
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/entry/control_link.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "catalog/catalog.h"
+#include "entry/entry_app.h"
+#include "ledger/claim_service.h"
+#include "settings/instance_settings.h"
+#include "telemetry/event_log.h"
+#include "wire/wire_link.h"
+
+namespace celeryspread {
+
+/// An entry's side of the control instances: follows the settings, claims
+/// work and forwards admin requests.
+/// @thread loop thread only.
+class ControlLink
+  : public ClaimService
+  , public AdminForwarder
+{
+public:
+  using CatalogListener = std::function<void(std::shared_ptr<const Catalog>)>;
+
+  /// Opens links to every control instance of aSettings.
+  /// @pre references outlive the link.
+  ControlLink(LoopPort& aPort,
+              const ClusterKey& aKey,
+              const InstanceSettings& aSettings,
+              const Clock& aClock,
+              EventLog& aLog,
+              CatalogListener aListener);
+  ~ControlLink() noexcept override;
+  KJ_DISALLOW_COPY(ControlLink);
+
+  void Claim(const ClaimRequest& aRequest,
+             std::function<void(ClaimReply)> aDone) override;
+  void Close(const ClaimRequest& aRequest,
+             ClaimOutcome aOutcome,
+             const StoredAnswer& aAnswer,
+             std::function<void(bool)> aDone) override;
+  void Forward(std::unique_ptr<CallerCall> aCall) override;
+
+private:
+  WireLink* WorkingLink();
+  void AddLink(const PeerAddress& aPeer);
+  kj::Promise<void> FollowLoop();
+  kj::Promise<void> FetchOnce();
+  void HandleReply(wire::FetchReply::Reader aReply);
+  bool ApplyReply(wire::FetchReply::Reader aReply);
+  void PutInForce(Revision aRevision);
+  void TryClose(const ClaimRequest& aRequest,
+                ClaimOutcome aOutcome,
+                const StoredAnswer& aAnswer,
+                int aTriesLeft,
+                const std::function<void(bool)>& aDone);
+
+  LoopPort& m_port;
+  const ClusterKey& m_key;
+  const InstanceSettings& m_settings;
+  const Clock& m_clock;
+  EventLog& m_log;
+  CatalogListener m_listener;
+  std::vector<std::unique_ptr<WireLink>> m_links;
+  size_t m_preferred = 0;
+  Revision m_revision;
+  std::unique_ptr<nlohmann::json> m_tree;
+  TimePoint m_startedAt;
+  kj::Promise<void> m_follow;
+};
+
+} // namespace celeryspread
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 
 #include "core/system_clock.h"
+#include "entry/control_link.h"
 #include "entry/entry_app.h"
 #include "entry/no_claim_service.h"
 #include "entry/report_poller.h"
@@ -24,6 +25,7 @@
   void operator()(event_base* aBase) const { event_base_free(aBase); }
 };
 
+constexpr size_t kMinClusterKeyBytes = 16;
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(20);
 
 } // namespace
@@ -34,6 +36,7 @@
   explicit Impl(InstanceSettings aSettings)
     : m_settings(std::move(aSettings))
     , m_base(event_base_new())
+    , m_port(m_base.get())
     , m_random(std::random_device()())
     , m_timers(m_base.get())
     , m_client(m_base.get(), m_clock)
@@ -41,11 +44,6 @@
     , m_router(m_table, m_settings.m_failureDomain, m_random)
     , m_exporter(m_settings.m_traceFile, "celeryspread-entry")
     , m_tracer(m_clock, m_random, &m_exporter)
-    , m_context{ m_clock,  m_timers,  m_client, m_claims,
-                 m_table,  m_router,  m_limits, m_retryBudget,
-                 m_tracer, m_metrics, m_log }
-    , m_app(m_context, m_settings.m_failureDomain, nullptr)
-    , m_server(m_base.get(), m_clock, Limits(), m_app)
   {
   }
 
@@ -54,19 +52,21 @@
     signal(SIGPIPE, SIG_IGN);
     m_log.Write(EventId::Started,
                 std::string("version=") + CELERYSPREAD_VERSION);
+    if (!ConnectControl()) {
+      return ExitCode::BadSettings;
+    }
+    Assemble();
     if (!LoadTreeFile()) {
       return ExitCode::BadSettings;
     }
-    if (!m_server.Listen(m_settings.m_address, m_settings.m_httpPort)) {
+    if (!m_server->Listen(m_settings.m_address, m_settings.m_httpPort)) {
       m_log.Write(EventId::ListenFailed,
                   "address=" + m_settings.m_address + ":" +
                     std::to_string(m_settings.m_httpPort));
       return ExitCode::CannotListen;
     }
-    m_log.Write(EventId::Listening, "port=" + std::to_string(m_server.Port()));
-    std::cout << "listening " << m_server.Port() << std::endl;
-    m_poller = std::make_unique<ReportPoller>(
-      m_context, std::chrono::milliseconds(m_settings.m_reportPeriodMs));
+    m_log.Write(EventId::Listening, "port=" + std::to_string(m_server->Port()));
+    std::cout << "listening " << m_server->Port() << std::endl;
     m_poller->PollAll();
     event* onTerm = evsignal_new(m_base.get(), SIGTERM, OnSignal, this);
     event* onInterrupt = evsignal_new(m_base.get(), SIGINT, OnSignal, this);
@@ -87,6 +87,55 @@
     return limits;
   }
 
+  bool ConnectControl()
+  {
+    if (m_settings.m_control.empty()) {
+      return true;
+    }
+    const auto key = ReadWholeFile(m_settings.m_clusterKeyFile);
+    if (!key || key->size() < kMinClusterKeyBytes) {
+      m_log.Write(EventId::SettingsRefused,
+                  "/cluster_key_file: expected a file of 16 bytes or more");
+      return false;
+    }
+    m_key = std::make_unique<ClusterKey>(*key);
+    m_control = std::make_unique<ControlLink>(
+      m_port,
+      *m_key,
+      m_settings,
+      m_clock,
+      m_log,
+      [this](std::shared_ptr<const Catalog> aCatalog) {
+        m_app->SetCatalog(std::move(aCatalog));
+        m_poller->PollAll();
+      });
+    return true;
+  }
+
+  void Assemble()
+  {
+    ClaimService& claims = m_control != nullptr
+                             ? static_cast<ClaimService&>(*m_control)
+                             : m_noClaims;
+    m_context = std::make_unique<EntryContext>(EntryContext{ m_clock,
+                                                             m_timers,
+                                                             m_client,
+                                                             claims,
+                                                             m_table,
+                                                             m_router,
+                                                             m_limits,
+                                                             m_retryBudget,
+                                                             m_tracer,
+                                                             m_metrics,
+                                                             m_log });
+    m_app = std::make_unique<EntryApp>(
+      *m_context, m_settings.m_failureDomain, m_control.get());
+    m_server =
+      std::make_unique<CallerServer>(m_base.get(), m_clock, Limits(), *m_app);
+    m_poller = std::make_unique<ReportPoller>(
+      *m_context, std::chrono::milliseconds(m_settings.m_reportPeriodMs));
+  }
+
   bool LoadTreeFile()
   {
     if (m_settings.m_treeFile.empty()) {
@@ -102,7 +151,7 @@
       m_log.Write(EventId::SettingsRefused, error.Text());
       return false;
     }
-    m_app.SetCatalog(std::move(catalog));
+    m_app->SetCatalog(std::move(catalog));
     return true;
   }
 
@@ -117,11 +166,11 @@
       return;
     }
     m_log.Write(EventId::DrainStarted, "");
-    m_app.BeginDrain();
+    m_app->BeginDrain();
     // The balancer goes on sending until it has seen readiness turn off.
     m_drainTimer = m_timers.After(
       std::chrono::milliseconds(m_settings.m_drainLagMs), [this] {
-        m_server.BeginDrain();
+        m_server->BeginDrain();
         m_endTimer =
           m_timers.Every(kDrainCheckPeriod, [this] { CheckDrained(); });
       });
@@ -130,13 +179,14 @@
   void CheckDrained()
   {
     // A connection that still has bytes to send counts as a call.
-    if (m_app.CallCount() == 0 && m_server.BusyCount() == 0) {
+    if (m_app->CallCount() == 0 && m_server->BusyCount() == 0) {
       event_base_loopbreak(m_base.get());
     }
   }
 
   InstanceSettings m_settings;
   std::unique_ptr<event_base, EventBaseDeleter> m_base;
+  LoopPort m_port;
   SystemClock m_clock;
   SeededRandomSource m_random;
   EventTimers m_timers;
@@ -149,10 +199,12 @@
   OtlpFileExporter m_exporter;
   Tracer m_tracer;
   Metrics m_metrics;
-  NoClaimService m_claims;
-  EntryContext m_context;
-  EntryApp m_app;
-  CallerServer m_server;
+  NoClaimService m_noClaims;
+  std::unique_ptr<ClusterKey> m_key;
+  std::unique_ptr<ControlLink> m_control;
+  std::unique_ptr<EntryContext> m_context;
+  std::unique_ptr<EntryApp> m_app;
+  std::unique_ptr<CallerServer> m_server;
   std::unique_ptr<ReportPoller> m_poller;
   std::unique_ptr<Timer> m_drainTimer;
   std::unique_ptr<Timer> m_endTimer;
--- /dev/null
+++ b/scripts/deployment.py
@@ -0,0 +1,301 @@
+"""Starts and stops a small deployment on loopback, by process id."""
+
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.environ.get("CELERYSPREAD_BUILD", os.path.join(ROOT, "build"))
+DOMAINS = ["dar", "arusha", "mwanza"]
+START_SECONDS = 30
+
+
+def free_port():
+    """Returns a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Process:
+    """One program of the deployment."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.arguments = arguments
+        self.folder = folder
+        self.port = None
+        self.child = None
+
+    def start(self):
+        """Starts the program and waits for its port."""
+        log = open(os.path.join(self.folder, self.name + ".log"), "ab")
+        out_path = os.path.join(self.folder, self.name + ".out")
+        out = open(out_path, "wb")
+        program = [os.path.join(BUILD, self.arguments[0])] + self.arguments[1:]
+        self.child = subprocess.Popen(program, stdout=out, stderr=log)
+        end = time.monotonic() + START_SECONDS
+        while time.monotonic() < end:
+            with open(out_path) as lines:
+                for line in lines:
+                    if line.startswith("listening ") and line.endswith("\n"):
+                        self.port = int(line.split()[1])
+                        return self
+            if self.child.poll() is not None:
+                break
+            time.sleep(0.01)
+        raise RuntimeError(f"{self.name} did not start, see {self.folder}")
+
+    def signal(self, number):
+        self.child.send_signal(number)
+
+    def stop(self):
+        """Asks the program to end and returns its exit code."""
+        if self.child is None:
+            return 0
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGTERM)
+            self.child.send_signal(signal.SIGCONT)
+        try:
+            return self.child.wait(timeout=30)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            return self.child.wait()
+
+    def kill(self):
+        if self.child is not None and self.child.poll() is None:
+            self.child.kill()
+            self.child.wait()
+
+
+class Answer:
+    """An HTTP answer."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def ask(port, method, path, body=None, key=None, headers=None, timeout=30):
+    """Sends one HTTP request to loopback."""
+    data = None
+    if body is not None:
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{port}{path}", data=data, method=method
+    )
+    request.add_header("Content-Type", "application/json")
+    if key:
+        request.add_header("Authorization", "Bearer " + key)
+    for name, value in (headers or {}).items():
+        request.add_header(name, value)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return Answer(answer.status, answer.headers, answer.read())
+    except urllib.error.HTTPError as error:
+        return Answer(error.code, error.headers, error.read())
+
+
+def wait_until(condition, seconds=START_SECONDS, what="condition"):
+    """Polls a condition; raises when it never holds."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.02)
+    raise RuntimeError(f"gave up waiting for {what}")
+
+
+class Deployment:
+    """Control, entry and upstream processes in three failure domains."""
+
+    def __init__(self, entries=3, controls=3, engines=4, engine_options=()):
+        self.folder = tempfile.mkdtemp(prefix="celeryspread-")
+        self.operator_key = "bootstrap." + secrets.token_hex(16)
+        self.caller_key = "desk." + secrets.token_hex(16)
+        self.engine_options = list(engine_options)
+        self.key_file = os.path.join(self.folder, "cluster.key")
+        with open(self.key_file, "w") as out:
+            out.write(secrets.token_hex(32))
+        self.control_peers = {
+            f"control-{i + 1}": {"address": "127.0.0.1", "port": free_port()}
+            for i in range(controls)
+        }
+        self.controls = [self._control(i) for i in range(controls)]
+        self.entries = [self._entry(i) for i in range(entries)]
+        self.engines = [
+            Process(f"engine-{i + 1}", ["fake-engine"] + self.engine_options, self.folder)
+            for i in range(engines)
+        ]
+        self.service = Process("service-1", ["fake-service"], self.folder)
+
+    def _write(self, name, settings):
+        path = os.path.join(self.folder, name + ".json")
+        with open(path, "w") as out:
+            json.dump(settings, out, indent=1)
+        return path
+
+    def _control(self, index, suffix=""):
+        name = f"control-{index + 1}"
+        path = self._write(
+            name,
+            {
+                "instance": name,
+                "failure_domain": DOMAINS[index % len(DOMAINS)],
+                "address": "127.0.0.1",
+                "wire_port": self.control_peers[name]["port"],
+                "data_folder": os.path.join(self.folder, "data-" + name),
+                "cluster_key_file": self.key_file,
+                "operator_key_hash": self.hash_key(self.operator_key),
+                "control": self.control_peers,
+            },
+        )
+        return Process(
+            name, ["celeryspread-control", "--settings", path, "--bootstrap"], self.folder
+        )
+
+    def _entry(self, index):
+        name = f"entry-{index + 1}"
+        path = self._write(
+            name,
+            {
+                "instance": name,
+                "failure_domain": DOMAINS[index % len(DOMAINS)],
+                "address": "127.0.0.1",
+                "cluster_key_file": self.key_file,
+                "trace_file": os.path.join(self.folder, name + "-trace.json"),
+                "drain_lag_ms": 200,
+                "control": self.control_peers,
+            },
+        )
+        return Process(name, ["celeryspread-entry", "--settings", path], self.folder)
+
+    @staticmethod
+    def hash_key(key):
+        done = subprocess.run(
+            [os.path.join(BUILD, "celeryspreadctl"), "hash-key"],
+            input=key + "\n",
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        return done.stdout.strip()
+
+    def all(self):
+        return self.entries + self.controls + self.engines + [self.service]
+
+    def start(self):
+        for process in self.engines + [self.service] + self.controls + self.entries:
+            process.start()
+        self.wait_for_leader()
+        return self
+
+    def wait_for_leader(self):
+        wait_until(
+            lambda: self.admin("GET", "/admin/status").status == 200,
+            what="a leading control instance",
+        )
+
+    def admin(self, method, path, body=None, entry=0):
+        return ask(self.entries[entry].port, method, path, body, self.operator_key)
+
+    def ctl(self, *words):
+        """Runs celeryspreadctl against the first entry."""
+        environment = dict(os.environ, CELERYSPREAD_KEY=self.operator_key)
+        return subprocess.run(
+            [
+                os.path.join(BUILD, "celeryspreadctl"),
+                "--port",
+                str(self.entries[0].port),
+                *words,
+            ],
+            capture_output=True,
+            text=True,
+            env=environment,
+        )
+
+    def tree(self):
+        """The example tree: models, adapters, versions, services, upstreams."""
+        with open(os.path.join(ROOT, "scripts", "demo_tree.json")) as text:
+            tree = json.load(text)
+        tree["services"]["desk"]["key_hash"] = self.hash_key(self.caller_key)
+        tree["upstreams"] = {
+            engine.name: {
+                "kind": "engine",
+                "address": "127.0.0.1",
+                "port": engine.port,
+                "failure_domain": DOMAINS[i % len(DOMAINS)],
+                "memory_bytes": 40_000_000_000,
+                "cache_reserve_bytes": 8_000_000_000,
+                "slots": 256,
+                "checks_fencing": True,
+            }
+            for i, engine in enumerate(self.engines)
+        }
+        tree["upstreams"]["service-1"] = {
+            "kind": "plain_service",
+            "plain_service": "payments",
+            "address": "127.0.0.1",
+            "port": self.service.port,
+            "failure_domain": DOMAINS[0],
+        }
+        return tree
+
+    def apply(self, patch):
+        path = self._write("patch", patch)
+        done = self.ctl("apply", "--file", path)
+        if done.returncode != 0:
+            raise RuntimeError(done.stderr)
+
+    def wait_for_revision(self, revision):
+        """Waits until every entry runs a revision."""
+
+        def in_force():
+            return all(
+                ask(entry.port, "GET", "/status").json()["revision"] >= revision
+                for entry in self.entries
+            )
+
+        wait_until(in_force, what=f"revision {revision} on every entry")
+
+    def wait_for_models(self, names):
+        """Waits until every entry knows an upstream for each engine name."""
+
+        def resident():
+            for entry in self.entries:
+                upstreams = ask(entry.port, "GET", "/status").json()["upstreams"]
+                held = set()
+                for state in upstreams.values():
+                    held.update(state["resident"])
+                if not set(names) <= held:
+                    return False
+            return True
+
+        wait_until(resident, what="resident models")
+
+    def stop(self):
+        """Stops everything in order and returns the exit codes by name."""
+        codes = {}
+        for process in self.entries + self.controls:
+            codes[process.name] = process.stop()
+        for process in self.engines + [self.service]:
+            process.kill()
+        return codes
+
+    def kill_all(self):
+        for process in self.all():
+            process.kill()
--- /dev/null
+++ b/storage/posix_file_system.cpp
@@ -0,0 +1,138 @@
+#include "storage/posix_file_system.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <fstream>
+#include <sstream>
+
+namespace celeryspread {
+
+namespace {
+
+constexpr mode_t kFileMode = 0600;
+constexpr mode_t kFolderMode = 0700;
+
+bool WriteAll(int aFd, std::string_view aBytes)
+{
+  while (!aBytes.empty()) {
+    const ssize_t written = write(aFd, aBytes.data(), aBytes.size());
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written <= 0) {
+      return false;
+    }
+    aBytes.remove_prefix(static_cast<size_t>(written));
+  }
+  return true;
+}
+
+class PosixFile : public DurableFile
+{
+public:
+  explicit PosixFile(int aFd)
+    : m_fd(aFd)
+  {
+  }
+  ~PosixFile() override { close(m_fd); }
+  PosixFile(const PosixFile&) = delete;
+  PosixFile& operator=(const PosixFile&) = delete;
+
+  bool Append(std::string_view aBytes) override
+  {
+    return WriteAll(m_fd, aBytes);
+  }
+  bool Sync() override { return fdatasync(m_fd) == 0; }
+
+private:
+  int m_fd;
+};
+
+} // namespace
+
+std::string PosixFileSystem::PathOf(const std::string& aName) const
+{
+  return m_folder + "/" + aName;
+}
+
+bool PosixFileSystem::Prepare()
+{
+  if (mkdir(m_folder.c_str(), kFolderMode) != 0 && errno != EEXIST) {
+    return false;
+  }
+  // The descriptor stays open for the life of the process: it is the lock.
+  const int lock =
+    open(PathOf("lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
+  return lock >= 0 && flock(lock, LOCK_EX | LOCK_NB) == 0;
+}
+
+bool PosixFileSystem::SyncFolder() const
+{
+  const int folder = open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0) {
+    return false;
+  }
+  const bool isSynced = fsync(folder) == 0;
+  close(folder);
+  return isSynced;
+}
+
+std::optional<std::string> PosixFileSystem::Read(const std::string& aName)
+{
+  std::ifstream file(PathOf(aName), std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::unique_ptr<DurableFile> PosixFileSystem::OpenForAppend(
+  const std::string& aName)
+{
+  const int fd = open(PathOf(aName).c_str(),
+                      O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                      kFileMode);
+  if (fd < 0) {
+    return nullptr;
+  }
+  if (!SyncFolder()) {
+    close(fd);
+    return nullptr;
+  }
+  return std::make_unique<PosixFile>(fd);
+}
+
+bool PosixFileSystem::ReplaceWhole(const std::string& aName,
+                                   std::string_view aBytes)
+{
+  const std::string temporary = PathOf(aName + ".new");
+  const int fd = open(
+    temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
+  if (fd < 0) {
+    return false;
+  }
+  const bool isWritten = WriteAll(fd, aBytes) && fsync(fd) == 0;
+  close(fd);
+  return isWritten && rename(temporary.c_str(), PathOf(aName).c_str()) == 0 &&
+         SyncFolder();
+}
+
+bool PosixFileSystem::Truncate(const std::string& aName, size_t aLength)
+{
+  const int fd = open(PathOf(aName).c_str(), O_WRONLY | O_CLOEXEC);
+  if (fd < 0) {
+    return false;
+  }
+  const bool isCut =
+    ftruncate(fd, static_cast<off_t>(aLength)) == 0 && fsync(fd) == 0;
+  close(fd);
+  return isCut;
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/storage/posix_file_system.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "storage/file_system.h"
+
+namespace celeryspread {
+
+/// FileSystem on a real folder.
+/// @thread loop thread only.
+class PosixFileSystem : public FileSystem
+{
+public:
+  /// Uses a folder. @pre Prepare() is called before anything else.
+  explicit PosixFileSystem(std::string aFolder)
+    : m_folder(std::move(aFolder))
+  {
+  }
+  /// Makes the folder when absent and locks it against a second process.
+  /// @pre called once. @error false.
+  bool Prepare();
+  std::optional<std::string> Read(const std::string& aName) override;
+  std::unique_ptr<DurableFile> OpenForAppend(const std::string& aName) override;
+  bool ReplaceWhole(const std::string& aName, std::string_view aBytes) override;
+  bool Truncate(const std::string& aName, size_t aLength) override;
+
+private:
+  [[nodiscard]] std::string PathOf(const std::string& aName) const;
+  [[nodiscard]] bool SyncFolder() const;
+
+  std::string m_folder;
+};
+
+} // namespace celeryspread
--- /dev/null
+++ b/tests/storage/record_log_test.cpp
@@ -0,0 +1,139 @@
+#include <gtest/gtest.h>
+
+#include "storage/record_log.h"
+#include "storage/replica_store.h"
+#include "tests/support/fake_file_system.h"
+
+namespace celeryspread::test {
+
+using Records = std::vector<std::string>;
+
+class RecordLogTest : public ::testing::Test
+{
+protected:
+  void Fill(const Records& aRecords)
+  {
+    RecordLog log(m_disk, "log");
+    ASSERT_TRUE(log.Open());
+    for (const std::string& record : aRecords) {
+      ASSERT_TRUE(log.Append(record));
+    }
+    ASSERT_TRUE(log.Sync());
+  }
+  FakeFileSystem m_disk;
+  SeededRandomSource m_random{ 7 };
+};
+
+TEST_F(RecordLogTest, KeepsWhatWasSyncedOverEveryCrash)
+{
+  for (int i = 0; i < 50; ++i) {
+    FakeFileSystem disk;
+    RecordLog log(disk, "log");
+    ASSERT_TRUE(log.Open());
+    ASSERT_TRUE(log.Append("first") && log.Sync());
+    ASSERT_TRUE(log.Append(std::string(100, 'x')));
+    disk.Crash(m_random);
+    RecordLog again(disk, "log");
+    const auto records = again.Open();
+    ASSERT_TRUE(records);
+    ASSERT_GE(records->size(), 1U);
+    EXPECT_EQ(records->front(), "first");
+  }
+}
+
+TEST_F(RecordLogTest, CutsATornTailAndSaysSo)
+{
+  Fill({ "one", "two" });
+  m_disk.Truncate("log", m_disk.SizeOf("log") - 1);
+  RecordLog log(m_disk, "log");
+  EXPECT_EQ(log.Open(), Records{ "one" });
+  EXPECT_GT(log.CutBytes(), 0U);
+}
+
+TEST_F(RecordLogTest, RefusesDamageAtEveryOffset)
+{
+  Fill({ "one", "two", "three" });
+  const size_t size = m_disk.SizeOf("log");
+  for (size_t offset = 0; offset < size; ++offset) {
+    FakeFileSystem disk = m_disk;
+    disk.FlipBit("log", offset);
+    RecordLog log(disk, "log");
+    EXPECT_FALSE(log.Open()) << offset;
+    EXPECT_EQ(log.LastError().m_kind, StorageErrorKind::Corrupt) << offset;
+    EXPECT_LE(log.LastError().m_offset, offset);
+  }
+}
+
+TEST_F(RecordLogTest, FailedSyncIsNeverTriedAgain)
+{
+  RecordLog log(m_disk, "log");
+  ASSERT_TRUE(log.Open());
+  ASSERT_TRUE(log.Append("lost"));
+  m_disk.SetFailsSync(true);
+  EXPECT_FALSE(log.Sync());
+  EXPECT_FALSE(log.Sync());
+  EXPECT_FALSE(log.Append("more"));
+}
+
+TEST_F(RecordLogTest, FullDiskStopsTheLog)
+{
+  Fill({ "one" });
+  RecordLog log(m_disk, "log");
+  ASSERT_TRUE(log.Open());
+  m_disk.SetFull(true);
+  EXPECT_FALSE(log.Append("two"));
+  m_disk.SetFull(false);
+  EXPECT_FALSE(log.Append("three"));
+  RecordLog again(m_disk, "log");
+  EXPECT_EQ(again.Open(), Records{ "one" });
+}
+
+TEST(ReplicaStoreTest, ReadsBackWhatItStored)
+{
+  FakeFileSystem disk;
+  const ReplicaId self("a.1");
+  {
+    ReplicaStore store(disk);
+    ASSERT_TRUE(store.Open());
+    EXPECT_TRUE(store.Identity().IsEmpty());
+    Snapshot first;
+    first.m_index = LogIndex(1);
+    first.m_term = Term(1);
+    first.m_replicas.m_voters[self] = { InstanceId("a"), "127.0.0.1", 1 };
+    ASSERT_TRUE(store.Format(self, first));
+    RaftReady ready;
+    ready.m_hardState = HardState{ Term(3), self };
+    ready.m_entries = { { LogIndex(2), Term(3), EntryKind::Command, "x", {} },
+                        { LogIndex(3), Term(3), EntryKind::Command, "y", {} } };
+    ASSERT_TRUE(store.Store(ready));
+    RaftReady rewritten;
+    rewritten.m_entries = {
+      { LogIndex(3), Term(4), EntryKind::Command, "z", {} }
+    };
+    ASSERT_TRUE(store.Store(rewritten));
+  }
+  ReplicaStore store(disk);
+  ASSERT_TRUE(store.Open());
+  EXPECT_EQ(store.Identity(), self);
+  const RaftInitialState state = store.TakeInitialState();
+  EXPECT_EQ(state.m_hardState.m_term, Term(3));
+  ASSERT_EQ(state.m_entries.size(), 2U);
+  EXPECT_EQ(state.m_entries[1].m_payload, "z");
+  EXPECT_TRUE(state.m_snapshot.m_replicas.m_voters.contains(self));
+}
+
+TEST(ReplicaStoreTest, RefusesADamagedSnapshot)
+{
+  FakeFileSystem disk;
+  {
+    ReplicaStore store(disk);
+    ASSERT_TRUE(store.Open());
+    ASSERT_TRUE(store.Format(ReplicaId("a.1"), Snapshot()));
+  }
+  disk.FlipBit("snapshot", disk.SizeOf("snapshot") - 3);
+  ReplicaStore store(disk);
+  EXPECT_FALSE(store.Open());
+  EXPECT_EQ(store.LastError().m_file, "snapshot");
+}
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/tests/support/control_cluster.cpp
@@ -0,0 +1,313 @@
+#include "tests/support/control_cluster.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+class SilentLog : public EventLog
+{
+public:
+  void Write(EventId /*aId*/, std::string_view /*aDetail*/) override {}
+};
+
+constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr uint64_t kSnapshotEntries = 40;
+
+} // namespace
+
+class ControlCluster::Transport : public PeerTransport
+{
+public:
+  Transport(ControlCluster& aCluster, std::string aName)
+    : m_cluster(aCluster)
+    , m_name(std::move(aName))
+  {
+  }
+  void Send(const RaftMessage& aMessage,
+            const ReplicaAddress& aAddress) override
+  {
+    m_cluster.Deliver(aMessage, m_name, aAddress.m_instance.Value());
+  }
+
+private:
+  ControlCluster& m_cluster;
+  std::string m_name;
+};
+
+struct ControlCluster::Node
+{
+  Node(ControlCluster& aCluster, const std::string& aName, int64_t aSkew)
+    : m_clock(aCluster.m_world, aSkew)
+    , m_transport(aCluster, aName)
+  {
+  }
+  SkewedClock m_clock;
+  Transport m_transport;
+  SilentLog m_log;
+  FakeFileSystem m_disk;
+  std::unique_ptr<ReplicaStore> m_store;
+  std::unique_ptr<ReplicaHost> m_host;
+  std::vector<std::function<void()>> m_heldBack;
+  uint64_t m_generation = 0;
+  uint64_t m_disks = 0;
+  bool m_isFrozen = false;
+};
+
+ControlCluster::ControlCluster(size_t aCount, uint64_t aSeed)
+  : m_random(aSeed)
+{
+  // Clocks differ by no more than the stated bound.
+  static constexpr int64_t kSkews[] = { 0, 4, -4, 2, -2 };
+  for (size_t i = 0; i < aCount; ++i) {
+    const std::string name = "c" + std::to_string(i + 1);
+    m_nodes[name] =
+      std::make_unique<Node>(*this, name, kSkews[i % std::size(kSkews)]);
+  }
+  for (const std::string& name : Names()) {
+    Start(name);
+  }
+}
+
+ControlCluster::~ControlCluster() = default;
+
+std::vector<std::string> ControlCluster::Names() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, node] : m_nodes) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+bool ControlCluster::IsRunning(const std::string& aName) const
+{
+  return m_nodes.at(aName)->m_host != nullptr;
+}
+
+ReplicaHost& ControlCluster::Host(const std::string& aName)
+{
+  return *m_nodes.at(aName)->m_host;
+}
+
+FakeFileSystem& ControlCluster::Disk(const std::string& aName)
+{
+  return m_nodes.at(aName)->m_disk;
+}
+
+Revision ControlCluster::AcceptedAs(const std::string& aChangeId) const
+{
+  const auto found = m_accepted.find(aChangeId);
+  return found == m_accepted.end() ? Revision() : found->second;
+}
+
+void ControlCluster::Crash(const std::string& aName)
+{
+  Node& node = *m_nodes.at(aName);
+  node.m_host.reset();
+  node.m_store.reset();
+  node.m_heldBack.clear();
+  node.m_isFrozen = false;
+  node.m_disk.Crash(m_random);
+  node.m_generation = ++m_generations;
+}
+
+void ControlCluster::LoseDisk(const std::string& aName)
+{
+  Crash(aName);
+  m_nodes.at(aName)->m_disk.LoseEverything();
+}
+
+void ControlCluster::Start(const std::string& aName)
+{
+  Node& node = *m_nodes.at(aName);
+  node.m_store = std::make_unique<ReplicaStore>(node.m_disk);
+  if (!node.m_store->Open()) {
+    node.m_store.reset();
+    return;
+  }
+  if (node.m_store->Identity().IsEmpty()) {
+    const ReplicaId id(aName + "." + std::to_string(++node.m_disks));
+    Snapshot first;
+    if (node.m_disks == 1) {
+      first.m_index = LogIndex(1);
+      first.m_term = Term(1);
+      for (const std::string& name : Names()) {
+        first.m_replicas.m_voters[ReplicaId(name + ".1")] = { InstanceId(name),
+                                                              name,
+                                                              1 };
+      }
+    }
+    node.m_store->Format(id, first);
+  }
+  RaftOptions options;
+  options.m_self = node.m_store->Identity();
+  node.m_host =
+    std::make_unique<ReplicaHost>(ReplicaHost::Parts{ node.m_clock,
+                                                      m_timers,
+                                                      m_random,
+                                                      *node.m_store,
+                                                      node.m_transport,
+                                                      node.m_log },
+                                  options,
+                                  kSnapshotEntries);
+  node.m_generation = ++m_generations;
+  TickLoop(aName, node.m_generation);
+}
+
+void ControlCluster::TickLoop(const std::string& aName, uint64_t aGeneration)
+{
+  m_world.At(m_world.Now() + kTick, [this, aName, aGeneration] {
+    Node& node = *m_nodes.at(aName);
+    if (node.m_generation != aGeneration || node.m_host == nullptr) {
+      return;
+    }
+    if (!node.m_isFrozen) {
+      node.m_host->Tick();
+      const ReplicaSet& replicas = node.m_host->Replica().Replicas();
+      const ReplicaId self = node.m_store->Identity();
+      size_t own = 0;
+      for (const auto& [id, address] : replicas.m_voters) {
+        own += address.m_instance.Value() == aName ? 1 : 0;
+      }
+      if (own != 1 || !replicas.m_voters.contains(self)) {
+        for (const auto& [name, other] : m_nodes) {
+          if (other->m_host != nullptr && !other->m_isFrozen &&
+              CanReach(aName, name)) {
+            other->m_host->Join(self, { InstanceId(aName), aName, 1 });
+          }
+        }
+      }
+    }
+    TickLoop(aName, aGeneration);
+  });
+}
+
+void ControlCluster::Freeze(const std::string& aName, bool aIsFrozen)
+{
+  Node& node = *m_nodes.at(aName);
+  node.m_isFrozen = aIsFrozen;
+  if (!aIsFrozen) {
+    std::vector<std::function<void()>> held;
+    held.swap(node.m_heldBack);
+    for (const auto& task : held) {
+      task();
+    }
+  }
+}
+
+bool ControlCluster::CanReach(const std::string& aFrom,
+                              const std::string& aTo) const
+{
+  if (m_groups.empty()) {
+    return true;
+  }
+  for (const auto& group : m_groups) {
+    if (group.contains(aFrom) && group.contains(aTo)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void ControlCluster::Deliver(const RaftMessage& aMessage,
+                             const std::string& aFrom,
+                             const std::string& aTo)
+{
+  constexpr uint64_t kWhole = 100;
+  constexpr uint64_t kDoublePercent = 5;
+  constexpr uint64_t kMaxDelayMicros = 8'000;
+  const int copies = m_random.Below(kWhole) < kDoublePercent ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    if (m_random.Below(kWhole) < m_lossPercent) {
+      continue;
+    }
+    const Duration delay(
+      static_cast<int64_t>(500 + m_random.Below(kMaxDelayMicros)));
+    m_world.At(m_world.Now() + delay, [this, aMessage, aFrom, aTo] {
+      const auto found = m_nodes.find(aTo);
+      if (found == m_nodes.end() || !CanReach(aFrom, aTo)) {
+        return;
+      }
+      Node& node = *found->second;
+      const auto step = [&node, aMessage, aFrom] {
+        if (node.m_host != nullptr) {
+          node.m_host->Step(aMessage, { InstanceId(aFrom), aFrom, 1 });
+        }
+      };
+      if (node.m_isFrozen) {
+        node.m_heldBack.push_back(step);
+      } else {
+        step();
+      }
+    });
+  }
+}
+
+void ControlCluster::SendChange(const std::string& aName,
+                                const std::string& aChangeId,
+                                std::optional<Revision> aExpected)
+{
+  Node& node = *m_nodes.at(aName);
+  if (node.m_host == nullptr || node.m_isFrozen) {
+    return;
+  }
+  const SettingsStore& settings = node.m_host->State().Settings();
+  const nlohmann::json patch = {
+    { "services",
+      { { "s-" + aChangeId, { { "member", "m" }, { "key_hash", "h" } } } } }
+  };
+  SettingsChange change{ ChangeId(aChangeId),
+                         OperatorId("op"),
+                         aExpected.value_or(settings.CurrentRevision()),
+                         patch.dump() };
+  const TimePoint start = m_world.Now();
+  m_history.NoteInvoked(change.m_changeId, start);
+  const auto answer = [this, aChangeId, start](const ChangeResult& aResult) {
+    if (aResult.m_verdict == ChangeVerdict::Accepted) {
+      m_accepted[aChangeId] = aResult.m_revision;
+      m_history.Add(
+        { start, m_world.Now(), aResult.m_revision, ChangeId(aChangeId) });
+    } else {
+      ++m_conflicts;
+    }
+  };
+  if (!node.m_host->HasLease()) {
+    return;
+  }
+  if (const auto known = settings.Check(change)) {
+    answer(*known);
+    return;
+  }
+  node.m_host->Propose({ {}, change },
+                       [answer](const std::optional<CommandResult>& aResult) {
+                         if (aResult) {
+                           answer(std::get<ChangeResult>(*aResult));
+                         }
+                       });
+}
+
+void ControlCluster::ReadEverywhere()
+{
+  for (auto& [name, node] : m_nodes) {
+    if (node->m_host != nullptr && !node->m_isFrozen &&
+        node->m_host->HasLease()) {
+      m_history.Add({ m_world.Now(),
+                      m_world.Now(),
+                      node->m_host->State().Settings().CurrentRevision(),
+                      {} });
+    }
+  }
+}
+
+std::string ControlCluster::Leader() const
+{
+  for (const auto& [name, node] : m_nodes) {
+    if (node->m_host != nullptr && !node->m_isFrozen &&
+        node->m_host->HasLease()) {
+      return name;
+    }
+  }
+  return {};
+}
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/tests/support/fake_file_system.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <map>
+
+#include "core/random_source.h"
+#include "storage/file_system.h"
+
+namespace celeryspread::test {
+
+/// A disk in memory that loses what was not synced when it crashes, and fails
+/// as it is told to.
+class FakeFileSystem : public FileSystem
+{
+public:
+  std::optional<std::string> Read(const std::string& aName) override
+  {
+    const auto found = m_files.find(aName);
+    return found == m_files.end() ? std::nullopt
+                                  : std::optional(found->second.m_bytes);
+  }
+  std::unique_ptr<DurableFile> OpenForAppend(const std::string& aName) override
+  {
+    m_files[aName];
+    return std::make_unique<FakeFile>(*this, aName);
+  }
+  bool ReplaceWhole(const std::string& aName, std::string_view aBytes) override
+  {
+    if (m_isFull || m_failsSync) {
+      return false;
+    }
+    m_files[aName] = { std::string(aBytes), aBytes.size() };
+    return true;
+  }
+  bool Truncate(const std::string& aName, size_t aLength) override
+  {
+    File& file = m_files[aName];
+    file.m_bytes.resize(aLength);
+    file.m_synced = std::min(file.m_synced, aLength);
+    return true;
+  }
+
+  /// Loses unsynced bytes; a random part of them may have reached the disk.
+  void Crash(RandomSource& aRandom)
+  {
+    for (auto& [name, file] : m_files) {
+      const size_t unsynced = file.m_bytes.size() - file.m_synced;
+      file.m_bytes.resize(file.m_synced + aRandom.Below(unsynced + 1));
+      file.m_synced = file.m_bytes.size();
+    }
+    m_isFull = false;
+    m_failsSync = false;
+  }
+  void LoseEverything() { m_files.clear(); }
+  void FlipBit(const std::string& aName, size_t aOffset)
+  {
+    m_files.at(aName).m_bytes.at(aOffset) ^= 1;
+  }
+  size_t SizeOf(const std::string& aName)
+  {
+    return m_files[aName].m_bytes.size();
+  }
+  void SetFull(bool aIsFull) { m_isFull = aIsFull; }
+  void SetFailsSync(bool aFails) { m_failsSync = aFails; }
+
+private:
+  struct File
+  {
+    std::string m_bytes;
+    size_t m_synced = 0;
+  };
+
+  class FakeFile : public DurableFile
+  {
+  public:
+    FakeFile(FakeFileSystem& aDisk, std::string aName)
+      : m_disk(aDisk)
+      , m_name(std::move(aName))
+    {
+    }
+    bool Append(std::string_view aBytes) override
+    {
+      File& file = m_disk.m_files[m_name];
+      if (m_disk.m_isFull) {
+        file.m_bytes += aBytes.substr(0, aBytes.size() / 2);
+        return false;
+      }
+      file.m_bytes += aBytes;
+      return true;
+    }
+    bool Sync() override
+    {
+      if (m_disk.m_failsSync) {
+        // Like a kernel that drops the pages and succeeds the next time.
+        m_disk.m_failsSync = false;
+        File& file = m_disk.m_files[m_name];
+        file.m_bytes.resize(file.m_synced);
+        return false;
+      }
+      File& file = m_disk.m_files[m_name];
+      file.m_synced = file.m_bytes.size();
+      return true;
+    }
+
+  private:
+    FakeFileSystem& m_disk;
+    std::string m_name;
+  };
+
+  std::map<std::string, File> m_files;
+  bool m_isFull = false;
+  bool m_failsSync = false;
+};
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/tests/support/virtual_world.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "core/clock.h"
+#include "core/timers.h"
+
+namespace celeryspread::test {
+
+/// Virtual time with the tasks that are due in it.
+class VirtualWorld
+{
+public:
+  [[nodiscard]] TimePoint Now() const { return m_now; }
+
+  void At(TimePoint aTime, std::function<void()> aTask)
+  {
+    m_tasks.emplace(aTime, std::move(aTask));
+  }
+
+  /// Runs the tasks that are due until aTime has passed.
+  void RunFor(Duration aTime)
+  {
+    const TimePoint end = m_now + aTime;
+    while (!m_tasks.empty() && m_tasks.begin()->first <= end) {
+      const auto first = m_tasks.begin();
+      m_now = std::max(m_now, first->first);
+      const auto task = std::move(first->second);
+      m_tasks.erase(first);
+      task();
+    }
+    m_now = end;
+  }
+
+private:
+  TimePoint m_now{ std::chrono::seconds(1000) };
+  std::multimap<TimePoint, std::function<void()>> m_tasks;
+};
+
+/// A clock that runs faster or slower than the world's.
+class SkewedClock : public Clock
+{
+public:
+  SkewedClock(const VirtualWorld& aWorld, int64_t aSkewPercent)
+    : m_world(aWorld)
+    , m_skewPercent(aSkewPercent)
+  {
+  }
+  [[nodiscard]] TimePoint Now() const override
+  {
+    const Duration passed = m_world.Now().time_since_epoch();
+    return TimePoint(passed * (100 + m_skewPercent) / 100);
+  }
+  [[nodiscard]] Duration WallTime() const override
+  {
+    return m_world.Now().time_since_epoch();
+  }
+
+private:
+  const VirtualWorld& m_world;
+  int64_t m_skewPercent;
+};
+
+/// Timers in virtual time; one that was dropped does nothing.
+class VirtualTimers : public Timers
+{
+public:
+  explicit VirtualTimers(VirtualWorld& aWorld)
+    : m_world(aWorld)
+  {
+  }
+  std::unique_ptr<Timer> After(Duration aDelay,
+                               std::function<void()> aAction) override
+  {
+    auto timer = std::make_unique<VirtualTimer>();
+    m_world.At(m_world.Now() + aDelay,
+               [isLive = timer->m_isLive, action = std::move(aAction)] {
+                 if (*isLive) {
+                   action();
+                 }
+               });
+    return timer;
+  }
+  std::unique_ptr<Timer> Every(Duration aPeriod,
+                               std::function<void()> aAction) override
+  {
+    auto timer = std::make_unique<VirtualTimer>();
+    Repeat(aPeriod, std::move(aAction), timer->m_isLive);
+    return timer;
+  }
+
+private:
+  struct VirtualTimer : Timer
+  {
+    ~VirtualTimer() override { *m_isLive = false; }
+    std::shared_ptr<bool> m_isLive = std::make_shared<bool>(true);
+  };
+
+  void Repeat(Duration aPeriod,
+              std::function<void()> aAction,
+              std::shared_ptr<bool> aIsLive)
+  {
+    m_world.At(m_world.Now() + aPeriod, [=, this] {
+      if (*aIsLive) {
+        aAction();
+        Repeat(aPeriod, aAction, aIsLive);
+      }
+    });
+  }
+
+  VirtualWorld& m_world;
+};
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/wire/claim_codec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "ledger/claim_service.h"
+#include "wire/celeryspread.capnp.h"
+
+namespace celeryspread {
+
+/// Fills a wire claim request. @pre none. @thread any.
+void WriteClaimRequest(const ClaimRequest& aRequest,
+                       wire::ClaimRequest::Builder aOut);
+/// Reads a wire claim request. @pre none. @thread any.
+ClaimRequest ReadClaimRequest(wire::ClaimRequest::Reader aIn);
+/// Fills a wire answer. @pre none. @thread any.
+void WriteAnswer(const StoredAnswer& aAnswer, wire::StoredAnswer::Builder aOut);
+/// Reads a wire answer. @pre none. @thread any.
+StoredAnswer ReadAnswer(wire::StoredAnswer::Reader aIn);
+/// Reads an outcome; anything unknown counts as Unknown. @pre none.
+/// @thread any.
+ClaimOutcome ReadOutcome(uint8_t aValue);
+
+} // namespace celeryspread
--- /dev/null
+++ b/wire/loop_port.cpp
@@ -0,0 +1,82 @@
+#include "wire/loop_port.h"
+
+#include <event2/event.h>
+
+namespace celeryspread {
+
+namespace {
+
+constexpr int64_t kMicrosPerSecond = 1'000'000;
+
+/// Fulfils a promise from a libevent timer; dropped with its promise.
+class TimerAdapter
+{
+public:
+  TimerAdapter(kj::PromiseFulfiller<void>& aFulfiller,
+               event_base* aBase,
+               int64_t aDelayMicros)
+    : m_fulfiller(aFulfiller)
+    , m_event(evtimer_new(aBase, OnTimeout, this))
+  {
+    const timeval delay = { aDelayMicros / kMicrosPerSecond,
+                            aDelayMicros % kMicrosPerSecond };
+    event_add(m_event, &delay);
+  }
+  ~TimerAdapter() { event_free(m_event); }
+  KJ_DISALLOW_COPY(TimerAdapter);
+
+private:
+  static void OnTimeout(int /*aFd*/, short /*aWhat*/, void* aSelf)
+  {
+    static_cast<TimerAdapter*>(aSelf)->m_fulfiller.fulfill();
+  }
+
+  kj::PromiseFulfiller<void>& m_fulfiller;
+  event* m_event;
+};
+
+} // namespace
+
+LoopPort::LoopPort(event_base* aBase)
+  : m_base(aBase)
+  , m_run(event_new(aBase, -1, 0, OnRun, this))
+  , m_loop(*this)
+  , m_scope(m_loop)
+{
+}
+
+LoopPort::~LoopPort()
+{
+  event_free(m_run);
+}
+
+bool LoopPort::wait()
+{
+  event_base_loop(m_base, EVLOOP_ONCE);
+  return false;
+}
+
+bool LoopPort::poll()
+{
+  event_base_loop(m_base, EVLOOP_NONBLOCK);
+  return false;
+}
+
+void LoopPort::setRunnable(bool aIsRunnable)
+{
+  if (aIsRunnable) {
+    event_active(m_run, 0, 0);
+  }
+}
+
+void LoopPort::OnRun(int /*aFd*/, short /*aWhat*/, void* aSelf)
+{
+  static_cast<LoopPort*>(aSelf)->m_loop.run();
+}
+
+kj::Promise<void> PromiseAfter(event_base* aBase, int64_t aDelayMicros)
+{
+  return kj::newAdaptedPromise<void, TimerAdapter>(aBase, aDelayMicros);
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/wire/loop_port.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+
+#include <kj/async.h>
+
+struct event;
+struct event_base;
+
+namespace celeryspread {
+
+/// Runs KJ's event loop on a libevent loop: one loop on one thread.
+/// @thread loop thread only.
+class LoopPort : public kj::EventPort
+{
+public:
+  /// Uses a libevent loop. @pre aBase outlives the port; one port per thread.
+  explicit LoopPort(event_base* aBase);
+  ~LoopPort();
+  KJ_DISALLOW_COPY(LoopPort);
+
+  bool wait() override;
+  bool poll() override;
+  void setRunnable(bool aIsRunnable) override;
+
+  /// Returns the libevent loop. @pre none.
+  [[nodiscard]] event_base* Base() const { return m_base; }
+
+private:
+  static void OnRun(int aFd, short aWhat, void* aSelf);
+
+  event_base* m_base;
+  event* m_run;
+  kj::EventLoop m_loop;
+  kj::WaitScope m_scope;
+};
+
+/// Returns a promise that is fulfilled after a delay. @pre aBase runs.
+/// @thread loop thread only.
+kj::Promise<void> PromiseAfter(event_base* aBase, int64_t aDelayMicros);
+
+} // namespace celeryspread
--- /dev/null
+++ b/wire/wire_server.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "wire/celeryspread.capnp.h"
+#include "wire/cluster_key.h"
+#include "wire/loop_port.h"
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace celeryspread {
+
+/// Accepts inner links; hands the node out only for a proof of the key.
+/// @thread loop thread only.
+class WireServer
+{
+public:
+  /// Serves aNode. @pre aPort outlives the server.
+  WireServer(LoopPort& aPort, ClusterKey aKey, wire::ControlNode::Client aNode);
+  ~WireServer();
+  KJ_DISALLOW_COPY(WireServer);
+
+  /// Binds and listens; port 0 takes an ephemeral port. @pre not listening.
+  /// @error false.
+  bool Listen(const std::string& aAddress, uint16_t aPort);
+  /// Returns the bound port. @pre Listen() succeeded.
+  [[nodiscard]] uint16_t Port() const { return m_boundPort; }
+  /// Returns open links. @pre none.
+  [[nodiscard]] size_t LinkCount() const { return m_links.size(); }
+
+private:
+  struct Link;
+
+  static void OnAccept(evconnlistener* aListener,
+                       int aFd,
+                       sockaddr* aAddress,
+                       int aLength,
+                       void* aSelf);
+  void Accept(int aFd);
+
+  LoopPort& m_port;
+  ClusterKey m_key;
+  wire::ControlNode::Client m_node;
+  evconnlistener* m_listener = nullptr;
+  uint16_t m_boundPort = 0;
+  std::map<uint64_t, std::unique_ptr<Link>> m_links;
+  uint64_t m_nextLink = 0;
+};
+
+} // namespace celeryspread
