Placement: memory ledger, orders with fencing and bounded life, one owner

Cause: engines held what they started with; a declared model was reachable only when somebody had loaded it by hand. Change: placement/ decides loads and unloads for the one owner that holds the control lease; the ledger frees space only by the engine's own word; a new owner waits out the old orders' life and reads back first. reports/ is shared by entries and control. Conclusion: one owner over the global quorum; an owner for each failure domain is still to come.

--- a/control/admin_api.cpp
+++ b/control/admin_api.cpp
@@ -87,6 +87,19 @@
   return "expired";
 }
 
+const char* ResidencyWord(ResidencyState aState)
+{
+  switch (aState) {
+    case ResidencyState::Resident:
+      return "resident";
+    case ResidencyState::Loading:
+      return "loading";
+    case ResidencyState::Unloading:
+      break;
+  }
+  return "unloading";
+}
+
 AdminReply ChangeReply(const ChangeResult& aResult)
 {
   json body = { { "revision", aResult.m_revision.Value() } };
@@ -124,23 +137,20 @@
 
 const AdminApi::Row* AdminApi::FindRow(const AdminRequest& aRequest)
 {
+  // clang-format off
   static constexpr Row kRows[] = {
     { "GET", "/admin/tree", OperatorRole::Read, &AdminApi::HandleTree },
     { "POST", "/admin/changes", OperatorRole::Change, &AdminApi::HandleChange },
     { "GET", "/admin/changes", OperatorRole::Read, &AdminApi::HandleHistory },
     { "GET", "/admin/names", OperatorRole::Read, &AdminApi::HandleNames },
-    { "GET",
-      "/admin/upstreams",
-      OperatorRole::Read,
-      &AdminApi::HandleUpstreams },
+    { "GET", "/admin/upstreams", OperatorRole::Read, &AdminApi::HandleUpstreams },
+    { "GET", "/admin/placement", OperatorRole::Read, &AdminApi::HandlePlacement },
     { "GET", "/admin/status", OperatorRole::Read, &AdminApi::HandleStatus },
     { "GET", "/admin/explain", OperatorRole::Read, &AdminApi::HandleExplain },
     { "GET", "/admin/claims", OperatorRole::Read, &AdminApi::HandleClaims },
-    { "POST",
-      "/admin/claims/settle",
-      OperatorRole::Settle,
-      &AdminApi::HandleSettle },
+    { "POST", "/admin/claims/settle", OperatorRole::Settle, &AdminApi::HandleSettle },
   };
+  // clang-format on
   for (const Row& row : kRows) {
     if (row.m_method == aRequest.m_method && row.m_path == aRequest.m_path) {
       return &row;
@@ -315,6 +325,36 @@
     kOk, { { "upstreams", tree.value("upstreams", json::object()) } }));
 }
 
+void AdminApi::HandlePlacement(const AdminRequest& /*aRequest*/,
+                               const Caller& /*aCaller*/,
+                               const AdminDone& aDone)
+{
+  json engines = json::object();
+  json problems = json::array();
+  if (m_placement != nullptr) {
+    for (const auto& [id, declared] : CurrentCatalog()->Tree().m_upstreams) {
+      const MemoryLedger* ledger = m_placement->LedgerOf(id);
+      if (ledger == nullptr) {
+        continue;
+      }
+      json contents = json::object();
+      for (const auto& [name, residency] : ledger->Contents()) {
+        contents[name] = { { "bytes", residency.m_bytes.Value() },
+                           { "state", ResidencyWord(residency.m_state) } };
+      }
+      engines[id.Value()] = { { "known", ledger->IsKnown() },
+                              { "taken_bytes", ledger->Taken().Value() },
+                              { "free_bytes", ledger->Free().Value() },
+                              { "contents", contents } };
+    }
+    for (const PlacementProblem& problem : m_placement->Problems()) {
+      problems.push_back(
+        { { "name", problem.m_name }, { "reason", problem.m_reason } });
+    }
+  }
+  aDone(JsonReply(kOk, { { "engines", engines }, { "problems", problems } }));
+}
+
 void AdminApi::HandleStatus(const AdminRequest& /*aRequest*/,
                             const Caller& /*aCaller*/,
                             const AdminDone& aDone)
--- a/control/admin_api.h
+++ b/control/admin_api.h
@@ -9,6 +9,7 @@
 #include "control/admin_types.h"
 #include "control/instance_registry.h"
 #include "control/replica_host.h"
+#include "placement/placement_owner.h"
 
 namespace celeryspread {
 
@@ -25,6 +26,13 @@
            EventLog& aLog,
            std::string aBootstrapKeyHash);
 
+  /// Returns the catalog of the applied settings. @pre none.
+  std::shared_ptr<const Catalog> CurrentCatalog();
+  /// Shows what aPlacement decides. @pre aPlacement outlives the API.
+  void SetPlacement(const PlacementOwner& aPlacement)
+  {
+    m_placement = &aPlacement;
+  }
   /// Handles a request. @pre none; aDone is called exactly once, later or at
   /// once. A replica without a lease answers 503 "no_quorum".
   void Handle(const AdminRequest& aRequest, const AdminDone& aDone);
@@ -48,7 +56,9 @@
 
   static const Row* FindRow(const AdminRequest& aRequest);
   std::optional<Caller> Authenticate(const AdminRequest& aRequest);
-  std::shared_ptr<const Catalog> CurrentCatalog();
+  void HandlePlacement(const AdminRequest& aRequest,
+                       const Caller& aCaller,
+                       const AdminDone& aDone);
   void HandleTree(const AdminRequest& aRequest,
                   const Caller& aCaller,
                   const AdminDone& aDone);
@@ -83,6 +93,7 @@
   EventLog& m_log;
   std::string m_bootstrapKeyHash;
   std::shared_ptr<const Catalog> m_catalog;
+  const PlacementOwner* m_placement = nullptr;
 };
 
 } // namespace celeryspread
--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -8,9 +8,11 @@
 #include <nlohmann/json.hpp>
 
 #include "control/control_service.h"
+#include "control/placement_runner.h"
 #include "core/system_clock.h"
 #include "http/caller_server.h"
 #include "http/event_timers.h"
+#include "http/evhttp_upstream_client.h"
 #include "main/exit_code.h"
 #include "storage/posix_file_system.h"
 #include "telemetry/metrics.h"
@@ -52,6 +54,7 @@
     , m_port(m_base.get())
     , m_random(std::random_device()())
     , m_timers(m_base.get())
+    , m_client(m_base.get(), m_clock)
     , m_log(m_settings.m_instance.Value())
     , m_files(m_settings.m_dataFolder)
     , m_store(m_files)
@@ -169,6 +172,11 @@
       static_cast<uint64_t>(m_settings.m_snapshotEntries));
     m_admin = std::make_unique<AdminApi>(
       *m_host, m_instances, m_clock, m_log, m_settings.m_operatorKeyHash);
+    m_placement = std::make_unique<PlacementRunner>(
+      *m_host,
+      ReportPoller::Parts{ m_clock, m_timers, m_client, m_log },
+      [this] { return m_admin->CurrentCatalog(); });
+    m_admin->SetPlacement(m_placement->Owner());
     auto service = kj::heap<ControlService>(
       m_port, m_clock, *m_host, *m_peers, *m_admin, m_instances);
     m_service = service.get();
@@ -277,6 +285,7 @@
   SystemClock m_clock;
   SeededRandomSource m_random;
   EventTimers m_timers;
+  EvhttpUpstreamClient m_client;
   EasyEventLog m_log;
   PosixFileSystem m_files;
   ReplicaStore m_store;
@@ -284,6 +293,7 @@
   std::unique_ptr<PeerLinks> m_peers;
   std::unique_ptr<ReplicaHost> m_host;
   std::unique_ptr<AdminApi> m_admin;
+  std::unique_ptr<PlacementRunner> m_placement;
   ControlService* m_service = nullptr;
   kj::Maybe<wire::ControlNode::Client> m_node;
   std::unique_ptr<WireServer> m_wire;
--- /dev/null
+++ b/control/placement_runner.cpp
@@ -0,0 +1,202 @@
+#include "control/placement_runner.h"
+
+#include <nlohmann/json.hpp>
+
+namespace celeryspread {
+
+namespace {
+
+constexpr Duration kDecidePeriod = std::chrono::milliseconds(100);
+constexpr Duration kReportPeriod = std::chrono::milliseconds(300);
+/// A load may take long; its answer is waited for, its memory stays taken.
+constexpr Duration kAnswerTimeout = std::chrono::seconds(120);
+constexpr int kOk = 200;
+
+const char* VerbOf(OrderKind aKind)
+{
+  return aKind == OrderKind::Load ? "load" : "unload";
+}
+
+std::string PathOf(const PlacementOrder& aOrder)
+{
+  if (aOrder.m_isAdapter) {
+    return std::string("/v1/") + VerbOf(aOrder.m_kind) + "_lora_adapter";
+  }
+  return "/v2/repository/models/" + aOrder.m_name + "/" + VerbOf(aOrder.m_kind);
+}
+
+std::string BodyOf(const PlacementOrder& aOrder)
+{
+  const nlohmann::json body = { { "lora_name", aOrder.m_name },
+                                { "order_id",
+                                  std::to_string(aOrder.m_token.Value()) + "-" +
+                                    std::to_string(aOrder.m_id.Value()) },
+                                { "fencing_token", aOrder.m_token.Value() },
+                                { "expires_in_ms",
+                                  aOrder.m_life.count() / 1000 },
+                                { "memory_bytes", aOrder.m_bytes.Value() } };
+  return body.dump();
+}
+
+} // namespace
+
+/// One order under way.
+class PlacementRunner::OrderCall : public UpstreamObserver
+{
+public:
+  OrderCall(PlacementRunner& aRunner, PlacementOrder aOrder)
+    : m_runner(aRunner)
+    , m_order(std::move(aOrder))
+  {
+  }
+
+  void Start(const UpstreamAddress& aAddress)
+  {
+    UpstreamRequest request;
+    request.m_address = aAddress;
+    request.m_method = "POST";
+    request.m_path = PathOf(m_order);
+    request.m_headers = { { "Content-Type", "application/json" } };
+    request.m_body = BodyOf(m_order);
+    request.m_firstByteTimeout = kAnswerTimeout;
+    request.m_progressTimeout = kAnswerTimeout;
+    request.m_mayReuseConnection = false;
+    m_call = m_runner.m_parts.m_client.Start(std::move(request), *this);
+  }
+
+  void OnUpstreamHeaders(int aStatus, const HttpHeaders& /*aHeaders*/) override
+  {
+    m_status = aStatus;
+  }
+  void OnUpstreamBody(std::string_view /*aBytes*/) override {}
+  void OnUpstreamEnd() override
+  {
+    m_runner.m_owner.NoteAnswered(m_order, m_runner.m_parts.m_clock.Now());
+    if (m_status != kOk) {
+      LogFailure("status=" + std::to_string(m_status));
+    }
+    m_isOver = true;
+  }
+  void OnUpstreamFailed(const UpstreamFailure& aFailure) override
+  {
+    // Without an answer the order may still take effect in its life.
+    LogFailure("reason=" + aFailure.m_reason);
+    m_isOver = true;
+  }
+  [[nodiscard]] bool IsOver() const { return m_isOver; }
+
+private:
+  void LogFailure(const std::string& aDetail)
+  {
+    m_runner.m_parts.m_log.Write(EventId::OrderFailed,
+                                 "engine=" + m_order.m_engine.Value() +
+                                   " name=" + m_order.m_name + " " + aDetail);
+  }
+
+  PlacementRunner& m_runner;
+  PlacementOrder m_order;
+  std::unique_ptr<UpstreamCall> m_call;
+  int m_status = 0;
+  bool m_isOver = false;
+};
+
+PlacementRunner::PlacementRunner(ReplicaHost& aHost,
+                                 ReportPoller::Parts aParts,
+                                 CatalogSource aCatalog)
+  : m_host(aHost)
+  , m_parts(aParts)
+  , m_catalogSource(std::move(aCatalog))
+  , m_poller(
+      aParts,
+      kReportPeriod,
+      [this] { return Sources(); },
+      [this](const UpstreamId& aId, const LoadReport& aReport) {
+        m_owner.ApplyReport(aId, aReport);
+      })
+  , m_timer(aParts.m_timers.Every(kDecidePeriod, [this] { Tick(); }))
+{
+}
+
+PlacementRunner::~PlacementRunner() = default;
+
+std::vector<ReportPoller::Source> PlacementRunner::Sources() const
+{
+  std::vector<ReportPoller::Source> sources;
+  if (!m_owner.IsOwner() || m_catalog == nullptr) {
+    return sources;
+  }
+  for (const auto& [id, declared] : m_catalog->Tree().m_upstreams) {
+    if (declared.m_kind == UpstreamKind::Engine) {
+      sources.push_back({ id, { declared.m_address, declared.m_port } });
+    }
+  }
+  return sources;
+}
+
+void PlacementRunner::FollowSettings()
+{
+  const Revision current = m_host.State().Settings().CurrentRevision();
+  if (m_catalog != nullptr && m_catalog->CurrentRevision() == current) {
+    return;
+  }
+  auto catalog = m_catalogSource();
+  if (catalog != nullptr) {
+    m_catalog = std::move(catalog);
+    m_owner.SetCatalog(m_catalog);
+  }
+}
+
+void PlacementRunner::FollowLease()
+{
+  if (!m_host.HasLease()) {
+    m_owner.EndOwnership();
+    return;
+  }
+  if (!m_owner.IsOwner()) {
+    const Term term = m_host.Replica().CurrentTerm();
+    m_owner.BeginOwnership(FencingToken(term.Value()), m_parts.m_clock.Now());
+  }
+}
+
+void PlacementRunner::Tick()
+{
+  std::erase_if(m_calls,
+                [](const auto& aEntry) { return aEntry.second->IsOver(); });
+  FollowLease();
+  if (!m_owner.IsOwner()) {
+    return;
+  }
+  FollowSettings();
+  for (const PlacementOrder& order : m_owner.Decide(m_parts.m_clock.Now())) {
+    Send(order);
+  }
+  NoteProblems();
+}
+
+void PlacementRunner::Send(const PlacementOrder& aOrder)
+{
+  const UpstreamDeclaration& engine =
+    m_catalog->Tree().m_upstreams.at(aOrder.m_engine);
+  m_parts.m_log.Write(EventId::OrderSent,
+                      std::string("order=") + VerbOf(aOrder.m_kind) +
+                        " engine=" + aOrder.m_engine.Value() +
+                        " name=" + aOrder.m_name);
+  auto call = std::make_unique<OrderCall>(*this, aOrder);
+  call->Start({ engine.m_address, engine.m_port });
+  m_calls[aOrder.m_id] = std::move(call);
+}
+
+void PlacementRunner::NoteProblems()
+{
+  if (m_owner.Problems() == m_loggedProblems) {
+    return;
+  }
+  m_loggedProblems = m_owner.Problems();
+  for (const PlacementProblem& problem : m_loggedProblems) {
+    m_parts.m_log.Write(EventId::PlacementRefused,
+                        "name=" + problem.m_name +
+                          " reason=" + problem.m_reason);
+  }
+}
+
+} // namespace celeryspread
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -10,10 +10,10 @@
 #include "entry/control_link.h"
 #include "entry/entry_app.h"
 #include "entry/no_claim_service.h"
-#include "entry/report_poller.h"
 #include "http/event_timers.h"
 #include "http/evhttp_upstream_client.h"
 #include "main/exit_code.h"
+#include "reports/report_poller.h"
 #include "telemetry/otlp_file_exporter.h"
 
 namespace celeryspread {
@@ -133,7 +133,12 @@
     m_server =
       std::make_unique<CallerServer>(m_base.get(), m_clock, Limits(), *m_app);
     m_poller = std::make_unique<ReportPoller>(
-      *m_context, std::chrono::milliseconds(m_settings.m_reportPeriodMs));
+      ReportPoller::Parts{ m_clock, m_timers, m_client, m_log },
+      std::chrono::milliseconds(m_settings.m_reportPeriodMs),
+      [this] { return m_table.ReportSources(); },
+      [this](const UpstreamId& aId, const LoadReport& aReport) {
+        m_table.ApplyReport(aId, aReport);
+      });
   }
 
   bool LoadTreeFile()
--- a/routing/load_report.cpp
+++ b/reports/load_report.cpp
@@ -1,5 +1,6 @@
-#include "routing/load_report.h"
+#include "reports/load_report.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace celeryspread {
@@ -10,6 +11,11 @@
 constexpr std::string_view kWaiting = "engine_requests_waiting";
 constexpr std::string_view kLeaving = "engine_leaving";
 constexpr std::string_view kResident = "engine_resident{model=\"";
+constexpr std::string_view kLoading = "engine_loading{model=\"";
+constexpr std::string_view kResidentBytes = "engine_resident_bytes{model=\"";
+
+/// Largest value that a double holds without loss.
+constexpr double kLargestValue = 9007199254740992.0;
 
 struct Sample
 {
@@ -28,21 +34,35 @@
   const auto [end, error] = std::from_chars(
     number.data(), number.data() + number.size(), sample.m_value);
   const bool fits = error == std::errc() && sample.m_value >= 0 &&
-                    sample.m_value <= static_cast<double>(UINT32_MAX);
+                    sample.m_value <= kLargestValue;
   if (!fits) {
     return std::nullopt;
   }
   return sample;
 }
 
+uint32_t ToCount(double aValue)
+{
+  constexpr auto kMost = static_cast<double>(UINT32_MAX);
+  return static_cast<uint32_t>(std::min(aValue, kMost));
+}
+
+std::string LabelValue(std::string_view aSeries, std::string_view aPrefix)
+{
+  const std::string_view rest = aSeries.substr(aPrefix.size());
+  const size_t quote = rest.find('"');
+  return quote == std::string_view::npos ? std::string()
+                                         : std::string(rest.substr(0, quote));
+}
+
 bool Apply(const Sample& aSample, LoadReport& aReport)
 {
   if (aSample.m_series == kRunning) {
-    aReport.m_running = static_cast<uint32_t>(aSample.m_value);
+    aReport.m_running = ToCount(aSample.m_value);
     return true;
   }
   if (aSample.m_series == kWaiting) {
-    aReport.m_waiting = static_cast<uint32_t>(aSample.m_value);
+    aReport.m_waiting = ToCount(aSample.m_value);
     return true;
   }
   if (aSample.m_series == kLeaving) {
@@ -50,13 +70,25 @@
     return true;
   }
   if (aSample.m_series.starts_with(kResident)) {
-    const std::string_view rest = aSample.m_series.substr(kResident.size());
-    const size_t quote = rest.find('"');
-    if (quote != std::string_view::npos && aSample.m_value != 0) {
-      aReport.m_resident.insert(std::string(rest.substr(0, quote)));
+    const std::string name = LabelValue(aSample.m_series, kResident);
+    if (!name.empty() && aSample.m_value != 0) {
+      aReport.m_resident.insert(name);
+    }
+    return true;
+  }
+  if (aSample.m_series.starts_with(kLoading)) {
+    const std::string name = LabelValue(aSample.m_series, kLoading);
+    if (!name.empty() && aSample.m_value != 0) {
+      aReport.m_loading.insert(name);
     }
     return true;
   }
+  if (aSample.m_series.starts_with(kResidentBytes)) {
+    const std::string name = LabelValue(aSample.m_series, kResidentBytes);
+    aReport.m_residentBytes[name] =
+      ByteCount(static_cast<uint64_t>(aSample.m_value));
+    return true;
+  }
   return false;
 }
 
--- a/entry/report_poller.cpp
+++ b/reports/report_poller.cpp
@@ -1,4 +1,4 @@
-#include "entry/report_poller.h"
+#include "reports/report_poller.h"
 
 namespace celeryspread {
 
@@ -14,27 +14,27 @@
 class ReportPoller::Poll : public UpstreamObserver
 {
 public:
-  Poll(EntryContext& aContext, UpstreamId aId)
-    : m_context(aContext)
+  Poll(ReportPoller& aPoller, UpstreamId aId)
+    : m_poller(aPoller)
     , m_id(std::move(aId))
   {
   }
 
-  void Ask(const UpstreamDeclaration& aDeclaration)
+  void Ask(const UpstreamAddress& aAddress)
   {
     if (m_call != nullptr && !m_isOver) {
       return;
     }
     m_isOver = false;
     m_body.clear();
-    m_askedAt = m_context.m_clock.Now();
+    m_askedAt = m_poller.m_parts.m_clock.Now();
     UpstreamRequest request;
-    request.m_address = { aDeclaration.m_address, aDeclaration.m_port };
+    request.m_address = aAddress;
     request.m_method = "GET";
     request.m_path = "/metrics";
     request.m_firstByteTimeout = kReportTimeout;
     request.m_progressTimeout = kReportTimeout;
-    m_call = m_context.m_client.Start(std::move(request), *this);
+    m_call = m_poller.m_parts.m_client.Start(std::move(request), *this);
   }
 
   void OnUpstreamHeaders(int aStatus, const HttpHeaders& /*aHeaders*/) override
@@ -59,7 +59,7 @@
       return;
     }
     m_isLost = false;
-    m_context.m_table.ApplyReport(m_id, *report);
+    m_poller.m_listener(m_id, *report);
   }
 
   void OnUpstreamFailed(const UpstreamFailure& aFailure) override
@@ -72,13 +72,14 @@
   void NoteLost(const std::string& aReason)
   {
     if (!m_isLost) {
-      m_context.m_log.Write(EventId::UpstreamReportLost,
-                            "upstream=" + m_id.Value() + " reason=" + aReason);
+      m_poller.m_parts.m_log.Write(EventId::UpstreamReportLost,
+                                   "upstream=" + m_id.Value() +
+                                     " reason=" + aReason);
     }
     m_isLost = true;
   }
 
-  EntryContext& m_context;
+  ReportPoller& m_poller;
   UpstreamId m_id;
   std::unique_ptr<UpstreamCall> m_call;
   TimePoint m_askedAt;
@@ -88,9 +89,14 @@
   bool m_isLost = false;
 };
 
-ReportPoller::ReportPoller(EntryContext& aContext, Duration aPeriod)
-  : m_context(aContext)
-  , m_timer(aContext.m_timers.Every(aPeriod, [this] { PollAll(); }))
+ReportPoller::ReportPoller(Parts aParts,
+                           Duration aPeriod,
+                           Sources aSources,
+                           Listener aListener)
+  : m_parts(aParts)
+  , m_sources(std::move(aSources))
+  , m_listener(std::move(aListener))
+  , m_timer(aParts.m_timers.Every(aPeriod, [this] { PollAll(); }))
 {
 }
 
@@ -98,20 +104,19 @@
 
 void ReportPoller::PollAll()
 {
-  const auto& upstreams = m_context.m_table.All();
-  std::erase_if(m_polls, [&](const auto& aEntry) {
-    return !upstreams.contains(aEntry.first);
-  });
-  for (const auto& [id, state] : upstreams) {
-    if (state->m_declaration.m_kind != UpstreamKind::Engine) {
-      continue;
+  const std::vector<Source> sources = m_sources();
+  std::map<UpstreamId, std::unique_ptr<Poll>> kept;
+  for (const Source& source : sources) {
+    std::unique_ptr<Poll> poll;
+    if (const auto found = m_polls.find(source.m_id); found != m_polls.end()) {
+      poll = std::move(found->second);
+    } else {
+      poll = std::make_unique<Poll>(*this, source.m_id);
     }
-    std::unique_ptr<Poll>& poll = m_polls[id];
-    if (poll == nullptr) {
-      poll = std::make_unique<Poll>(m_context, id);
-    }
-    poll->Ask(state->m_declaration);
+    poll->Ask(source.m_address);
+    kept[source.m_id] = std::move(poll);
   }
+  m_polls = std::move(kept);
 }
 
 } // namespace celeryspread
--- a/routing/upstream_table.cpp
+++ b/routing/upstream_table.cpp
@@ -131,6 +131,18 @@
   return true;
 }
 
+std::vector<ReportPoller::Source> UpstreamTable::ReportSources() const
+{
+  std::vector<ReportPoller::Source> sources;
+  for (const auto& [id, state] : m_upstreams) {
+    const UpstreamDeclaration& declared = state->m_declaration;
+    if (declared.m_kind == UpstreamKind::Engine) {
+      sources.push_back({ id, { declared.m_address, declared.m_port } });
+    }
+  }
+  return sources;
+}
+
 const UpstreamTable::Candidates& UpstreamTable::HoldersOf(
   std::string_view aEngineName) const
 {
--- a/routing/upstream_table.h
+++ b/routing/upstream_table.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "catalog/catalog.h"
-#include "routing/load_report.h"
+#include "reports/report_poller.h"
 #include "routing/upstream_state.h"
 
 namespace celeryspread {
@@ -49,6 +49,8 @@
   [[nodiscard]] const Candidates& HoldersOf(std::string_view aEngineName) const;
   /// Returns the upstreams of a plain service. @pre none.
   [[nodiscard]] const Candidates& ServersOf(const PlainServiceId& aId) const;
+  /// Lists the engines that report their load. @pre none.
+  [[nodiscard]] std::vector<ReportPoller::Source> ReportSources() const;
   /// Returns every upstream. @pre none.
   [[nodiscard]] const std::map<UpstreamId, std::unique_ptr<UpstreamState>>&
   All() const
--- a/settings/setting_spec.h
+++ b/settings/setting_spec.h
@@ -26,6 +26,9 @@
   TraceSamplePercent,
   WorkMayRepeat,
   ClaimRetentionMs,
+  WeightLoadsPerSecond,
+  MaxWeightLoads,
+  MaxAdapterLoads,
   Count
 };
 
--- a/telemetry/event_catalog.cpp
+++ b/telemetry/event_catalog.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+// clang-format off
 constexpr EventSpec kSpecs[] = {
   { EventId::Started,
     EventLevel::Info,
@@ -116,6 +117,7 @@
     "admin_refused",
     "An admin request had no valid key or lacked the role." },
 };
+// clang-format on
 
 } // namespace
 
--- /dev/null
+++ b/tests/placement/placement_history_test.cpp
@@ -0,0 +1,265 @@
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "core/random_source.h"
+#include "placement/placement_owner.h"
+#include "tests/support/virtual_world.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr uint64_t kCapacity = 100;
+constexpr uint64_t kReserve = 20;
+
+std::shared_ptr<const Catalog> MakeCatalog(uint64_t aRevision,
+                                           int aModels,
+                                           int aEngines,
+                                           const std::string& aVersion = "")
+{
+  json tree;
+  tree["naming_schemes"] = { "s" };
+  tree["settings"] = { { "weight_loads_per_s", 1000 } };
+  tree["regions"]["r"]["failure_domains"] = { { "d0", json::object() },
+                                              { "d1", json::object() } };
+  for (int i = 0; i < aModels; ++i) {
+    const std::string name = "m" + std::to_string(i);
+    json model = { { "names", { { "s", name } } },
+                   { "memory_bytes", 30 },
+                   { "copies", 1 } };
+    if (!aVersion.empty()) {
+      model["versions"][aVersion] = { { "names",
+                                        { { "s", name + aVersion } } } };
+      model["default_version"] = aVersion;
+    }
+    tree["models"][name] = model;
+  }
+  for (int i = 0; i < aEngines; ++i) {
+    tree["upstreams"]["e" + std::to_string(i)] = {
+      { "address", "127.0.0.1" },
+      { "port", 1 },
+      { "failure_domain", i % 2 == 0 ? "d0" : "d1" },
+      { "memory_bytes", kCapacity },
+      { "cache_reserve_bytes", kReserve }
+    };
+  }
+  SettingsError error;
+  auto catalog = Catalog::Load(tree.dump(), Revision(aRevision), error);
+  EXPECT_NE(catalog, nullptr) << error.Text();
+  return catalog;
+}
+
+/// Engines that apply orders late, twice or never, and ignore fencing.
+class EngineFleet
+{
+public:
+  EngineFleet(VirtualWorld& aWorld, RandomSource& aRandom, int aEngines)
+    : m_world(aWorld)
+    , m_random(aRandom)
+    , m_engines(aEngines)
+  {
+  }
+
+  void Send(const PlacementOrder& aOrder, PlacementOwner& aOwner)
+  {
+    const uint64_t fate = m_random.Below(10);
+    if (fate == 0) {
+      return;
+    }
+    const auto life = static_cast<uint64_t>(aOrder.m_life.count());
+    const Duration delay(static_cast<int64_t>(m_random.Below(life)));
+    m_world.At(m_world.Now() + delay, [=, this, &aOwner] {
+      Apply(aOrder);
+      if (fate > 2) {
+        aOwner.NoteAnswered(aOrder, m_world.Now());
+      }
+    });
+  }
+
+  void Apply(const PlacementOrder& aOrder)
+  {
+    auto& held = EngineOf(aOrder.m_engine);
+    if (aOrder.m_kind == OrderKind::Unload) {
+      held.erase(aOrder.m_name);
+      return;
+    }
+    held[aOrder.m_name] = aOrder.m_bytes.Value();
+    uint64_t taken = kReserve;
+    for (const auto& [name, bytes] : held) {
+      taken += bytes;
+    }
+    m_peak = std::max(m_peak, taken);
+  }
+
+  LoadReport Report(const UpstreamId& aEngine)
+  {
+    LoadReport report;
+    report.m_takenAt = m_world.Now();
+    for (const auto& [name, bytes] : EngineOf(aEngine)) {
+      report.m_resident.insert(name);
+      report.m_residentBytes[name] = ByteCount(bytes);
+    }
+    return report;
+  }
+
+  [[nodiscard]] size_t Copies(const std::string& aName) const
+  {
+    size_t copies = 0;
+    for (const auto& held : m_engines) {
+      copies += held.contains(aName) ? 1 : 0;
+    }
+    return copies;
+  }
+  void Restart(const UpstreamId& aEngine) { EngineOf(aEngine).clear(); }
+  [[nodiscard]] uint64_t Peak() const { return m_peak; }
+
+private:
+  std::map<std::string, uint64_t>& EngineOf(const UpstreamId& aEngine)
+  {
+    return m_engines.at(std::stoul(aEngine.Value().substr(1)));
+  }
+
+  VirtualWorld& m_world;
+  RandomSource& m_random;
+  std::vector<std::map<std::string, uint64_t>> m_engines;
+  uint64_t m_peak = 0;
+};
+
+void Step(PlacementOwner& aOwner,
+          EngineFleet& aFleet,
+          VirtualWorld& aWorld,
+          int aEngines)
+{
+  for (int i = 0; i < aEngines; ++i) {
+    const UpstreamId id("e" + std::to_string(i));
+    aOwner.ApplyReport(id, aFleet.Report(id));
+  }
+  for (const PlacementOrder& order : aOwner.Decide(aWorld.Now())) {
+    aFleet.Send(order, aOwner);
+  }
+}
+
+} // namespace
+
+TEST(PlacementHistoryTest, NoInterleavingOvercommitsMemory)
+{
+  constexpr int kEngines = 3;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    VirtualWorld world;
+    SeededRandomSource random(seed);
+    EngineFleet fleet(world, random, kEngines);
+    PlacementOwner owners[2];
+    size_t active = 0;
+    uint64_t token = 1;
+    uint64_t revision = 1;
+    for (PlacementOwner& owner : owners) {
+      owner.SetCatalog(MakeCatalog(revision, 5, kEngines));
+    }
+    owners[0].BeginOwnership(FencingToken(token), world.Now());
+    for (int step = 0; step < 200; ++step) {
+      const uint64_t dice = random.Below(40);
+      if (dice == 0) {
+        // The old owner's lease is over; its orders are still under way.
+        owners[active].EndOwnership();
+        active = 1 - active;
+        owners[active].BeginOwnership(FencingToken(++token), world.Now());
+      } else if (dice == 1) {
+        ++revision;
+        const int models = 3 + static_cast<int>(random.Below(5));
+        const std::string version = random.Below(2) == 0 ? "v1" : "v2";
+        for (PlacementOwner& owner : owners) {
+          owner.SetCatalog(MakeCatalog(revision, models, kEngines, version));
+        }
+      } else if (dice == 2) {
+        fleet.Restart(UpstreamId("e" + std::to_string(random.Below(kEngines))));
+      }
+      Step(owners[active], fleet, world, kEngines);
+      world.RunFor(Duration(static_cast<int64_t>(random.Below(1'000'000))));
+    }
+    ASSERT_LE(fleet.Peak(), kCapacity) << "seed " << seed;
+    ASSERT_GT(fleet.Peak(), kReserve) << "seed " << seed;
+  }
+}
+
+TEST(PlacementHistoryTest, VersionChangeMakesBeforeItBreaks)
+{
+  constexpr int kEngines = 2;
+  VirtualWorld world;
+  SeededRandomSource random(5);
+  EngineFleet fleet(world, random, kEngines);
+  PlacementOwner owner;
+  owner.SetCatalog(MakeCatalog(1, 3, kEngines, "v1"));
+  owner.BeginOwnership(FencingToken(1), world.Now());
+  const auto runUntilPlaced = [&](const std::string& aVersion) {
+    for (int i = 0; i < 400; ++i) {
+      Step(owner, fleet, world, kEngines);
+      world.RunFor(std::chrono::milliseconds(250));
+      for (int model = 0; model < 3; ++model) {
+        const std::string name = "m" + std::to_string(model) + "@";
+        // One of both versions serves at every moment after the first load.
+        if (aVersion == "v2") {
+          ASSERT_GT(fleet.Copies(name + "v1") + fleet.Copies(name + "v2"), 0U)
+            << name << " at step " << i;
+        }
+      }
+    }
+    for (int model = 0; model < 3; ++model) {
+      EXPECT_GT(fleet.Copies("m" + std::to_string(model) + "@" + aVersion), 0U);
+    }
+  };
+  runUntilPlaced("v1");
+  owner.SetCatalog(MakeCatalog(2, 3, kEngines, "v2"));
+  runUntilPlaced("v2");
+  EXPECT_LE(fleet.Peak(), kCapacity);
+}
+
+TEST(PlacementOwnerTest, SaysWhyThereIsNoRoom)
+{
+  VirtualWorld world;
+  SeededRandomSource random(1);
+  EngineFleet fleet(world, random, 1);
+  PlacementOwner owner;
+  owner.SetCatalog(MakeCatalog(1, 4, 1));
+  owner.BeginOwnership(FencingToken(1), world.Now());
+  for (int i = 0; i < 200; ++i) {
+    Step(owner, fleet, world, 1);
+    world.RunFor(std::chrono::milliseconds(250));
+  }
+  EXPECT_EQ(owner.Problems().size(), 2U);
+  EXPECT_LE(fleet.Peak(), kCapacity);
+}
+
+TEST(PlacementOwnerTest, NewOwnerIsQuietWhileOldOrdersLive)
+{
+  VirtualWorld world;
+  PlacementOwner owner;
+  owner.SetCatalog(MakeCatalog(1, 1, 1));
+  owner.BeginOwnership(FencingToken(1), world.Now());
+  LoadReport empty;
+  empty.m_takenAt = world.Now();
+  owner.ApplyReport(UpstreamId("e0"), empty);
+  EXPECT_TRUE(owner.Decide(world.Now()).empty());
+  const TimePoint later = world.Now() + PlacementOwner::kOrderLife;
+  EXPECT_TRUE(owner.Decide(later).empty()) << "nothing was read back yet";
+  empty.m_takenAt = later;
+  owner.ApplyReport(UpstreamId("e0"), empty);
+  EXPECT_EQ(owner.Decide(later).size(), 1U);
+}
+
+TEST(LoadBudgetTest, KeepsRateAndFlight)
+{
+  LoadBudget budget;
+  budget.SetLimits({ 2, 3, 4 });
+  const TimePoint start(std::chrono::seconds(10));
+  EXPECT_TRUE(budget.TryTake(false, 0, start));
+  EXPECT_FALSE(budget.TryTake(false, 0, start));
+  EXPECT_TRUE(budget.TryTake(false, 0, start + std::chrono::milliseconds(500)));
+  EXPECT_FALSE(budget.TryTake(false, 3, start + std::chrono::seconds(5)));
+  EXPECT_TRUE(budget.TryTake(true, 3, start));
+  EXPECT_FALSE(budget.TryTake(true, 4, start));
+}
+
+} // namespace celeryspread::test
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -11,8 +11,8 @@
 #include "core/key_hash.h"
 #include "entry/entry_app.h"
 #include "entry/no_claim_service.h"
-#include "entry/report_poller.h"
 #include "http/evhttp_upstream_client.h"
+#include "reports/report_poller.h"
 #include "tests/support/test_loop.h"
 #include "tools/fake_engine_server.h"
 #include "tools/fake_service_server.h"
@@ -72,8 +72,14 @@
     ASSERT_TRUE(m_server->Listen("127.0.0.1", 0));
     ASSERT_TRUE(m_service.m_server.Listen("127.0.0.1", 0));
     SetTree(DefaultTree());
-    m_poller =
-      std::make_unique<ReportPoller>(m_context, std::chrono::milliseconds(20));
+    m_poller = std::make_unique<ReportPoller>(
+      ReportPoller::Parts{
+        m_loop.GetClock(), m_loop.GetTimers(), m_client, m_log },
+      std::chrono::milliseconds(20),
+      [this] { return m_table.ReportSources(); },
+      [this](const UpstreamId& aId, const LoadReport& aReport) {
+        m_table.ApplyReport(aId, aReport);
+      });
     m_poller->PollAll();
     ASSERT_TRUE(m_loop.RunUntil(
       [&] { return m_table.HoldersOf("advice@v1").size() == 2; }));
--- a/tools/fake_engine_server.cpp
+++ b/tools/fake_engine_server.cpp
@@ -17,6 +17,7 @@
 constexpr int kConflict = 409;
 constexpr int kInsufficient = 507;
 constexpr std::string_view kRepository = "/v2/repository/models/";
+constexpr std::string_view kAdapterOrder = "load_lora_adapter";
 
 /// Reads "name=number" out of a prompt; aMissing when it is not there.
 int64_t Directive(const std::string& aPrompt,
@@ -198,7 +199,7 @@
     HandleCompletion(std::move(aCall));
   } else if (path == "/metrics") {
     HandleReport(*aCall);
-  } else if (path.starts_with(kRepository)) {
+  } else if (path.starts_with(kRepository) || path.ends_with(kAdapterOrder)) {
     HandleOrder(std::move(aCall));
   } else {
     ReplyJson(*aCall, kNotFound, { { "error", "no such path" } });
@@ -249,26 +250,37 @@
   for (const std::string& model : m_options.m_resident) {
     page += "engine_resident{model=\"" + model + "\"} 1\n";
   }
+  for (const auto& [name, bytes] : m_memory) {
+    page += "engine_resident_bytes{model=\"" + name + "\"} " +
+            std::to_string(bytes) + "\n";
+    if (!m_options.m_resident.contains(name)) {
+      page += "engine_loading{model=\"" + name + "\"} 1\n";
+    }
+  }
   aCall.Reply(kOk, { { "Content-Type", "text/plain" } }, page);
 }
 
 void FakeEngine::HandleOrder(std::unique_ptr<CallerCall> aCall)
 {
-  const std::string rest(aCall->Path().substr(kRepository.size()));
-  const size_t slash = rest.rfind('/');
-  const std::string name = rest.substr(0, slash);
-  const bool isLoad =
-    slash != std::string::npos && rest.substr(slash) == "/load";
   const json body = json::parse(aCall->Body(), nullptr, false);
-  const uint64_t token =
-    body.is_object() ? body.value("fencing_token", uint64_t{ 0 }) : 0;
+  if (!body.is_object()) {
+    ReplyJson(*aCall, kBadRequest, { { "error", "no JSON" } });
+    return;
+  }
+  const std::string path(aCall->Path());
+  const bool isLoad = path.find("unload") == std::string::npos;
+  std::string name = body.value("lora_name", "");
+  if (path.starts_with(kRepository)) {
+    const std::string rest = path.substr(kRepository.size());
+    name = rest.substr(0, rest.rfind('/'));
+  }
+  const auto token = body.value("fencing_token", uint64_t{ 0 });
   if (m_options.m_checksFencing && token < m_fencingToken) {
     ReplyJson(*aCall, kConflict, { { "error", "old fencing token" } });
     return;
   }
   m_fencingToken = std::max(m_fencingToken, token);
-  const uint64_t bytes =
-    body.is_object() ? body.value("memory_bytes", uint64_t{ 0 }) : 0;
+  const auto bytes = body.value("memory_bytes", uint64_t{ 0 });
   uint64_t held = 0;
   for (const auto& [resident, size] : m_memory) {
     held += size;
