--- a/entry/call_session.cpp
+++ b/entry/call_session.cpp
@@ -242,7 +242,7 @@
         1,
         std::chrono::duration_cast<std::chrono::milliseconds>(remaining)
           .count())) });
-  request.m_body = m_call.m_body;
+  request.m_body = m_resumedBody.empty() ? m_call.m_body : m_resumedBody;
   request.m_firstByteTimeout = std::chrono::milliseconds(
     m_call.m_settings.Get(SettingKey::FirstByteTimeoutMs));
   request.m_progressTimeout = std::chrono::milliseconds(
@@ -306,6 +306,10 @@
     RelayStream(aBytes);
     return;
   }
+  if (m_hasAnswerBegun) {
+    // What is no event stream can't go on with one.
+    return;
+  }
   if (m_answer.size() + aBytes.size() > kMaxWholeAnswerBytes) {
     FailAttempt(true, "the upstream's answer is too large");
     return;
@@ -324,6 +328,7 @@
                               { "Cache-Control", "no-cache" } });
     }
     m_caller->SendChunk(events);
+    m_resume.Note(events);
   }
   if (m_scanner.IsBroken()) {
     FailAttempt(true, "the upstream sent bytes that are no event stream");
@@ -355,6 +360,10 @@
     Finish(kOk);
     return;
   }
+  if (m_hasAnswerBegun) {
+    FailAttempt(true, "the upstream did not go on with the stream");
+    return;
+  }
   if (m_status >= kFirstServerError) {
     // Only the upstream's own word proves that it has not begun the work.
     const bool isProvedNotRun =
@@ -396,7 +405,7 @@
   EndAttempt(AttemptResult::Failed);
   m_mayHaveRun = m_mayHaveRun || aMayHaveRun;
   if (m_hasAnswerBegun) {
-    BreakStream(aReason);
+    EndBrokenStream(aReason);
     return;
   }
   const RetryVerdict verdict = m_retryPolicy.Decide(DescribeFailure());
@@ -412,6 +421,36 @@
     ServerRefusal(kBadGateway, "upstream_failed", aReason, OutcomeOf(verdict)));
 }
 
+void CallSession::EndBrokenStream(const std::string& aReason)
+{
+  if (m_resume.IsAnswerWhole()) {
+    // Only the end mark was lost.
+    m_caller->SendChunk("data: [DONE]\n\n");
+    m_caller->EndStream();
+    Finish(kOk);
+    return;
+  }
+  if (TryResume()) {
+    return;
+  }
+  BreakStream(aReason);
+}
+
+bool CallSession::TryResume()
+{
+  FailedAttempt failed = DescribeFailure();
+  failed.m_hasAnswerBegun = false;
+  auto body = m_resume.BuildBody(m_call.m_body, m_call.m_path);
+  const bool isPossible = m_call.m_mayRepeat && body.has_value();
+  if (!isPossible || m_retryPolicy.Decide(failed) != RetryVerdict::Retry) {
+    return false;
+  }
+  m_resumedBody = std::move(*body);
+  m_context.m_metrics.Count("celeryspread_resumed_streams_total");
+  Route();
+  return true;
+}
+
 void CallSession::BreakStream(const std::string& aReason)
 {
   m_context.m_log.Write(EventId::StreamBroken,
@@ -467,6 +506,10 @@
 
 void CallSession::Refuse(const Refusal& aRefusal)
 {
+  if (m_hasAnswerBegun) {
+    BreakStream(aRefusal.m_message);
+    return;
+  }
   if (m_holdsClaim) {
     m_holdsClaim = false;
     const ClaimOutcome outcome = aRefusal.m_outcome == CallOutcome::NotRun
--- a/entry/call_session.h
+++ b/entry/call_session.h
@@ -10,6 +10,7 @@
 #include "entry/prepared_call.h"
 #include "entry/refusal.h"
 #include "entry/sse_scanner.h"
+#include "entry/stream_resume.h"
 #include "retry/retry_policy.h"
 
 namespace celeryspread {
@@ -64,6 +65,8 @@
   void ReplyWhole(const StoredAnswer& aAnswer);
   void RefuseRoute();
   void Refuse(const Refusal& aRefusal);
+  void EndBrokenStream(const std::string& aReason);
+  bool TryResume();
   void BreakStream(const std::string& aReason);
   void Finish(int aStatus);
   [[nodiscard]] bool NeedsClaim() const;
@@ -88,6 +91,9 @@
   HttpHeaders m_answerHeaders;
   std::string m_answer;
   SseScanner m_scanner;
+  StreamResume m_resume;
+  /// Body of the attempt that goes on with a broken stream; empty before.
+  std::string m_resumedBody;
   bool m_isStream = false;
   bool m_hasAnswerBegun = false;
   bool m_hasFirstByte = false;
--- a/entry/control_link.cpp
+++ b/entry/control_link.cpp
@@ -160,6 +160,15 @@
   m_listener(std::move(catalog));
 }
 
+uint64_t ControlLink::BytesMoved() const
+{
+  uint64_t bytes = 0;
+  for (const auto& link : m_links) {
+    bytes += link->BytesMoved();
+  }
+  return bytes;
+}
+
 void ControlLink::Claim(const ClaimRequest& aRequest,
                         std::function<void(ClaimReply)> aDone)
 {
--- a/entry/control_link.h
+++ b/entry/control_link.h
@@ -45,6 +45,9 @@
              std::function<void(bool)> aDone) override;
   void Forward(std::unique_ptr<CallerCall> aCall) override;
 
+  /// Returns bytes moved on all links so far. @pre none.
+  [[nodiscard]] uint64_t BytesMoved() const;
+
 private:
   WireLink* WorkingLink();
   void AddLink(const PeerAddress& aPeer);
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -27,6 +27,7 @@
 };
 
 constexpr size_t kMinClusterKeyBytes = 16;
+constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 constexpr Duration kPlatformPeriod = std::chrono::seconds(1);
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(20);
 
@@ -71,6 +72,12 @@
     std::cout << "listening " << m_server->Port() << std::endl;
     m_poller->PollAll();
     FollowPlatform();
+    m_gaugeTimer = m_timers.Every(kGaugePeriod, [this] {
+      if (m_control != nullptr) {
+        m_metrics.SetGauge("celeryspread_wire_bytes",
+                           static_cast<double>(m_control->BytesMoved()));
+      }
+    });
     event* onTerm = evsignal_new(m_base.get(), SIGTERM, OnSignal, this);
     event* onInterrupt = evsignal_new(m_base.get(), SIGINT, OnSignal, this);
     event_add(onTerm, nullptr);
@@ -234,6 +241,7 @@
   std::unique_ptr<CallerServer> m_server;
   std::unique_ptr<ReportPoller> m_poller;
   std::unique_ptr<PlatformList> m_platform;
+  std::unique_ptr<Timer> m_gaugeTimer;
   std::unique_ptr<Timer> m_drainTimer;
   std::unique_ptr<Timer> m_endTimer;
 };
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -128,7 +128,7 @@
 class Deployment:
     """Control, entry and upstream processes in three failure domains."""
 
-    def __init__(self, entries=3, controls=3, engines=4, engine_options=()):
+    def __init__(self, entries=3, controls=3, engines=4, engine_options=(), service_options=()):
         self.folder = tempfile.mkdtemp(prefix="celeryspread-")
         self.operator_key = "bootstrap." + secrets.token_hex(16)
         self.caller_key = "desk." + secrets.token_hex(16)
@@ -146,7 +146,7 @@
             Process(f"engine-{i + 1}", ["fake-engine"] + self.engine_options, self.folder)
             for i in range(engines)
         ]
-        self.service = Process("service-1", ["fake-service"], self.folder)
+        self.service = Process("service-1", ["fake-service"] + list(service_options), self.folder)
 
     def _write(self, name, settings):
         path = os.path.join(self.folder, name + ".json")
--- a/telemetry/metrics.cpp
+++ b/telemetry/metrics.cpp
@@ -13,6 +13,7 @@
 using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
 using LatencyHistogram = decltype(bh::make_histogram(std::declval<LogAxis>()));
 
+constexpr int kDigits = 15;
 constexpr unsigned kBins = 24;
 constexpr double kLowestSeconds = 0.0001;
 constexpr double kHighestSeconds = 400.0;
@@ -74,6 +75,8 @@
 std::string Metrics::PrometheusText() const
 {
   std::ostringstream out;
+  // The default of six digits would freeze large counters.
+  out.precision(kDigits);
   out << "# TYPE celeryspread_latency_seconds histogram\n";
   for (const auto& [key, series] : m_latencies) {
     const std::string labels = "model=\"" + Escaped(key.m_model) + "\",hop=\"" +
--- a/tools/fake_engine_server.cpp
+++ b/tools/fake_engine_server.cpp
@@ -32,11 +32,31 @@
   return std::strtoll(aPrompt.c_str() + at + aName.size() + 1, nullptr, 10);
 }
 
+/// Tells whether a request goes on with the engine's own last message.
+bool IsContinued(const json& aBody)
+{
+  return aBody.value("continue_final_message", false) &&
+         aBody["messages"].size() > 1;
+}
+
+/// Counts the tokens "tN " that a continued message holds already.
+int64_t TokensBefore(const json& aBody)
+{
+  if (!IsContinued(aBody)) {
+    return 0;
+  }
+  const auto text = aBody["messages"].back().value("content", "");
+  return std::count(text.begin(), text.end(), ' ');
+}
+
 std::string PromptOf(const json& aBody)
 {
   if (aBody.contains("messages") && aBody["messages"].is_array() &&
       !aBody["messages"].empty()) {
-    return aBody["messages"].back().value("content", "");
+    const json& messages = aBody["messages"];
+    const size_t last =
+      IsContinued(aBody) ? messages.size() - 2 : messages.size() - 1;
+    return messages[last].value("content", "");
   }
   return aBody.value("prompt", "");
 }
@@ -62,7 +82,7 @@
     , m_prompt(PromptOf(aBody))
     , m_wantsStream(aBody.value("stream", false))
     , m_tokens(Directive(m_prompt, "tokens", aEngine.m_options.m_defaultTokens))
-    , m_first(aBody.value("continue_from", 0))
+    , m_first(TokensBefore(aBody))
   {
     m_call->SetObserver(this);
     m_next = m_first;
@@ -109,6 +129,11 @@
 
   bool Misbehave()
   {
+    // A continued answer is whole unless the prompt asks for worse.
+    const bool isContinued = m_first > 0;
+    if (isContinued && Directive(m_prompt, "always", 0) == 0) {
+      return false;
+    }
     const int64_t sent = m_next - m_first;
     if (sent == Directive(m_prompt, "stop_after", -1)) {
       m_call->Abort();
@@ -131,6 +156,9 @@
 
   [[nodiscard]] bool IsSilent() const
   {
+    if (m_first > 0 && Directive(m_prompt, "always", 0) == 0) {
+      return false;
+    }
     return m_next - m_first == Directive(m_prompt, "silent_after", -1);
   }
 
--- a/tools/load_client.cpp
+++ b/tools/load_client.cpp
@@ -24,7 +24,10 @@
 {
   UpstreamAddress m_address;
   std::string m_key;
+  std::string m_path;
   std::string m_body;
+  /// Whether each call carries an Idempotency-Key of its own.
+  bool m_isKeyed = false;
   size_t m_concurrency = 1;
   Duration m_length{};
 };
@@ -60,9 +63,15 @@
     UpstreamRequest request;
     request.m_address = m_plan.m_address;
     request.m_method = "POST";
-    request.m_path = "/v1/chat/completions";
+    request.m_path = m_plan.m_path;
     request.m_headers = { { "Content-Type", "application/json" },
                           { "Authorization", "Bearer " + m_plan.m_key } };
+    if (m_plan.m_isKeyed) {
+      request.m_headers.push_back(
+        { "Idempotency-Key",
+          std::to_string(m_clock.WallTime().count()) + "-" +
+            std::to_string(reinterpret_cast<uintptr_t>(this)) });
+    }
     request.m_body = m_plan.m_body;
     request.m_firstByteTimeout = kTimeout;
     request.m_progressTimeout = kTimeout;
@@ -172,7 +181,11 @@
     cxxopts::value<std::string>()->default_value("127.0.0.1"))(
     "port", "Port", cxxopts::value<uint16_t>())(
     "key", "Caller key", cxxopts::value<std::string>()->default_value(""))(
-    "model", "Model name", cxxopts::value<std::string>())(
+    "model", "Model name", cxxopts::value<std::string>()->default_value(""))(
+    "path",
+    "Path",
+    cxxopts::value<std::string>()->default_value("/v1/chat/completions"))(
+    "keyed", "Give each call a key of its own")(
     "prompt", "Prompt", cxxopts::value<std::string>()->default_value("hello"))(
     "stream", "Ask for streams")("concurrency",
                                  "Calls at once",
@@ -182,8 +195,7 @@
     cxxopts::value<double>()->default_value("3"))("help", "Show help");
   try {
     const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") != 0 || parsed.count("port") == 0 ||
-        parsed.count("model") == 0) {
+    if (parsed.count("help") != 0 || parsed.count("port") == 0) {
       std::cout << options.help() << "\n";
       return parsed.count("help") != 0 ? 0 : 2;
     }
@@ -200,7 +212,9 @@
     plan.m_address = { parsed["address"].as<std::string>(),
                        parsed["port"].as<uint16_t>() };
     plan.m_key = parsed["key"].as<std::string>();
+    plan.m_path = parsed["path"].as<std::string>();
     plan.m_body = body.dump();
+    plan.m_isKeyed = parsed.count("keyed") != 0;
     plan.m_concurrency = parsed["concurrency"].as<size_t>();
     plan.m_length = Duration(
       static_cast<int64_t>(parsed["seconds"].as<double>() * kMicrosPerSecond));
--- a/wire/wire_link.cpp
+++ b/wire/wire_link.cpp
@@ -89,6 +89,13 @@
   return KJ_ASSERT_NONNULL(m_connection->m_node);
 }
 
+uint64_t WireLink::BytesMoved() const
+{
+  const uint64_t current =
+    m_connection == nullptr ? 0 : m_connection->m_stream.BytesMoved();
+  return m_earlierBytes + current;
+}
+
 void WireLink::SetUp(bool aIsUp)
 {
   if (m_isUp == aIsUp) {
@@ -114,6 +121,7 @@
   m_retry = PromiseAfter(m_port.Base(), kReconnectDelayMicros)
               .then([this] {
                 m_task = nullptr;
+                m_earlierBytes = BytesMoved();
                 m_connection.reset();
                 Connect();
               })
--- a/wire/wire_link.h
+++ b/wire/wire_link.h
@@ -41,6 +41,8 @@
   [[nodiscard]] bool IsUp() const;
   /// Returns the node at the other end. @pre IsUp().
   wire::ControlNode::Client& Node();
+  /// Returns bytes read and written on all connections so far. @pre none.
+  [[nodiscard]] uint64_t BytesMoved() const;
   /// Adds a deadline to a call's promise. @pre none.
   template<typename Result>
   kj::Promise<Result> WithDeadline(kj::Promise<Result>&& aPromise,
@@ -71,6 +73,7 @@
   kj::Promise<void> m_retry;
   kj::Promise<void> m_task;
   bool m_isUp = false;
+  uint64_t m_earlierBytes = 0;
 };
 
 } // namespace celeryspread
