Decisions under load: worth gate, size prediction, slowness, moved calls

Change: reports corrected by what was sent after they were taken, not when they arrived; WorthGate opens the queue by rank (worth for predicted work) and engines get the rank as priority; SizePredictor learns the share of the caller's limit; calls that wait too long for a first token tell of a slow engine and move once, within the retry budget.

--- /dev/null
+++ b/bench/policy/policy.cpp
@@ -0,0 +1,124 @@
+#include "bench/policy/policy.h"
+
+namespace celeryspread::bench {
+
+namespace {
+
+constexpr uint32_t kProductQueue = 64;
+constexpr uint32_t kEndlessQueue = 1'000'000;
+
+class ProductRouting : public RoutingStrategy
+{
+public:
+  ProductRouting(const UpstreamTable& aTable, RandomSource& aRandom)
+    : m_router(aTable, FailureDomainId("d0"), aRandom)
+  {
+  }
+  std::optional<UpstreamId> Choose(const RouteQuery& aQuery,
+                                   TimePoint aNow) override
+  {
+    return m_router.Choose(aQuery, aNow);
+  }
+  [[nodiscard]] Duration Patience(const RouteQuery& aQuery) const override
+  {
+    return m_router.FirstTokenPatience(aQuery);
+  }
+  std::optional<UpstreamId> ChooseFree(const RouteQuery& aQuery,
+                                       TimePoint aNow) override
+  {
+    return m_router.ChooseFree(aQuery, aNow);
+  }
+
+private:
+  Router m_router;
+};
+
+/// Takes the holders in turn.
+class RoundRobin : public RoutingStrategy
+{
+public:
+  RoundRobin(const UpstreamTable& aTable, RandomSource& /*aRandom*/)
+    : m_table(aTable)
+  {
+  }
+  std::optional<UpstreamId> Choose(const RouteQuery& aQuery,
+                                   TimePoint /*aNow*/) override
+  {
+    const auto& holders = m_table.HoldersOf(aQuery.m_engineName);
+    if (holders.empty()) {
+      return std::nullopt;
+    }
+    return holders[m_turn++ % holders.size()]->m_id;
+  }
+
+private:
+  const UpstreamTable& m_table;
+  size_t m_turn = 0;
+};
+
+/// Takes the holder with the least load by its last report alone.
+class LeastReported : public RoutingStrategy
+{
+public:
+  LeastReported(const UpstreamTable& aTable, RandomSource& aRandom)
+    : m_table(aTable)
+    , m_random(aRandom)
+  {
+  }
+  std::optional<UpstreamId> Choose(const RouteQuery& aQuery,
+                                   TimePoint /*aNow*/) override
+  {
+    const auto& holders = m_table.HoldersOf(aQuery.m_engineName);
+    if (holders.empty()) {
+      return std::nullopt;
+    }
+    const size_t start = m_random.Below(holders.size());
+    const UpstreamState* best = holders[start];
+    for (const UpstreamState* state : holders) {
+      if (state->m_reportedLoad < best->m_reportedLoad) {
+        best = state;
+      }
+    }
+    return best->m_id;
+  }
+
+private:
+  const UpstreamTable& m_table;
+  RandomSource& m_random;
+};
+
+template<typename Strategy>
+std::unique_ptr<RoutingStrategy> Make(const UpstreamTable& aTable,
+                                      RandomSource& aRandom)
+{
+  return std::make_unique<Strategy>(aTable, aRandom);
+}
+
+} // namespace
+
+const std::vector<Policy>& AllPolicies()
+{
+  // clang-format off
+  static const std::vector<Policy> kPolicies = {
+    { "product", Make<ProductRouting>, true, true, true, kProductQueue },
+    { "no_gate", Make<ProductRouting>, false, true, true, kProductQueue },
+    { "no_slowness", Make<ProductRouting>, true, false, true, kProductQueue },
+    { "no_priorities", Make<ProductRouting>, true, true, false, kProductQueue },
+    { "round_robin", Make<RoundRobin>, false, false, false, kEndlessQueue },
+    { "least_reported", Make<LeastReported>, false, false, false, kEndlessQueue },
+  };
+  // clang-format on
+  return kPolicies;
+}
+
+const Policy* FindPolicy(const std::string& aName)
+{
+  for (const Policy& policy : AllPolicies()) {
+    if (policy.m_name == aName) {
+      return &policy;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace celeryspread::bench
--- /dev/null
+++ b/bench/policy_case.py
@@ -0,0 +1,16 @@
+"""Runs the policy benchmark and passes its one JSON object on."""
+
+import os
+import subprocess
+
+from deployment import BUILD
+
+
+def run(seed, options):
+    command = [
+        os.path.join(BUILD, "policy-bench"),
+        "--seed", str(seed),
+        "--case", options.case,
+        "--policy", options.policy,
+    ]
+    return subprocess.run(command, check=False).returncode
--- a/entry/call_preparer.cpp
+++ b/entry/call_preparer.cpp
@@ -216,6 +216,11 @@
   }
   aPrepared.m_target = *target;
   aPrepared.m_wantsStream = body->value("stream", false);
+  for (const char* field : { "max_tokens", "max_completion_tokens" }) {
+    if (body->contains(field) && (*body)[field].is_number_unsigned()) {
+      aPrepared.m_maxTokens = (*body)[field].get<uint64_t>();
+    }
+  }
   (*body)["model"] = target->EngineName();
   aPrepared.m_body = body->dump(-1, ' ', false, json::error_handler_t::replace);
   return true;
@@ -236,9 +241,9 @@
     {},       aCatalog->SettingsAt({ m_ownDomain, {}, {}, {}, {}, *service }),
     "POST",   std::string(aCall.Path()),
     {},       {},
-    false,    false,
-    {},       {},
-    {}
+    false,    {},
+    false,    {},
+    {},       {}
   };
   const ServiceDeclaration& caller = aCatalog->Tree().m_services.at(*service);
   prepared.m_member = caller.m_member;
@@ -303,6 +308,7 @@
                          {},
                          std::string(aCall.Body()),
                          false,
+                         {},
                          false,
                          {},
                          {},
--- a/entry/call_session.cpp
+++ b/entry/call_session.cpp
@@ -21,6 +21,10 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kRetryAfterSeconds = 1;
+/// Largest priority that an engine is told; larger goes first.
+constexpr double kPriorities = 1'000;
+/// Time that one token holds a slot, for comparing calls with each other.
+constexpr Duration kWorkPerToken = std::chrono::milliseconds(39);
 /// Largest answer that is collected before it is passed on.
 constexpr size_t kMaxWholeAnswerBytes = 16'777'216;
 
@@ -167,7 +171,12 @@
   }
 }
 
-void CallSession::Route()
+SizeQuery CallSession::BuildSizeQuery() const
+{
+  return { m_call.m_service, m_call.MetricLabel(), m_call.m_maxTokens };
+}
+
+RouteQuery CallSession::BuildQuery() const
 {
   RouteQuery query;
   if (m_call.m_plainService.IsEmpty()) {
@@ -179,15 +188,88 @@
     m_call.m_settings.Get(SettingKey::RemoteDomainPenaltyMs));
   query.m_maxQueued =
     static_cast<uint32_t>(m_call.m_settings.Get(SettingKey::MaxQueuedCalls));
+  return query;
+}
+
+void CallSession::Route()
+{
   const std::optional<UpstreamId> chosen =
-    m_context.m_router.Choose(query, m_context.m_clock.Now());
+    m_context.m_router.Choose(BuildQuery(), m_context.m_clock.Now());
   if (!chosen) {
     RefuseRoute();
     return;
   }
+  if (m_attempts == 0 && !PassGate(*chosen)) {
+    return;
+  }
   Send(*chosen);
 }
 
+bool CallSession::PassGate(const UpstreamId& aUpstream)
+{
+  const UpstreamState& state = *m_context.m_table.All().at(aUpstream);
+  const auto tokens =
+    static_cast<int64_t>(m_context.m_sizes.Predict(BuildSizeQuery()));
+  GateQuery query;
+  query.m_worth = m_call.m_settings.Get(SettingKey::Worth);
+  query.m_work = kWorkPerToken * tokens;
+  query.m_wait = m_context.m_router.LastExpectedWait();
+  query.m_timeLeft = m_call.m_deadline - m_context.m_clock.Now();
+  query.m_load = state.EstimatedLoad();
+  query.m_slots = state.m_declaration.m_slots;
+  query.m_maxQueued =
+    static_cast<uint32_t>(m_call.m_settings.Get(SettingKey::MaxQueuedCalls));
+  m_rank = m_context.m_gate.Rank(query.m_worth, query.m_work);
+  if (m_context.m_gate.TryAdmit(m_rank, query)) {
+    return true;
+  }
+  const bool isLate = m_context.m_gate.LastError() == GateError::TooLate;
+  Refuse(ServerRefusal(kUnavailable,
+                       isLate ? "deadline_unreachable" : "overloaded",
+                       isLate ? "the answer would come after the deadline"
+                              : "under overload other calls go first",
+                       CallOutcome::NotRun));
+  return false;
+}
+
+void CallSession::WatchFirstToken()
+{
+  const bool isMovable = m_awaitsFirst && m_call.m_mayRepeat &&
+                         !m_hasAnswerBegun && m_call.m_plainService.IsEmpty();
+  if (!isMovable) {
+    return;
+  }
+  m_patience = m_context.m_timers.After(
+    m_context.m_router.FirstTokenPatience(BuildQuery()),
+    [this] { MoveIfSlow(); });
+}
+
+void CallSession::MoveIfSlow()
+{
+  if (!m_awaitsFirst || m_isFinished) {
+    return;
+  }
+  const auto better =
+    m_context.m_router.ChooseFree(BuildQuery(), m_context.m_clock.Now());
+  if (!better || !m_context.m_retryBudget.TryTake()) {
+    return;
+  }
+  m_mayHaveRun = true;
+  m_context.m_metrics.Count("celeryspread_moved_calls_total");
+  EndAttempt(AttemptResult::Cancelled);
+  Send(*better);
+}
+
+void CallSession::NoteFirstByte()
+{
+  m_patience.reset();
+  if (m_awaitsFirst) {
+    m_awaitsFirst = false;
+    m_context.m_table.NoteFirstToken(
+      m_upstream, m_attemptStart, m_context.m_clock.Now());
+  }
+}
+
 void CallSession::RefuseRoute()
 {
   struct Row
@@ -236,6 +318,9 @@
   request.m_headers = m_call.m_headers;
   request.m_headers.push_back(
     { "traceparent", m_attemptSpan.m_context.Header() });
+  request.m_headers.push_back(
+    { "X-Request-Priority",
+      std::to_string(static_cast<int>(m_rank * kPriorities)) });
   request.m_headers.push_back(
     { "X-Request-Deadline-Ms",
       std::to_string(std::max<int64_t>(
@@ -263,8 +348,14 @@
   m_status = 0;
   m_answer.clear();
   m_scanner = SseScanner();
-  m_context.m_table.NoteStart(aUpstream);
+  m_context.m_table.NoteStart(aUpstream, m_attemptStart);
+  // Only a stream shows its first token as soon as there is one.
+  m_awaitsFirst = m_call.m_wantsStream;
+  if (m_awaitsFirst) {
+    m_context.m_table.NoteAwaiting(aUpstream, m_attemptStart);
+  }
   m_attempt = m_context.m_client.Start(BuildRequest(state), *this);
+  WatchFirstToken();
 }
 
 void CallSession::EndAttempt(AttemptResult aResult)
@@ -273,6 +364,7 @@
     return;
   }
   m_attempt.reset();
+  NoteFirstByte();
   const TimePoint now = m_context.m_clock.Now();
   const bool isEjected =
     m_context.m_table.NoteEnd(m_upstream, aResult, now - m_attemptStart, now);
@@ -296,6 +388,7 @@
 
 void CallSession::OnUpstreamBody(std::string_view aBytes)
 {
+  NoteFirstByte();
   if (!m_hasFirstByte) {
     m_hasFirstByte = true;
     m_context.m_metrics.ObserveLatency({ m_call.MetricLabel(), "first_byte" },
@@ -356,6 +449,7 @@
       return;
     }
     EndAttempt(AttemptResult::Answered);
+    m_context.m_sizes.Learn(BuildSizeQuery(), m_scanner.EventCount());
     m_caller->EndStream();
     Finish(kOk);
     return;
--- a/entry/call_session.h
+++ b/entry/call_session.h
@@ -56,6 +56,13 @@
   void RequestClaim();
   void HandleClaim(const ClaimReply& aReply);
   void Route();
+  /// Returns whether the gate admits the call at its first routing.
+  bool PassGate(const UpstreamId& aUpstream);
+  void NoteFirstByte();
+  void WatchFirstToken();
+  void MoveIfSlow();
+  [[nodiscard]] RouteQuery BuildQuery() const;
+  [[nodiscard]] SizeQuery BuildSizeQuery() const;
   void Send(const UpstreamId& aUpstream);
   void EndAttempt(AttemptResult aResult);
   void FailAttempt(bool aMayHaveRun, const std::string& aReason);
@@ -97,6 +104,11 @@
   bool m_isStream = false;
   bool m_hasAnswerBegun = false;
   bool m_hasFirstByte = false;
+  /// Whether the current attempt still waits for its first byte.
+  bool m_awaitsFirst = false;
+  std::unique_ptr<Timer> m_patience;
+  /// Worth for its work among recent calls, 0 to 1.
+  double m_rank = 0;
   /// Whether any attempt so far may have begun the work.
   bool m_mayHaveRun = false;
   bool m_isFinished = false;
--- a/entry/entry_context.h
+++ b/entry/entry_context.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "admission/service_limits.h"
+#include "admission/worth_gate.h"
 #include "core/clock.h"
 #include "core/timers.h"
 #include "http/upstream_client.h"
 #include "ledger/claim_service.h"
 #include "retry/retry_budget.h"
 #include "routing/router.h"
+#include "routing/size_predictor.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
 #include "telemetry/trace.h"
@@ -24,6 +26,8 @@
   UpstreamTable& m_table;
   Router& m_router;
   ServiceLimits& m_limits;
+  WorthGate& m_gate;
+  SizePredictor& m_sizes;
   RetryBudget& m_retryBudget;
   Tracer& m_tracer;
   Metrics& m_metrics;
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -134,6 +134,8 @@
                                                              m_table,
                                                              m_router,
                                                              m_limits,
+                                                             m_gate,
+                                                             m_sizes,
                                                              m_retryBudget,
                                                              m_tracer,
                                                              m_metrics,
@@ -229,6 +231,8 @@
   UpstreamTable m_table;
   Router m_router;
   ServiceLimits m_limits;
+  WorthGate m_gate;
+  SizePredictor m_sizes;
   RetryBudget m_retryBudget;
   OtlpFileExporter m_exporter;
   Tracer m_tracer;
--- a/entry/prepared_call.h
+++ b/entry/prepared_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "catalog/catalog.h"
@@ -25,6 +26,8 @@
   HttpHeaders m_headers;
   std::string m_body;
   bool m_wantsStream = false;
+  /// Limit that the caller set on the answer's tokens.
+  std::optional<uint64_t> m_maxTokens;
   bool m_mayRepeat = false;
   ClaimKey m_claimKey;
   TimePoint m_arrivedAt;
--- a/routing/upstream_table.cpp
+++ b/routing/upstream_table.cpp
@@ -66,8 +66,7 @@
   }
   state->m_reportedAt = aReport.m_takenAt;
   state->m_reportedLoad = aReport.m_running + aReport.m_waiting;
-  state->m_startedSinceReport = 0;
-  state->m_endedSinceReport = 0;
+  state->DropChangesUpTo(aReport.m_takenAt);
   state->m_reportsLeaving = aReport.m_isLeaving;
   if (state->m_resident != aReport.m_resident) {
     state->m_resident = aReport.m_resident;
@@ -85,14 +84,39 @@
   return true;
 }
 
-void UpstreamTable::NoteStart(const UpstreamId& aId)
+void UpstreamTable::NoteFirstToken(const UpstreamId& aId,
+                                   TimePoint aStart,
+                                   TimePoint aNow)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr) {
+    return;
+  }
+  const auto waiting = state->m_awaitingFirst.find(aStart);
+  if (waiting != state->m_awaitingFirst.end()) {
+    state->m_awaitingFirst.erase(waiting);
+  }
+  const Duration change = (aNow - aStart) - state->m_firstTokenTime;
+  state->m_firstTokenTime += state->m_firstTokenTime == Duration::zero()
+                               ? change
+                               : change / kSmoothingDivisor;
+}
+
+void UpstreamTable::NoteAwaiting(const UpstreamId& aId, TimePoint aStart)
+{
+  if (UpstreamState* state = Find(aId)) {
+    state->m_awaitingFirst.insert(aStart);
+  }
+}
+
+void UpstreamTable::NoteStart(const UpstreamId& aId, TimePoint aNow)
 {
   UpstreamState* state = Find(aId);
   if (state == nullptr) {
     return;
   }
   ++state->m_outstanding;
-  ++state->m_startedSinceReport;
+  state->NoteChange(aNow, 1);
 }
 
 bool UpstreamTable::NoteEnd(const UpstreamId& aId,
@@ -107,7 +131,7 @@
   if (state->m_outstanding > 0) {
     --state->m_outstanding;
   }
-  ++state->m_endedSinceReport;
+  state->NoteChange(aNow, -1);
   if (aResult == AttemptResult::Cancelled) {
     return false;
   }
--- a/routing/upstream_table.h
+++ b/routing/upstream_table.h
@@ -41,7 +41,12 @@
   /// @return true when that is news.
   bool NotePlatformLeaving(const UpstreamId& aId);
   /// Notes that a call started. @pre none.
-  void NoteStart(const UpstreamId& aId);
+  void NoteStart(const UpstreamId& aId, TimePoint aNow);
+  /// Notes that a streamed call waits for its first token. @pre none.
+  void NoteAwaiting(const UpstreamId& aId, TimePoint aStart);
+  /// Notes the first token of a call, or that none will come.
+  /// @pre NoteAwaiting(aId, aStart) came before, and this did not.
+  void NoteFirstToken(const UpstreamId& aId, TimePoint aStart, TimePoint aNow);
   /// Notes that a call ended. @pre NoteStart() came before.
   /// @return true when the upstream was ejected by this failure.
   bool NoteEnd(const UpstreamId& aId,
--- /dev/null
+++ b/tests/admission/worth_gate_test.cpp
@@ -0,0 +1,84 @@
+#include <gtest/gtest.h>
+
+#include "admission/worth_gate.h"
+#include "routing/size_predictor.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+GateQuery QueryAt(uint32_t aLoad)
+{
+  GateQuery query;
+  query.m_load = aLoad;
+  query.m_slots = 16;
+  query.m_maxQueued = 64;
+  query.m_timeLeft = std::chrono::seconds(5);
+  return query;
+}
+
+SizeQuery Size(std::optional<uint64_t> aLimit)
+{
+  return { ServiceId("s"), "m", aLimit };
+}
+
+} // namespace
+
+TEST(WorthGateTest, RanksByWorthForTheWork)
+{
+  WorthGate gate;
+  for (int i = 1; i <= 100; ++i) {
+    gate.Rank(i, std::chrono::seconds(1));
+  }
+  EXPECT_LT(gate.Rank(1, std::chrono::seconds(1)), 0.1);
+  EXPECT_GT(gate.Rank(100, std::chrono::seconds(1)), 0.9);
+  EXPECT_LT(gate.Rank(100, std::chrono::seconds(50)), 0.1);
+}
+
+TEST(WorthGateTest, CallsThatAreAlikeShareTheWholeQueue)
+{
+  WorthGate gate;
+  for (int i = 0; i < 300; ++i) {
+    EXPECT_EQ(gate.Rank(3, std::chrono::seconds(2)), 1);
+  }
+}
+
+TEST(WorthGateTest, QuietTimesAdmitEverything)
+{
+  WorthGate gate;
+  EXPECT_TRUE(gate.TryAdmit(0, QueryAt(0)));
+  EXPECT_TRUE(gate.TryAdmit(0, QueryAt(16)));
+}
+
+TEST(WorthGateTest, OverloadLeavesTheQueueToWhatIsWorthMost)
+{
+  WorthGate gate;
+  EXPECT_FALSE(gate.TryAdmit(0.1, QueryAt(30)));
+  EXPECT_EQ(gate.LastError(), GateError::WorthTooLow);
+  EXPECT_TRUE(gate.TryAdmit(0.99, QueryAt(60)));
+  EXPECT_FALSE(gate.TryAdmit(1, QueryAt(16 + 64)));
+}
+
+TEST(WorthGateTest, RefusesWhatWouldBeginTooLate)
+{
+  WorthGate gate;
+  GateQuery query = QueryAt(16);
+  query.m_wait = std::chrono::seconds(8);
+  EXPECT_FALSE(gate.TryAdmit(0.2, query));
+  EXPECT_EQ(gate.LastError(), GateError::TooLate);
+  EXPECT_TRUE(gate.TryAdmit(0.9, query));
+}
+
+TEST(SizePredictorTest, LearnsFromLimitsAndHistory)
+{
+  SizePredictor sizes;
+  EXPECT_EQ(sizes.Predict(Size(10)), 10U);
+  for (int i = 0; i < 200; ++i) {
+    sizes.Learn(Size(100), 50);
+  }
+  EXPECT_NEAR(static_cast<double>(sizes.Predict(Size(100))), 50, 2);
+  EXPECT_NEAR(static_cast<double>(sizes.Predict(Size(4'000))), 2'000, 20);
+  EXPECT_NEAR(static_cast<double>(sizes.Predict(Size(std::nullopt))), 50, 2);
+}
+
+} // namespace celeryspread::test
--- a/tests/entry/streams_test.cpp
+++ b/tests/entry/streams_test.cpp
@@ -81,6 +81,17 @@
   EXPECT_EQ(never->Status(), 502);
 }
 
+TEST_F(StreamTest, CallWithoutAFirstTokenMovesToAnotherEngine)
+{
+  m_first.m_engine.SetSilent(true);
+  while (m_first.m_engine.Begun() == 0) {
+    const auto client = Ask(Chat("tokens=3", true));
+    EXPECT_TRUE(client->Has("data: [DONE]"));
+  }
+  EXPECT_TRUE(m_loop.RunUntil(
+    [&] { return m_first.m_engine.Cancelled() == m_first.m_engine.Begun(); }));
+}
+
 TEST_F(StreamTest, CallerThatLeavesCancelsTheWork)
 {
   {
--- a/tests/placement/placement_history_test.cpp
+++ b/tests/placement/placement_history_test.cpp
@@ -4,7 +4,7 @@
 
 #include "core/random_source.h"
 #include "placement/placement_owner.h"
-#include "tests/support/virtual_world.h"
+#include "tools/virtual_world.h"
 
 namespace celeryspread::test {
 
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -63,7 +63,7 @@
   void Fail(const char* aId, int aTimes)
   {
     for (int i = 0; i < aTimes; ++i) {
-      m_table.NoteStart(UpstreamId(aId));
+      m_table.NoteStart(UpstreamId(aId), At(m_now));
       m_table.NoteEnd(
         UpstreamId(aId), AttemptResult::Failed, Duration(1), At(m_now));
     }
@@ -89,7 +89,7 @@
 TEST_F(RouterTest, OwnCallsCorrectAnOldReport)
 {
   for (int i = 0; i < 4; ++i) {
-    m_table.NoteStart(UpstreamId("e1"));
+    m_table.NoteStart(UpstreamId("e1"), At(m_now));
   }
   for (int i = 0; i < 20; ++i) {
     EXPECT_EQ(Choose(), "e2");
@@ -99,7 +99,7 @@
 TEST_F(RouterTest, LostReportsDoNotFillAnUpstreamForGood)
 {
   for (int i = 0; i < 1'000; ++i) {
-    m_table.NoteStart(UpstreamId("e1"));
+    m_table.NoteStart(UpstreamId("e1"), At(m_now));
     m_table.NoteEnd(UpstreamId("e1"),
                     AttemptResult::Answered,
                     std::chrono::milliseconds(1),
@@ -146,6 +146,41 @@
   EXPECT_EQ(Choose(), "");
 }
 
+TEST_F(RouterTest, CallThatWaitsTooLongTellsOfASlowEngine)
+{
+  for (const char* id : { "e1", "e2" }) {
+    m_table.NoteAwaiting(UpstreamId(id), At(0));
+    m_table.NoteFirstToken(UpstreamId(id), At(0), At(50));
+  }
+  m_now = 1'000;
+  m_table.NoteAwaiting(UpstreamId("e1"), At(100));
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Choose(), "e2");
+  }
+  m_table.NoteFirstToken(UpstreamId("e1"), At(100), At(1'000));
+  m_query.m_tried = { UpstreamId("e2") };
+  EXPECT_EQ(Choose(), "e1");
+}
+
+TEST_F(RouterTest, MovesOnlyToAFreeSlot)
+{
+  m_query.m_tried = { UpstreamId("e1") };
+  EXPECT_TRUE(m_router.ChooseFree(m_query, At(m_now)));
+  Report("e2", 5, 5);
+  Report("e3", 5, 5);
+  EXPECT_FALSE(m_router.ChooseFree(m_query, At(m_now)));
+}
+
+TEST_F(RouterTest, ReportThatLagsKeepsWhatWasSentSince)
+{
+  m_table.NoteStart(UpstreamId("e1"), At(100));
+  m_table.NoteStart(UpstreamId("e1"), At(200));
+  Report("e1", 1, 150);
+  EXPECT_EQ(m_table.All().at(UpstreamId("e1"))->EstimatedLoad(), 2U);
+  Report("e1", 2, 250);
+  EXPECT_EQ(m_table.All().at(UpstreamId("e1"))->EstimatedLoad(), 2U);
+}
+
 TEST_F(RouterTest, RefusalsSayWhy)
 {
   for (const char* id : { "e1", "e2", "e3" }) {
--- a/tests/support/control_cluster.h
+++ b/tests/support/control_cluster.h
@@ -12,7 +12,7 @@
 #include "control/replica_host.h"
 #include "tests/support/fake_file_system.h"
 #include "tests/support/settings_history.h"
-#include "tests/support/virtual_world.h"
+#include "tools/virtual_world.h"
 
 namespace celeryspread::test {
 
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -213,14 +213,16 @@
   UpstreamTable m_table;
   Router m_router{ m_table, FailureDomainId("dar"), m_random };
   ServiceLimits m_limits;
+  WorthGate m_gate;
+  SizePredictor m_sizes;
   RetryBudget m_budget;
   RecordingExporter m_exporter;
   Tracer m_tracer{ m_loop.GetClock(), m_random, &m_exporter };
   Metrics m_metrics;
   RecordingEventLog m_log;
   EntryContext m_context{
-    m_loop.GetClock(), m_loop.GetTimers(), m_client, m_claims,
-    m_table,           m_router,           m_limits, m_budget,
+    m_loop.GetClock(), m_loop.GetTimers(), m_client, m_claims, m_table,
+    m_router,          m_limits,           m_gate,   m_sizes,  m_budget,
     m_tracer,          m_metrics,          m_log
   };
   EntryApp m_app{ m_context, FailureDomainId("dar"), nullptr };
--- a/tools/fake_engine_server.cpp
+++ b/tools/fake_engine_server.cpp
@@ -156,6 +156,9 @@
 
   [[nodiscard]] bool IsSilent() const
   {
+    if (m_engine.m_isSilent) {
+      return true;
+    }
     if (m_first > 0 && Directive(m_prompt, "always", 0) == 0) {
       return false;
     }
--- a/tools/fake_engine_server.h
+++ b/tools/fake_engine_server.h
@@ -41,6 +41,8 @@
   void OnCall(std::unique_ptr<CallerCall> aCall) override;
   /// Says in its reports whether it is leaving. @pre none.
   void SetLeaving(bool aIsLeaving) { m_isLeaving = aIsLeaving; }
+  /// Makes it take calls and send nothing. @pre none.
+  void SetSilent(bool aIsSilent) { m_isSilent = aIsSilent; }
   /// Returns completions begun. @pre none.
   [[nodiscard]] uint64_t Begun() const { return m_begun; }
   /// Returns completions whose caller left. @pre none.
@@ -75,6 +77,7 @@
   uint64_t m_begun = 0;
   uint64_t m_cancelled = 0;
   bool m_isLeaving = false;
+  bool m_isSilent = false;
 };
 
 } // namespace celeryspread
--- a/tests/support/virtual_world.h
+++ b/tools/virtual_world.h
@@ -6,7 +6,7 @@
 #include "core/clock.h"
 #include "core/timers.h"
 
-namespace celeryspread::test {
+namespace celeryspread {
 
 /// Virtual time with the tasks that are due in it.
 class VirtualWorld
@@ -112,4 +112,4 @@
   VirtualWorld& m_world;
 };
 
-} // namespace celeryspread::test
+} // namespace celeryspread
