--- a/bench/state.py
+++ b/bench/state.py
@@ -144,6 +144,7 @@
             deployment.start()
             deployment.apply(big_tree(deployment, models, adapters))
             deployment.wait_for_revision(1)
+            time.sleep(2)
             name = f"{models}_models_{adapters}_adapters"
             share, moved, rate, _ = measure_share(deployment, 12, CHANGES_PER_SECOND * 4, 1)
             # Four times the rate gives a share above the clock's tick; the
--- a/catalog/catalog.cpp
+++ b/catalog/catalog.cpp
@@ -1,5 +1,7 @@
 #include "catalog/catalog.h"
 
+#include <nlohmann/json.hpp>
+
 #include "core/key_hash.h"
 #include "settings/tree_parser.h"
 
@@ -15,9 +17,30 @@
     aError = parser.Errors().front();
     return nullptr;
   }
+  return FromTree(std::move(*tree), aRevision, aError);
+}
+
+std::shared_ptr<const Catalog> Catalog::FromJson(
+  const nlohmann::json& aDocument,
+  Revision aRevision,
+  SettingsError& aError)
+{
+  TreeParser parser;
+  std::optional<SettingsTree> tree = parser.Read(aDocument);
+  if (!tree) {
+    aError = parser.Errors().front();
+    return nullptr;
+  }
+  return FromTree(std::move(*tree), aRevision, aError);
+}
+
+std::shared_ptr<const Catalog> Catalog::FromTree(SettingsTree aTree,
+                                                 Revision aRevision,
+                                                 SettingsError& aError)
+{
   std::shared_ptr<Catalog> catalog(new Catalog());
   catalog->m_revision = aRevision;
-  catalog->m_tree = std::move(*tree);
+  catalog->m_tree = std::move(aTree);
   if (!catalog->m_names.Build(catalog->m_tree)) {
     aError = catalog->m_names.Clash();
     return nullptr;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "catalog/name_index.h"
 #include "settings/declarations.h"
 #include "settings/settings_chain.h"
@@ -22,6 +24,12 @@
   static std::shared_ptr<const Catalog> Load(std::string_view aText,
                                              Revision aRevision,
                                              SettingsError& aError);
+  /// Builds a catalog from a tree that is JSON already. @pre none.
+  /// @error null; aError tells the first fault.
+  static std::shared_ptr<const Catalog> FromJson(
+    const nlohmann::json& aDocument,
+    Revision aRevision,
+    SettingsError& aError);
   /// Returns the revision. @pre none.
   [[nodiscard]] Revision CurrentRevision() const { return m_revision; }
   /// Returns the settings tree. @pre none.
@@ -40,6 +48,9 @@
 
 private:
   Catalog() = default;
+  static std::shared_ptr<const Catalog> FromTree(SettingsTree aTree,
+                                                 Revision aRevision,
+                                                 SettingsError& aError);
 
   Revision m_revision;
   SettingsTree m_tree;
--- a/consensus/raft.cpp
+++ b/consensus/raft.cpp
@@ -36,8 +36,8 @@
 
 bool Raft::IsCaughtUp(const ReplicaId& aReplica) const
 {
-  const auto found = m_progress.find(aReplica);
-  return found != m_progress.end() && found->second.m_match >= m_commit;
+  const FollowerProgress* progress = m_progress.Find(aReplica);
+  return progress != nullptr && progress->m_match >= m_commit;
 }
 
 std::nullopt_t Raft::Fail(ProposeError aError)
@@ -58,7 +58,7 @@
 {
   if (m_role == RaftRole::Leader) {
     const bool isCutOff =
-      LeaseStart(aNow) + m_options.m_electionTimeout < aNow &&
+      QuorumContact(aNow) + m_options.m_electionTimeout < aNow &&
       m_becameLeaderAt + m_options.m_electionTimeout < aNow;
     if (isCutOff) {
       BecomeFollower(m_hard.m_term, ReplicaId(), aNow);
@@ -89,7 +89,7 @@
   }
   m_role = RaftRole::Follower;
   m_leader = aLeader;
-  m_progress.clear();
+  m_progress.Clear();
   ArmElection(aNow);
 }
 
@@ -124,8 +124,8 @@
   m_role = RaftRole::Leader;
   m_leader = m_options.m_self;
   m_becameLeaderAt = aNow;
-  m_progress.clear();
-  SyncProgress();
+  m_progress.Clear();
+  m_progress.Sync(Replicas(), m_log.LastIndex());
   LogEntry start;
   start.m_kind = EntryKind::LeaderStart;
   m_leaderStart = *AppendOwn(std::move(start), aNow);
@@ -361,12 +361,12 @@
     BecomeFollower(aMessage.m_term, ReplicaId(), aNow);
     return;
   }
-  const auto found = m_progress.find(aMessage.m_from);
+  FollowerProgress* known = m_progress.Find(aMessage.m_from);
   if (m_role != RaftRole::Leader || aMessage.m_term < m_hard.m_term ||
-      found == m_progress.end()) {
+      known == nullptr) {
     return;
   }
-  Progress& progress = found->second;
+  FollowerProgress& progress = *known;
   progress.m_acknowledgedSentAt =
     std::max(progress.m_acknowledgedSentAt, aMessage.m_sentAt);
   progress.m_inFlight -= progress.m_inFlight > 0 ? 1 : 0;
@@ -383,31 +383,15 @@
   progress.m_match = std::max(progress.m_match, aMessage.m_index);
   progress.m_next = std::max(progress.m_next, progress.m_match.Next());
   AdvanceCommit(aNow);
-  const auto again = m_progress.find(aMessage.m_from);
-  if (again != m_progress.end() && again->second.m_next <= m_log.LastIndex()) {
-    SendAppend(aMessage.m_from, again->second, aNow);
-  }
-}
-
-void Raft::SyncProgress()
-{
-  const ReplicaSet& replicas = Replicas();
-  const auto isKnown = [&](const ReplicaId& aId) {
-    return replicas.m_voters.contains(aId) || replicas.m_learners.contains(aId);
-  };
-  std::erase_if(m_progress,
-                [&](const auto& aEntry) { return !isKnown(aEntry.first); });
-  for (const auto* group : { &replicas.m_voters, &replicas.m_learners }) {
-    for (const auto& [id, address] : *group) {
-      Progress fresh;
-      fresh.m_next = m_log.LastIndex().Next();
-      m_progress.emplace(id, fresh);
-    }
+  // Committing may have ended the leadership and with it the progress.
+  FollowerProgress* again = m_progress.Find(aMessage.m_from);
+  if (again != nullptr && again->m_next <= m_log.LastIndex()) {
+    SendAppend(aMessage.m_from, *again, aNow);
   }
 }
 
 void Raft::SendSnapshot(const ReplicaId& aTo,
-                        Progress& aProgress,
+                        FollowerProgress& aProgress,
                         TimePoint aNow)
 {
   const bool isUnderWay =
@@ -422,7 +406,9 @@
   m_earlyMessages.push_back(std::move(message));
 }
 
-void Raft::SendAppend(const ReplicaId& aTo, Progress& aProgress, TimePoint aNow)
+void Raft::SendAppend(const ReplicaId& aTo,
+                      FollowerProgress& aProgress,
+                      TimePoint aNow)
 {
   if (aProgress.m_next <= m_log.SnapshotIndex()) {
     SendSnapshot(aTo, aProgress, aNow);
@@ -449,7 +435,7 @@
 void Raft::Broadcast(TimePoint aNow)
 {
   m_heartbeatDue = aNow + m_options.m_heartbeatPeriod;
-  for (auto& [id, progress] : m_progress) {
+  for (auto& [id, progress] : m_progress.All()) {
     if (id == m_options.m_self) {
       continue;
     }
@@ -468,9 +454,9 @@
   const bool isReplicaSet = aEntry.m_kind == EntryKind::ReplicaSet;
   m_log.Append(std::move(aEntry));
   if (isReplicaSet) {
-    SyncProgress();
+    m_progress.Sync(Replicas(), m_log.LastIndex());
   }
-  for (auto& [id, progress] : m_progress) {
+  for (auto& [id, progress] : m_progress.All()) {
     if (id != m_options.m_self && !progress.m_isProbing) {
       SendAppend(id, progress, aNow);
     }
@@ -567,20 +553,16 @@
   if (m_role != RaftRole::Leader) {
     return;
   }
-  std::vector<LogIndex> matches;
-  for (const auto& [id, address] : Replicas().m_voters) {
-    const bool isSelf = id == m_options.m_self;
-    matches.push_back(isSelf ? m_persisted : m_progress.at(id).m_match);
-  }
-  std::sort(matches.begin(), matches.end(), std::greater<>());
-  const LogIndex agreed = matches[Replicas().Quorum() - 1];
+  const LogIndex agreed =
+    m_progress.AgreedIndex(Replicas(), m_options.m_self, m_persisted);
   // Only an entry of the own term commits what stands before it.
-  if (agreed > m_commit && m_log.TermAt(agreed) == m_hard.m_term) {
-    SetCommit(agreed);
-    const bool isRemoved = !IsVoter() && m_log.LatestReplicasIndex() <= agreed;
-    if (isRemoved) {
-      BecomeFollower(m_hard.m_term, ReplicaId(), aNow);
-    }
+  if (agreed <= m_commit || m_log.TermAt(agreed) != m_hard.m_term) {
+    return;
+  }
+  SetCommit(agreed);
+  const bool isRemoved = !IsVoter() && m_log.LatestReplicasIndex() <= agreed;
+  if (isRemoved) {
+    BecomeFollower(m_hard.m_term, ReplicaId(), aNow);
   }
 }
 
@@ -589,23 +571,9 @@
   m_commit = std::max(m_commit, std::min(aIndex, m_log.LastIndex()));
 }
 
-TimePoint Raft::LeaseStart(TimePoint aNow) const
+TimePoint Raft::QuorumContact(TimePoint aNow) const
 {
-  std::vector<TimePoint> acknowledged;
-  for (const auto& [id, address] : Replicas().m_voters) {
-    const bool isSelf = id == m_options.m_self;
-    const auto found = m_progress.find(id);
-    if (isSelf) {
-      acknowledged.push_back(aNow);
-    } else if (found != m_progress.end()) {
-      acknowledged.push_back(found->second.m_acknowledgedSentAt);
-    }
-  }
-  if (acknowledged.size() < Replicas().Quorum()) {
-    return TimePoint();
-  }
-  std::sort(acknowledged.begin(), acknowledged.end(), std::greater<>());
-  return acknowledged[Replicas().Quorum() - 1];
+  return m_progress.QuorumContact(Replicas(), m_options.m_self, aNow);
 }
 
 bool Raft::HasLease(TimePoint aNow) const
@@ -616,7 +584,7 @@
   const Duration length = m_options.m_electionTimeout *
                           (kWholePercent - kClockRateBoundPercent) /
                           kWholePercent;
-  return aNow < LeaseStart(aNow) + length;
+  return aNow < QuorumContact(aNow) + length;
 }
 
 RaftReady Raft::TakeReady()
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
 
 #include "consensus/raft_log.h"
 #include "consensus/raft_types.h"
+#include "consensus/replica_progress.h"
 #include "core/random_source.h"
 
 namespace celeryspread {
@@ -105,15 +105,6 @@
   [[nodiscard]] ProposeError LastError() const { return m_lastError; }
 
 private:
-  struct Progress
-  {
-    LogIndex m_match;
-    LogIndex m_next;
-    size_t m_inFlight = 0;
-    bool m_isProbing = true;
-    TimePoint m_acknowledgedSentAt;
-    TimePoint m_snapshotSentAt;
-  };
   using Handler = void (Raft::*)(const RaftMessage&, TimePoint);
 
   static Handler HandlerOf(RaftMessageKind aKind);
@@ -139,13 +130,16 @@
   std::optional<LogIndex> ProposeReplicas(ReplicaSet aReplicas, TimePoint aNow);
   bool CanChangeReplicas();
   std::nullopt_t Fail(ProposeError aError);
-  void SyncProgress();
-  void SendAppend(const ReplicaId& aTo, Progress& aProgress, TimePoint aNow);
-  void SendSnapshot(const ReplicaId& aTo, Progress& aProgress, TimePoint aNow);
+  void SendAppend(const ReplicaId& aTo,
+                  FollowerProgress& aProgress,
+                  TimePoint aNow);
+  void SendSnapshot(const ReplicaId& aTo,
+                    FollowerProgress& aProgress,
+                    TimePoint aNow);
   void Broadcast(TimePoint aNow);
   void AdvanceCommit(TimePoint aNow);
   void SetCommit(LogIndex aIndex);
-  [[nodiscard]] TimePoint LeaseStart(TimePoint aNow) const;
+  [[nodiscard]] TimePoint QuorumContact(TimePoint aNow) const;
   [[nodiscard]] RaftMessage MakeMessage(RaftMessageKind aKind,
                                         const ReplicaId& aTo) const;
   void Reply(RaftMessage aMessage);
@@ -167,7 +161,7 @@
   std::optional<Snapshot> m_receivedSnapshot;
   std::vector<RaftMessage> m_earlyMessages;
   std::vector<RaftMessage> m_messages;
-  std::map<ReplicaId, Progress> m_progress;
+  ReplicaProgress m_progress;
   std::set<ReplicaId> m_votes;
   TimePoint m_electionDue;
   TimePoint m_heartbeatDue;
--- a/control/admin_api.cpp
+++ b/control/admin_api.cpp
@@ -6,6 +6,7 @@
 
 #include "core/json_text.h"
 #include "core/key_hash.h"
+#include "http/http_status.h"
 
 namespace celeryspread {
 
@@ -13,13 +14,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kForbidden = 403;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kUnavailable = 503;
 constexpr Duration kSeenLimit = std::chrono::seconds(10);
 constexpr size_t kMaxListedClaims = 1'000;
 constexpr size_t kMaxChangeIdChars = 128;
@@ -104,7 +98,7 @@
 {
   json body = { { "revision", aResult.m_revision.Value() } };
   if (aResult.m_verdict == ChangeVerdict::Accepted) {
-    return JsonReply(kOk, body);
+    return JsonReply(HttpStatus::kOk, body);
   }
   if (aResult.m_verdict == ChangeVerdict::Conflict) {
     body["error"] = { { "code", "revision_conflict" },
@@ -112,12 +106,12 @@
     if (!aResult.m_winner.m_changeId.IsEmpty()) {
       body["winner"] = ChangeJson(aResult.m_winner);
     }
-    return JsonReply(kConflict, body);
+    return JsonReply(HttpStatus::kConflict, body);
   }
   body["error"] = { { "code", "invalid_settings" },
                     { "message", "the tree would not be valid" } };
   body["errors"] = ErrorList(aResult.m_errors);
-  return JsonReply(kBadRequest, body);
+  return JsonReply(HttpStatus::kBadRequest, body);
 }
 
 } // namespace
@@ -167,7 +161,7 @@
   if (isStale) {
     SettingsError error;
     m_catalog =
-      Catalog::Load(settings.TreeText(), settings.CurrentRevision(), error);
+      Catalog::FromJson(settings.Tree(), settings.CurrentRevision(), error);
   }
   return m_catalog;
 }
@@ -198,7 +192,7 @@
 void AdminApi::Handle(const AdminRequest& aRequest, const AdminDone& aDone)
 {
   if (!m_host.HasLease()) {
-    aDone(ErrorReply(kUnavailable,
+    aDone(ErrorReply(HttpStatus::kUnavailable,
                      "no_quorum",
                      "no quorum of control instances is reachable; settings "
                      "can't be read or changed, calls are still served"));
@@ -207,19 +201,22 @@
   const std::optional<Caller> caller = Authenticate(aRequest);
   if (!caller) {
     m_log.Write(EventId::AdminRefused, "path=" + aRequest.m_path);
-    aDone(ErrorReply(kUnauthorized, "invalid_key", "the key is not valid"));
+    aDone(ErrorReply(
+      HttpStatus::kUnauthorized, "invalid_key", "the key is not valid"));
     return;
   }
   const Row* row = FindRow(aRequest);
   if (row == nullptr) {
-    aDone(ErrorReply(kNotFound, "path_not_found", "no such admin path"));
+    aDone(ErrorReply(
+      HttpStatus::kNotFound, "path_not_found", "no such admin path"));
     return;
   }
   if (caller->m_role < row->m_role) {
     m_log.Write(EventId::AdminRefused,
                 "path=" + aRequest.m_path +
                   " operator=" + caller->m_id.Value());
-    aDone(ErrorReply(kForbidden, "role_missing", "the key lacks the role"));
+    aDone(ErrorReply(
+      HttpStatus::kForbidden, "role_missing", "the key lacks the role"));
     return;
   }
   (this->*row->m_handler)(aRequest, *caller, aDone);
@@ -230,7 +227,7 @@
                           const AdminDone& aDone)
 {
   const SettingsStore& settings = m_host.State().Settings();
-  aDone(JsonReply(kOk,
+  aDone(JsonReply(HttpStatus::kOk,
                   { { "revision", settings.CurrentRevision().Value() },
                     { "tree", settings.Tree() } }));
 }
@@ -247,7 +244,7 @@
     (*body)["expected_revision"].is_number_unsigned() &&
     body->contains("patch") && (*body)["patch"].is_object();
   if (!isWellFormed) {
-    aDone(ErrorReply(kBadRequest,
+    aDone(ErrorReply(HttpStatus::kBadRequest,
                      "malformed_change",
                      body ? "expected change_id (text), expected_revision "
                             "(number) and patch (object)"
@@ -256,7 +253,7 @@
   }
   const auto changeId = (*body)["change_id"].get<std::string>();
   if (changeId.empty() || changeId.size() > kMaxChangeIdChars) {
-    aDone(ErrorReply(kBadRequest,
+    aDone(ErrorReply(HttpStatus::kBadRequest,
                      "malformed_change",
                      "change_id must have 1 to 128 characters"));
     return;
@@ -274,7 +271,7 @@
       const auto* result =
         aResult ? std::get_if<ChangeResult>(&*aResult) : nullptr;
       if (result == nullptr) {
-        aDone(ErrorReply(kUnavailable,
+        aDone(ErrorReply(HttpStatus::kUnavailable,
                          "outcome_unknown",
                          "the leader changed; send the change again under "
                          "the same change_id"));
@@ -283,7 +280,8 @@
       aDone(ChangeReply(*result));
     });
   if (!isProposed) {
-    aDone(ErrorReply(kUnavailable, "no_quorum", "this instance stepped down"));
+    aDone(ErrorReply(
+      HttpStatus::kUnavailable, "no_quorum", "this instance stepped down"));
   }
 }
 
@@ -299,7 +297,7 @@
       list.push_back(ChangeJson(change));
     }
   }
-  aDone(JsonReply(kOk, { { "changes", list } }));
+  aDone(JsonReply(HttpStatus::kOk, { { "changes", list } }));
 }
 
 void AdminApi::HandleNames(const AdminRequest& /*aRequest*/,
@@ -313,7 +311,7 @@
                      { "name", entry.m_name },
                      { "reaches", entry.m_target.EngineName() } });
   }
-  aDone(JsonReply(kOk, { { "names", list } }));
+  aDone(JsonReply(HttpStatus::kOk, { { "names", list } }));
 }
 
 void AdminApi::HandleUpstreams(const AdminRequest& /*aRequest*/,
@@ -321,8 +319,9 @@
                                const AdminDone& aDone)
 {
   const json& tree = m_host.State().Settings().Tree();
-  aDone(JsonReply(
-    kOk, { { "upstreams", tree.value("upstreams", json::object()) } }));
+  aDone(
+    JsonReply(HttpStatus::kOk,
+              { { "upstreams", tree.value("upstreams", json::object()) } }));
 }
 
 void AdminApi::HandlePlacement(const AdminRequest& /*aRequest*/,
@@ -352,7 +351,8 @@
         { { "name", problem.m_name }, { "reason", problem.m_reason } });
     }
   }
-  aDone(JsonReply(kOk, { { "engines", engines }, { "problems", problems } }));
+  aDone(JsonReply(HttpStatus::kOk,
+                  { { "engines", engines }, { "problems", problems } }));
 }
 
 void AdminApi::HandleStatus(const AdminRequest& /*aRequest*/,
@@ -378,7 +378,7 @@
                               { "revision", known.m_revision.Value() } };
   }
   aDone(JsonReply(
-    kOk,
+    HttpStatus::kOk,
     { { "leader", raft.Leader().Value() },
       { "term", raft.CurrentTerm().Value() },
       { "commit_index", raft.CommitIndex().Value() },
@@ -404,8 +404,9 @@
     const auto target = catalog->Names().Resolve(
       name, SchemeId(QueryValue(query, "naming_scheme")));
     if (!target) {
-      aDone(ErrorReply(
-        kNotFound, "model_not_found", catalog->Names().LastError().m_text));
+      aDone(ErrorReply(HttpStatus::kNotFound,
+                       "model_not_found",
+                       catalog->Names().LastError().m_text));
       return;
     }
     place.m_model = target->m_model;
@@ -419,7 +420,7 @@
                      { "value", setting.m_value },
                      { "level", setting.m_level } });
   }
-  aDone(JsonReply(kOk, { { "settings", list } }));
+  aDone(JsonReply(HttpStatus::kOk, { { "settings", list } }));
 }
 
 void AdminApi::HandleClaims(const AdminRequest& aRequest,
@@ -440,7 +441,7 @@
                      { "settled_by", record.m_settledBy.Value() },
                      { "reason", record.m_settledReason } });
   }
-  aDone(JsonReply(kOk, { { "claims", list } }));
+  aDone(JsonReply(HttpStatus::kOk, { { "claims", list } }));
 }
 
 void AdminApi::HandleSettle(const AdminRequest& aRequest,
@@ -458,7 +459,7 @@
                             body->contains("has_run") &&
                             (*body)["has_run"].is_boolean();
   if (!isWellFormed) {
-    aDone(ErrorReply(kBadRequest,
+    aDone(ErrorReply(HttpStatus::kBadRequest,
                      "malformed_settlement",
                      "expected service, key, reason (texts) and has_run "
                      "(true or false)"));
@@ -478,17 +479,20 @@
       const auto* result =
         aResult ? std::get_if<SettleResult>(&*aResult) : nullptr;
       if (result == nullptr) {
-        aDone(ErrorReply(
-          kUnavailable, "outcome_unknown", "the leader changed; ask again"));
+        aDone(ErrorReply(HttpStatus::kUnavailable,
+                         "outcome_unknown",
+                         "the leader changed; ask again"));
       } else if (!result->m_isSettled) {
-        aDone(ErrorReply(
-          kConflict, "not_settled", "there is no claim of unknown outcome"));
+        aDone(ErrorReply(HttpStatus::kConflict,
+                         "not_settled",
+                         "there is no claim of unknown outcome"));
       } else {
-        aDone(JsonReply(kOk, { { "settled", true } }));
+        aDone(JsonReply(HttpStatus::kOk, { { "settled", true } }));
       }
     });
   if (!isProposed) {
-    aDone(ErrorReply(kUnavailable, "no_quorum", "this instance stepped down"));
+    aDone(ErrorReply(
+      HttpStatus::kUnavailable, "no_quorum", "this instance stepped down"));
   }
 }
 
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -129,33 +129,43 @@
                        after,
                        m_clock.Now() });
   }
+  const bool isNews = m_host.State().Settings().CurrentRevision() > after;
   if (request.getMustBeLatest()) {
-    if (m_host.HasLease()) {
-      return AnswerFetch(aContext, true);
-    }
-    WireLink* leader = LeaderLink();
-    if (leader == nullptr) {
-      return AnswerFetch(aContext, false);
-    }
-    auto forwarded = leader->Node().fetchRequest();
-    forwarded.setRequest(request);
-    return leader
-      ->WithDeadline<void>(
-        forwarded.send().then([aContext](auto&& aReply) mutable {
-          aContext.getResults().setReply(aReply.getReply());
-        }),
-        kForwardDeadline)
-      .catch_([this, aContext](kj::Exception&&) mutable {
-        return AnswerFetch(aContext, false);
-      });
+    return isNews ? FetchLatest(aContext)
+                  : WaitForChange().then([this, aContext]() mutable {
+                      return FetchLatest(aContext);
+                    });
   }
-  if (m_host.State().Settings().CurrentRevision() > after) {
+  // Without news the asker waits here, or it would ask again at once.
+  if (isNews) {
     return AnswerFetch(aContext, false);
   }
   return WaitForChange().then(
     [this, aContext]() mutable { return AnswerFetch(aContext, false); });
 }
 
+kj::Promise<void> ControlService::FetchLatest(FetchContext aContext)
+{
+  if (m_host.HasLease()) {
+    return AnswerFetch(aContext, true);
+  }
+  WireLink* leader = LeaderLink();
+  if (leader == nullptr) {
+    return AnswerFetch(aContext, false);
+  }
+  auto forwarded = leader->Node().fetchRequest();
+  forwarded.setRequest(aContext.getParams().getRequest());
+  return leader
+    ->WithDeadline<void>(
+      forwarded.send().then([aContext](auto&& aReply) mutable {
+        aContext.getResults().setReply(aReply.getReply());
+      }),
+      kForwardDeadline)
+    .catch_([this, aContext](kj::Exception&&) mutable {
+      return AnswerFetch(aContext, false);
+    });
+}
+
 kj::Promise<void> ControlService::HandleAdminHere(AdminContext aContext)
 {
   const auto request = aContext.getParams().getRequest();
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -41,6 +41,9 @@
   /// replica leads itself.
   WireLink* LeaderLink();
   kj::Promise<void> AnswerFetch(FetchContext aContext, bool aIsCurrent);
+  /// Answers with what the leader's lease proves to be the latest, or says
+  /// that nobody can prove it.
+  kj::Promise<void> FetchLatest(FetchContext aContext);
   kj::Promise<void> HandleAdminHere(AdminContext aContext);
   kj::Promise<void> WaitForChange();
 
--- a/control/placement_runner.cpp
+++ b/control/placement_runner.cpp
@@ -1,4 +1,5 @@
 #include "control/placement_runner.h"
+#include "http/http_status.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,7 +11,6 @@
 constexpr Duration kReportPeriod = std::chrono::milliseconds(300);
 /// A load may take long; its answer is waited for, its memory stays taken.
 constexpr Duration kAnswerTimeout = std::chrono::seconds(120);
-constexpr int kOk = 200;
 
 const char* VerbOf(OrderKind aKind)
 {
@@ -72,7 +72,7 @@
   void OnUpstreamEnd() override
   {
     m_runner.m_owner.NoteAnswered(m_order, m_runner.m_parts.m_clock.Now());
-    if (m_status != kOk) {
+    if (m_status != HttpStatus::kOk) {
       LogFailure("status=" + std::to_string(m_status));
     }
     m_isOver = true;
--- a/control/settings_store.cpp
+++ b/control/settings_store.cpp
@@ -17,7 +17,7 @@
 std::vector<SettingsError> CheckTree(const json& aTree)
 {
   TreeParser parser;
-  const std::optional<SettingsTree> tree = parser.Parse(aTree.dump());
+  const std::optional<SettingsTree> tree = parser.Read(aTree);
   if (!tree) {
     return parser.Errors();
   }
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -5,6 +5,7 @@
 
 #include "core/json_text.h"
 #include "core/key_hash.h"
+#include "http/http_status.h"
 #include "main/exit_code.h"
 #include "settings/instance_settings.h"
 
@@ -14,9 +15,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-
 std::string RandomChangeId()
 {
   std::random_device device;
@@ -140,7 +138,7 @@
 
 int CtlCommands::Report(const AdminAnswer& aAnswer)
 {
-  if (aAnswer.m_status == kOk) {
+  if (aAnswer.m_status == HttpStatus::kOk) {
     Print(aAnswer.m_body);
     return ExitCode::Success;
   }
@@ -162,8 +160,8 @@
             Plain(aAnswer.m_body["winner"]["change_id"]) + " of " +
             Plain(aAnswer.m_body["winner"]["operator"]);
   }
-  return Fail(aAnswer.m_status == kUnavailable ? ExitCode::Failure
-                                               : ExitCode::Refused,
+  return Fail(aAnswer.m_status == HttpStatus::kUnavailable ? ExitCode::Failure
+                                                           : ExitCode::Refused,
               text);
 }
 
@@ -174,7 +172,7 @@
     Fail(ExitCode::Failure, m_client.LastReason());
     return std::nullopt;
   }
-  if (answer->m_status != kOk) {
+  if (answer->m_status != HttpStatus::kOk) {
     Report(*answer);
     return std::nullopt;
   }
@@ -218,7 +216,8 @@
   constexpr int kTries = 2;
   for (int i = 0; i < kTries; ++i) {
     const auto answer = m_client.Ask("POST", "/admin/changes", body.dump());
-    if (answer && (answer->m_status != kUnavailable || i + 1 == kTries)) {
+    if (answer &&
+        (answer->m_status != HttpStatus::kUnavailable || i + 1 == kTries)) {
       return Report(*answer);
     }
   }
--- a/entry/call_preparer.cpp
+++ b/entry/call_preparer.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "core/json_text.h"
+#include "http/http_status.h"
 
 namespace celeryspread {
 
@@ -14,12 +15,6 @@
 
 using nlohmann::json;
 
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kForbidden = 403;
-constexpr int kNotFound = 404;
-constexpr int kTooLarge = 413;
-constexpr int kDeadlinePassed = 504;
 constexpr size_t kMaxClaimKeyChars = 255;
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kServicesPrefix = "/services/";
@@ -80,8 +75,9 @@
 {
   m_refusal = Refusal();
   m_refusal.m_status = aStatus;
-  m_refusal.m_type =
-    aStatus == kDeadlinePassed ? "timeout_error" : "invalid_request_error";
+  m_refusal.m_type = aStatus == HttpStatus::kGatewayTimeout
+                       ? "timeout_error"
+                       : "invalid_request_error";
   m_refusal.m_code = std::move(aCode);
   m_refusal.m_message = std::move(aMessage);
   return std::nullopt;
@@ -91,13 +87,15 @@
 {
   switch (aError.m_kind) {
     case NameErrorKind::Unknown:
-      return Refuse(kNotFound, "model_not_found", aError.m_text);
+      return Refuse(HttpStatus::kNotFound, "model_not_found", aError.m_text);
     case NameErrorKind::Ambiguous:
-      return Refuse(kBadRequest, "model_name_ambiguous", aError.m_text);
+      return Refuse(
+        HttpStatus::kBadRequest, "model_name_ambiguous", aError.m_text);
     case NameErrorKind::UnknownScheme:
       break;
   }
-  return Refuse(kBadRequest, "naming_scheme_not_found", aError.m_text);
+  return Refuse(
+    HttpStatus::kBadRequest, "naming_scheme_not_found", aError.m_text);
 }
 
 std::optional<ServiceId> CallPreparer::Authenticate(const CallerCall& aCall,
@@ -105,12 +103,14 @@
 {
   const auto header = aCall.Header("Authorization");
   if (!header || !header->starts_with(kBearer)) {
-    return Refuse(kUnauthorized, "invalid_api_key", "a Bearer key is required");
+    return Refuse(
+      HttpStatus::kUnauthorized, "invalid_api_key", "a Bearer key is required");
   }
   std::optional<ServiceId> service =
     aCatalog.Authenticate(header->substr(kBearer.size()));
   if (!service) {
-    return Refuse(kUnauthorized, "invalid_api_key", "the key is not valid");
+    return Refuse(
+      HttpStatus::kUnauthorized, "invalid_api_key", "the key is not valid");
   }
   return service;
 }
@@ -135,7 +135,7 @@
   if (aCall.Body().size() <= limit) {
     return true;
   }
-  Refuse(kTooLarge,
+  Refuse(HttpStatus::kTooLarge,
          "body_too_large",
          "the body is larger than " + std::to_string(limit) + " bytes");
   return false;
@@ -150,7 +150,7 @@
   if (const auto header = aCall.Header("X-Request-Deadline-Ms")) {
     const std::optional<int64_t> stated = ParsePositive(*header);
     if (!stated) {
-      Refuse(kBadRequest,
+      Refuse(HttpStatus::kBadRequest,
              "bad_deadline",
              "X-Request-Deadline-Ms is not a number of milliseconds");
       return false;
@@ -158,7 +158,9 @@
     remainingMs = std::min(remainingMs, *stated);
   }
   if (remainingMs == 0) {
-    Refuse(kDeadlinePassed, "deadline_passed", "the deadline has passed");
+    Refuse(HttpStatus::kGatewayTimeout,
+           "deadline_passed",
+           "the deadline has passed");
     return false;
   }
   aPrepared.m_deadline = aNow + std::chrono::milliseconds(remainingMs);
@@ -172,7 +174,7 @@
     return true;
   }
   if (key->empty() || key->size() > kMaxClaimKeyChars) {
-    Refuse(kBadRequest,
+    Refuse(HttpStatus::kBadRequest,
            "bad_idempotency_key",
            "Idempotency-Key must have 1 to 255 characters");
     return false;
@@ -188,16 +190,19 @@
   JsonReader reader(JsonLimits{});
   std::optional<json> body = reader.Parse(aCall.Body());
   if (!body) {
-    Refuse(kBadRequest, "malformed_json", reader.LastReason());
+    Refuse(HttpStatus::kBadRequest, "malformed_json", reader.LastReason());
     return false;
   }
   if (!body->is_object() || !body->contains("model") ||
       !(*body)["model"].is_string()) {
-    Refuse(kBadRequest, "missing_model", "\"model\" must be a text");
+    Refuse(
+      HttpStatus::kBadRequest, "missing_model", "\"model\" must be a text");
     return false;
   }
   if (body->contains("stream") && !(*body)["stream"].is_boolean()) {
-    Refuse(kBadRequest, "bad_stream", "\"stream\" must be true or false");
+    Refuse(HttpStatus::kBadRequest,
+           "bad_stream",
+           "\"stream\" must be true or false");
     return false;
   }
   const std::string name = (*body)["model"].get<std::string>();
@@ -209,7 +214,7 @@
     return false;
   }
   if (!HasMessages(*body, aCall.Path())) {
-    Refuse(kBadRequest,
+    Refuse(HttpStatus::kBadRequest,
            "missing_prompt",
            "the body has neither usable messages nor a prompt");
     return false;
@@ -253,8 +258,9 @@
   }
   if (!caller.m_models.empty() &&
       !caller.m_models.contains(prepared.m_target.m_model)) {
-    return Refuse(
-      kForbidden, "model_not_allowed", "this key may not call the model");
+    return Refuse(HttpStatus::kForbidden,
+                  "model_not_allowed",
+                  "this key may not call the model");
   }
   prepared.m_settings = aCatalog->SettingsAt(PlaceOf(prepared));
   prepared.m_mayRepeat =
@@ -281,15 +287,16 @@
   const PlainServiceId plain{ std::string(rest.substr(0, slash)) };
   const auto declared = aCatalog->Tree().m_plainServices.find(plain);
   if (declared == aCatalog->Tree().m_plainServices.end()) {
-    return Refuse(kNotFound,
+    return Refuse(HttpStatus::kNotFound,
                   "service_not_found",
                   "plain service \"" + plain.Value() + "\" does not exist");
   }
   const ServiceDeclaration& caller = aCatalog->Tree().m_services.at(*service);
   if (!caller.m_plainServices.empty() &&
       !caller.m_plainServices.contains(plain)) {
-    return Refuse(
-      kForbidden, "service_not_allowed", "this key may not call the service");
+    return Refuse(HttpStatus::kForbidden,
+                  "service_not_allowed",
+                  "this key may not call the service");
   }
   SettingsPlace place;
   place.m_failureDomain = m_ownDomain;
--- a/entry/call_session.cpp
+++ b/entry/call_session.cpp
@@ -7,20 +7,13 @@
 #include <nlohmann/json.hpp>
 
 #include "core/key_hash.h"
+#include "entry/call_refusals.h"
+#include "http/http_status.h"
 
 namespace celeryspread {
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kConflict = 409;
-constexpr int kUnprocessable = 422;
-constexpr int kClientClosed = 499;
-constexpr int kFirstServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-constexpr int kRetryAfterSeconds = 1;
 /// Largest priority that an engine is told; larger goes first.
 constexpr double kPriorities = 1'000;
 /// Time that one token holds a slot, for comparing calls with each other.
@@ -38,37 +31,6 @@
   return {};
 }
 
-Refusal ServerRefusal(int aStatus,
-                      std::string aCode,
-                      std::string aMessage,
-                      CallOutcome aOutcome)
-{
-  Refusal refusal;
-  refusal.m_status = aStatus;
-  refusal.m_type = "server_error";
-  refusal.m_code = std::move(aCode);
-  refusal.m_message = std::move(aMessage);
-  refusal.m_outcome = aOutcome;
-  if (aOutcome == CallOutcome::NotRun) {
-    refusal.m_retryAfterSeconds = kRetryAfterSeconds;
-  }
-  return refusal;
-}
-
-CallOutcome OutcomeOf(RetryVerdict aVerdict)
-{
-  switch (aVerdict) {
-    case RetryVerdict::NotRun:
-      return CallOutcome::NotRun;
-    case RetryVerdict::Failed:
-      return CallOutcome::Failed;
-    case RetryVerdict::Retry:
-    case RetryVerdict::Unknown:
-      break;
-  }
-  return CallOutcome::Unknown;
-}
-
 } // namespace
 
 CallSession::CallSession(EntryContext& aContext,
@@ -134,41 +96,16 @@
 
 void CallSession::HandleClaim(const ClaimReply& aReply)
 {
-  switch (aReply.m_verdict) {
-    case ClaimVerdict::Granted:
-      m_holdsClaim = true;
-      Route();
-      return;
-    case ClaimVerdict::Answered:
-      ReplyWhole(aReply.m_answer);
-      return;
-    case ClaimVerdict::Unknown:
-      Refuse(ServerRefusal(kConflict,
-                           "outcome_unknown",
-                           "a call with this Idempotency-Key is in progress "
-                           "or its outcome is unknown; it is not run again",
-                           CallOutcome::Unknown));
-      return;
-    case ClaimVerdict::Conflict:
-      Refuse(ServerRefusal(kUnprocessable,
-                           "idempotency_key_reused",
-                           "the Idempotency-Key was used with another request",
-                           CallOutcome::NotRun));
-      return;
-    case ClaimVerdict::Expired:
-      Refuse(ServerRefusal(kConflict,
-                           "idempotency_key_expired",
-                           "the Idempotency-Key is past its retention",
-                           CallOutcome::Unknown));
-      return;
-    case ClaimVerdict::Unavailable:
-      Refuse(ServerRefusal(kUnavailable,
-                           "claims_unavailable",
-                           "no quorum is reachable to claim this work; "
-                           "nothing was sent",
-                           CallOutcome::NotRun));
-      return;
+  if (aReply.m_verdict == ClaimVerdict::Granted) {
+    m_holdsClaim = true;
+    Route();
+    return;
   }
+  if (aReply.m_verdict == ClaimVerdict::Answered) {
+    ReplyWhole(aReply.m_answer);
+    return;
+  }
+  Refuse(RefusalForClaim(aReply.m_verdict));
 }
 
 SizeQuery CallSession::BuildSizeQuery() const
@@ -223,12 +160,7 @@
   if (m_context.m_gate.TryAdmit(m_rank, query)) {
     return true;
   }
-  const bool isLate = m_context.m_gate.LastError() == GateError::TooLate;
-  Refuse(ServerRefusal(kUnavailable,
-                       isLate ? "deadline_unreachable" : "overloaded",
-                       isLate ? "the answer would come after the deadline"
-                              : "under overload other calls go first",
-                       CallOutcome::NotRun));
+  Refuse(RefusalForGate(m_context.m_gate.LastError()));
   return false;
 }
 
@@ -272,39 +204,8 @@
 
 void CallSession::RefuseRoute()
 {
-  struct Row
-  {
-    RouteError m_error;
-    int m_status;
-    const char* m_code;
-    const char* m_message;
-  };
-  static constexpr Row kRows[] = {
-    { RouteError::NotResident,
-      kUnavailable,
-      "not_resident",
-      "no upstream can serve this now" },
-    { RouteError::AllLeaving,
-      kUnavailable,
-      "upstreams_leaving",
-      "every upstream for this is leaving" },
-    { RouteError::AllTried,
-      kBadGateway,
-      "upstreams_failed",
-      "every upstream for this has failed" },
-    { RouteError::AllBusy,
-      kUnavailable,
-      "overloaded",
-      "every upstream for this is busy" },
-  };
-  const CallOutcome outcome =
-    OutcomeOf(RetryPolicy::FinalVerdict(DescribeFailure()));
-  for (const Row& row : kRows) {
-    if (row.m_error == m_context.m_router.LastError()) {
-      Refuse(ServerRefusal(row.m_status, row.m_code, row.m_message, outcome));
-      return;
-    }
-  }
+  const RetryVerdict verdict = RetryPolicy::FinalVerdict(DescribeFailure());
+  Refuse(RefusalForRoute(m_context.m_router.LastError(), OutcomeOf(verdict)));
 }
 
 UpstreamRequest CallSession::BuildRequest(const UpstreamState& aState) const
@@ -366,10 +267,12 @@
   m_attempt.reset();
   NoteFirstByte();
   const TimePoint now = m_context.m_clock.Now();
-  const bool isEjected =
+  const HealthChange change =
     m_context.m_table.NoteEnd(m_upstream, aResult, now - m_attemptStart, now);
-  if (isEjected) {
-    m_context.m_log.Write(EventId::UpstreamEjected,
+  if (change != HealthChange::None) {
+    m_context.m_log.Write(change == HealthChange::Ejected
+                            ? EventId::UpstreamEjected
+                            : EventId::UpstreamReturned,
                           "upstream=" + m_upstream.Value());
   }
   m_context.m_metrics.ObserveLatency({ m_call.MetricLabel(), "upstream" },
@@ -382,7 +285,7 @@
   m_status = aStatus;
   m_answerHeaders = aHeaders;
   m_isStream =
-    m_call.m_wantsStream && aStatus == kOk &&
+    m_call.m_wantsStream && aStatus == HttpStatus::kOk &&
     HeaderValue(aHeaders, "Content-Type").starts_with("text/event-stream");
 }
 
@@ -416,7 +319,7 @@
   if (!events.empty()) {
     if (!m_hasAnswerBegun) {
       m_hasAnswerBegun = true;
-      m_caller->StartStream(kOk,
+      m_caller->StartStream(HttpStatus::kOk,
                             { { "Content-Type", "text/event-stream" },
                               { "Cache-Control", "no-cache" } });
     }
@@ -451,14 +354,14 @@
     EndAttempt(AttemptResult::Answered);
     m_context.m_sizes.Learn(BuildSizeQuery(), m_scanner.EventCount());
     m_caller->EndStream();
-    Finish(kOk);
+    Finish(HttpStatus::kOk);
     return;
   }
   if (m_hasAnswerBegun) {
     FailAttempt(true, "the upstream did not go on with the stream");
     return;
   }
-  if (m_status >= kFirstServerError) {
+  if (m_status >= HttpStatus::kFirstServerError) {
     // Only the upstream's own word proves that it has not begun the work.
     const bool isProvedNotRun =
       HeaderValue(m_answerHeaders, "X-Outcome") == "not_run";
@@ -466,7 +369,8 @@
                 "the upstream answered " + std::to_string(m_status));
     return;
   }
-  const bool isGarbage = m_call.m_plainService.IsEmpty() && m_status == kOk &&
+  const bool isGarbage = m_call.m_plainService.IsEmpty() &&
+                         m_status == HttpStatus::kOk &&
                          !nlohmann::json::accept(m_answer);
   if (isGarbage) {
     FailAttempt(true, "the upstream's answer is no JSON");
@@ -511,8 +415,8 @@
   m_context.m_log.Write(EventId::CallFailed,
                         "upstream=" + m_upstream.Value() + " trace=" +
                           m_span.m_context.m_traceId + " reason=" + aReason);
-  Refuse(
-    ServerRefusal(kBadGateway, "upstream_failed", aReason, OutcomeOf(verdict)));
+  Refuse(ServerRefusal(
+    HttpStatus::kBadGateway, "upstream_failed", aReason, OutcomeOf(verdict)));
 }
 
 void CallSession::EndBrokenStream(const std::string& aReason)
@@ -521,7 +425,7 @@
     // Only the end mark was lost.
     m_caller->SendChunk("data: [DONE]\n\n");
     m_caller->EndStream();
-    Finish(kOk);
+    Finish(HttpStatus::kOk);
     return;
   }
   if (TryResume()) {
@@ -553,10 +457,10 @@
   const CallOutcome outcome =
     m_call.m_mayRepeat ? CallOutcome::Failed : CallOutcome::Unknown;
   const Refusal refusal =
-    ServerRefusal(kBadGateway, "stream_broken", aReason, outcome);
+    ServerRefusal(HttpStatus::kBadGateway, "stream_broken", aReason, outcome);
   m_caller->SendChunk("event: error\ndata: " + ErrorBody(refusal) + "\n\n");
   m_caller->EndStream();
-  Finish(kBadGateway);
+  Finish(HttpStatus::kBadGateway);
 }
 
 void CallSession::DeliverWhole()
@@ -629,8 +533,10 @@
   }
   const CallOutcome outcome =
     OutcomeOf(RetryPolicy::FinalVerdict(DescribeFailure()));
-  Refuse(ServerRefusal(
-    kGatewayTimeout, "deadline_passed", "the deadline passed", outcome));
+  Refuse(ServerRefusal(HttpStatus::kGatewayTimeout,
+                       "deadline_passed",
+                       "the deadline passed",
+                       outcome));
 }
 
 void CallSession::OnCallerGone()
@@ -651,7 +557,7 @@
                              {},
                              [](bool) {});
   }
-  Finish(kClientClosed);
+  Finish(HttpStatus::kClientClosed);
 }
 
 void CallSession::Finish(int aStatus)
--- a/entry/control_link.cpp
+++ b/entry/control_link.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "http/http_status.h"
 #include "wire/claim_codec.h"
 #include "wire/message_bytes.h"
 
@@ -11,7 +12,6 @@
 
 using nlohmann::json;
 
-constexpr int kUnavailable = 503;
 constexpr Duration kFetchDeadline = std::chrono::milliseconds(2500);
 constexpr Duration kClaimDeadline = std::chrono::seconds(3);
 constexpr Duration kCloseDeadline = std::chrono::seconds(2);
@@ -151,7 +151,7 @@
 void ControlLink::PutInForce(Revision aRevision)
 {
   SettingsError error;
-  auto catalog = Catalog::Load(m_tree->dump(), aRevision, error);
+  auto catalog = Catalog::FromJson(*m_tree, aRevision, error);
   m_revision = aRevision;
   if (catalog == nullptr) {
     m_log.Write(EventId::ConfigRefused, error.Text());
@@ -255,7 +255,7 @@
   std::shared_ptr<CallerCall> call = std::move(aCall);
   const HttpHeaders headers = { { "Content-Type", "application/json" } };
   const auto refuse = [call, headers] {
-    call->Reply(kUnavailable,
+    call->Reply(HttpStatus::kUnavailable,
                 headers,
                 "{\"error\":{\"code\":\"no_control\",\"message\":\"no control "
                 "instance answers; the outcome of a change is unknown, send "
--- a/entry/entry_app.cpp
+++ b/entry/entry_app.cpp
@@ -1,4 +1,5 @@
 #include "entry/entry_app.h"
+#include "http/http_status.h"
 
 #include <algorithm>
 
@@ -10,11 +11,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kMethodNotAllowed = 405;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
 constexpr Duration kDeadlineTick = std::chrono::milliseconds(20);
 
 void ReplyJson(CallerCall& aCall, int aStatus, const json& aBody)
@@ -42,8 +38,6 @@
   : m_context(aContext)
   , m_preparer(std::move(aOwnDomain))
   , m_admin(aAdmin)
-  , m_deadlineTimer(
-      aContext.m_timers.Every(kDeadlineTick, [this] { CheckDeadlines(); }))
 {
 }
 
@@ -93,7 +87,9 @@
 {
   const Row* row = FindRow(aCall->Path());
   if (row == nullptr) {
-    Refuse(*aCall, SimpleRefusal(kNotFound, "path_not_found", "no such path"));
+    Refuse(
+      *aCall,
+      SimpleRefusal(HttpStatus::kNotFound, "path_not_found", "no such path"));
     return;
   }
   (this->*row->m_handler)(std::move(aCall));
@@ -108,15 +104,17 @@
 void EntryApp::HandleCompletion(std::unique_ptr<CallerCall> aCall)
 {
   if (aCall->Method() != "POST") {
-    Refuse(
-      *aCall,
-      SimpleRefusal(kMethodNotAllowed, "method_not_allowed", "use POST here"));
+    Refuse(*aCall,
+           SimpleRefusal(HttpStatus::kMethodNotAllowed,
+                         "method_not_allowed",
+                         "use POST here"));
     return;
   }
   if (m_catalog == nullptr) {
-    Refuse(
-      *aCall,
-      SimpleRefusal(kUnavailable, "not_ready", "no settings are in force yet"));
+    Refuse(*aCall,
+           SimpleRefusal(HttpStatus::kUnavailable,
+                         "not_ready",
+                         "no settings are in force yet"));
     return;
   }
   std::optional<PreparedCall> prepared =
@@ -131,9 +129,10 @@
 void EntryApp::HandlePlain(std::unique_ptr<CallerCall> aCall)
 {
   if (m_catalog == nullptr) {
-    Refuse(
-      *aCall,
-      SimpleRefusal(kUnavailable, "not_ready", "no settings are in force yet"));
+    Refuse(*aCall,
+           SimpleRefusal(HttpStatus::kUnavailable,
+                         "not_ready",
+                         "no settings are in force yet"));
     return;
   }
   std::optional<PreparedCall> prepared =
@@ -154,7 +153,7 @@
   };
   if (!m_context.m_limits.TryAdmit(
         aPrepared.m_service, limit, m_context.m_clock.Now())) {
-    Refusal refusal = SimpleRefusal(kTooManyRequests,
+    Refusal refusal = SimpleRefusal(HttpStatus::kTooManyRequests,
                                     "rate_limit_exceeded",
                                     "the limit of this key is reached");
     refusal.m_type = "rate_limit_error";
@@ -174,6 +173,7 @@
     [this](CallSession& aSession) { Retire(aSession); });
   CallSession* key = session.get();
   m_deadlines.emplace(key->Deadline(), key);
+  WatchDeadlines();
   m_sessions.emplace(key, std::move(session));
   key->Start();
 }
@@ -199,6 +199,14 @@
   }
 }
 
+void EntryApp::WatchDeadlines()
+{
+  if (m_deadlineTimer == nullptr) {
+    m_deadlineTimer =
+      m_context.m_timers.Every(kDeadlineTick, [this] { CheckDeadlines(); });
+  }
+}
+
 void EntryApp::CheckDeadlines()
 {
   const TimePoint now = m_context.m_clock.Now();
@@ -207,14 +215,18 @@
     m_deadlines.erase(m_deadlines.begin());
     session->HandleDeadline();
   }
+  if (m_deadlines.empty()) {
+    m_deadlineTimer.reset();
+  }
 }
 
 void EntryApp::HandleModels(std::unique_ptr<CallerCall> aCall)
 {
   if (m_catalog == nullptr) {
-    Refuse(
-      *aCall,
-      SimpleRefusal(kUnavailable, "not_ready", "no settings are in force yet"));
+    Refuse(*aCall,
+           SimpleRefusal(HttpStatus::kUnavailable,
+                         "not_ready",
+                         "no settings are in force yet"));
     return;
   }
   const auto service = m_preparer.Authenticate(*aCall, *m_catalog);
@@ -235,25 +247,28 @@
                      { "naming_scheme", entry.m_scheme.Value() },
                      { "reaches", entry.m_target.EngineName() } });
   }
-  ReplyJson(*aCall, kOk, { { "object", "list" }, { "data", list } });
+  ReplyJson(
+    *aCall, HttpStatus::kOk, { { "object", "list" }, { "data", list } });
 }
 
 void EntryApp::HandleHealth(std::unique_ptr<CallerCall> aCall)
 {
-  ReplyJson(*aCall, kOk, { { "status", "ok" } });
+  ReplyJson(*aCall, HttpStatus::kOk, { { "status", "ok" } });
 }
 
 void EntryApp::HandleReady(std::unique_ptr<CallerCall> aCall)
 {
   const bool isReady = !m_isDraining && m_catalog != nullptr;
-  ReplyJson(*aCall, isReady ? kOk : kUnavailable, { { "ready", isReady } });
+  ReplyJson(*aCall,
+            isReady ? HttpStatus::kOk : HttpStatus::kUnavailable,
+            { { "ready", isReady } });
 }
 
 void EntryApp::HandleMetrics(std::unique_ptr<CallerCall> aCall)
 {
   m_context.m_metrics.SetGauge("celeryspread_calls_in_progress",
                                static_cast<double>(m_sessions.size()));
-  aCall->Reply(kOk,
+  aCall->Reply(HttpStatus::kOk,
                { { "Content-Type", "text/plain; version=0.0.4" } },
                m_context.m_metrics.PrometheusText());
 }
@@ -270,7 +285,7 @@
   const uint64_t revision =
     m_catalog == nullptr ? 0 : m_catalog->CurrentRevision().Value();
   ReplyJson(*aCall,
-            kOk,
+            HttpStatus::kOk,
             { { "revision", revision },
               { "calls", m_sessions.size() },
               { "draining", m_isDraining },
@@ -281,7 +296,7 @@
 {
   if (m_admin == nullptr) {
     Refuse(*aCall,
-           SimpleRefusal(kUnavailable,
+           SimpleRefusal(HttpStatus::kUnavailable,
                          "no_control",
                          "this instance knows no control instance"));
     return;
--- a/entry/entry_app.h
+++ b/entry/entry_app.h
@@ -67,6 +67,7 @@
   void HandleAdmin(std::unique_ptr<CallerCall> aCall);
   void StartSession(std::unique_ptr<CallerCall> aCall, PreparedCall aPrepared);
   void Retire(CallSession& aSession);
+  void WatchDeadlines();
   void CheckDeadlines();
   void Refuse(CallerCall& aCall, const Refusal& aRefusal);
 
--- /dev/null
+++ b/http/http_status.h
@@ -0,0 +1,27 @@
+#pragma once
+
+namespace celeryspread {
+
+/// HTTP status codes that the system gives or looks for.
+struct HttpStatus
+{
+  static constexpr int kOk = 200;
+  static constexpr int kBadRequest = 400;
+  static constexpr int kUnauthorized = 401;
+  static constexpr int kForbidden = 403;
+  static constexpr int kNotFound = 404;
+  static constexpr int kMethodNotAllowed = 405;
+  static constexpr int kConflict = 409;
+  static constexpr int kTooLarge = 413;
+  static constexpr int kUnprocessable = 422;
+  static constexpr int kTooManyRequests = 429;
+  /// Not a registered code: the caller closed the connection.
+  static constexpr int kClientClosed = 499;
+  static constexpr int kFirstServerError = 500;
+  static constexpr int kBadGateway = 502;
+  static constexpr int kUnavailable = 503;
+  static constexpr int kGatewayTimeout = 504;
+  static constexpr int kInsufficientStorage = 507;
+};
+
+} // namespace celeryspread
--- a/reports/report_poller.cpp
+++ b/reports/report_poller.cpp
@@ -1,4 +1,5 @@
 #include "reports/report_poller.h"
+#include "http/http_status.h"
 
 namespace celeryspread {
 
@@ -6,7 +7,6 @@
 
 constexpr Duration kReportTimeout = std::chrono::seconds(2);
 constexpr size_t kMaxReportBytes = 1'048'576;
-constexpr int kOk = 200;
 
 } // namespace
 
@@ -53,7 +53,8 @@
   {
     m_isOver = true;
     const std::optional<LoadReport> report =
-      m_status == kOk ? ParseLoadReport(m_body, m_askedAt) : std::nullopt;
+      m_status == HttpStatus::kOk ? ParseLoadReport(m_body, m_askedAt)
+                                  : std::nullopt;
     if (!report) {
       NoteLost("the page is not a load report");
       return;
--- a/routing/upstream_table.cpp
+++ b/routing/upstream_table.cpp
@@ -119,40 +119,42 @@
   state->NoteChange(aNow, 1);
 }
 
-bool UpstreamTable::NoteEnd(const UpstreamId& aId,
-                            AttemptResult aResult,
-                            Duration aElapsed,
-                            TimePoint aNow)
+HealthChange UpstreamTable::NoteEnd(const UpstreamId& aId,
+                                    AttemptResult aResult,
+                                    Duration aElapsed,
+                                    TimePoint aNow)
 {
   UpstreamState* state = Find(aId);
   if (state == nullptr) {
-    return false;
+    return HealthChange::None;
   }
   if (state->m_outstanding > 0) {
     --state->m_outstanding;
   }
   state->NoteChange(aNow, -1);
   if (aResult == AttemptResult::Cancelled) {
-    return false;
+    return HealthChange::None;
   }
   if (aResult == AttemptResult::Answered) {
+    const bool wasEjected =
+      state->m_consecutiveFailures >= kFailuresBeforeEjection;
     state->m_consecutiveFailures = 0;
     state->m_ejectedUntil = TimePoint();
     const Duration change = aElapsed - state->m_serviceTime;
     state->m_serviceTime += state->m_serviceTime == Duration::zero()
                               ? change
                               : change / kSmoothingDivisor;
-    return false;
+    return wasEjected ? HealthChange::Returned : HealthChange::None;
   }
   ++state->m_consecutiveFailures;
   if (state->m_consecutiveFailures < kFailuresBeforeEjection) {
-    return false;
+    return HealthChange::None;
   }
   const uint32_t doublings =
     std::min(state->m_consecutiveFailures - kFailuresBeforeEjection,
              kMaxEjectionDoublings);
   state->m_ejectedUntil = aNow + kFirstEjection * (1U << doublings);
-  return true;
+  return HealthChange::Ejected;
 }
 
 std::vector<ReportPoller::Source> UpstreamTable::ReportSources() const
--- a/routing/upstream_table.h
+++ b/routing/upstream_table.h
@@ -21,6 +21,14 @@
   Cancelled
 };
 
+/// What the end of a call changed about its upstream.
+enum class HealthChange
+{
+  None,
+  Ejected,
+  Returned
+};
+
 /// State of every known upstream, indexed by what each can serve, so that a
 /// decision costs nothing for upstreams that do not hold the model.
 /// @thread loop thread only.
@@ -48,11 +56,10 @@
   /// @pre NoteAwaiting(aId, aStart) came before, and this did not.
   void NoteFirstToken(const UpstreamId& aId, TimePoint aStart, TimePoint aNow);
   /// Notes that a call ended. @pre NoteStart() came before.
-  /// @return true when the upstream was ejected by this failure.
-  bool NoteEnd(const UpstreamId& aId,
-               AttemptResult aResult,
-               Duration aElapsed,
-               TimePoint aNow);
+  HealthChange NoteEnd(const UpstreamId& aId,
+                       AttemptResult aResult,
+                       Duration aElapsed,
+                       TimePoint aNow);
   /// Returns the upstreams on which an engine name is resident. @pre none.
   [[nodiscard]] const Candidates& HoldersOf(std::string_view aEngineName) const;
   /// Returns the upstreams of a plain service. @pre none.
--- a/scripts/check_runs.py
+++ b/scripts/check_runs.py
@@ -182,6 +182,16 @@
     return executions
 
 
+def check_quiet_entries(deployment, history):
+    """An entry without settings must wait for them, not ask in a loop."""
+    limit = 256 * 1024
+    time.sleep(2)
+    for entry in deployment.entries:
+        for line in ask(entry.port, "GET", "/metrics").body.decode().splitlines():
+            if line.startswith("celeryspread_wire_bytes ") and float(line.split()[1]) > limit:
+                history.problem(f"{entry.name} moved {line.split()[1]} bytes without settings")
+
+
 def run(seconds, seed):
     deployment = Deployment(engines=2)
     history = History()
@@ -189,6 +199,7 @@
     faults = Faults(deployment, seed)
     try:
         deployment.start()
+        check_quiet_entries(deployment, history)
         deployment.apply(deployment.tree())
         deployment.wait_for_revision(1)
         deployment.wait_for_models(["advice@v2"])
--- a/settings/object_reader.cpp
+++ b/settings/object_reader.cpp
@@ -43,7 +43,7 @@
   if (!m_isObject) {
     return nullptr;
   }
-  const auto found = m_object.find(std::string(aKey));
+  const auto found = m_object.find(aKey);
   return found == m_object.end() ? nullptr : &*found;
 }
 
@@ -55,6 +55,11 @@
     { m_path + "/" + std::string(aKey), Shown(aValue), std::move(aExpected) });
 }
 
+bool ObjectReader::Has(std::string_view aKey) const
+{
+  return m_isObject && m_object.find(aKey) != m_object.end();
+}
+
 std::string ObjectReader::Text(std::string_view aKey, std::string aMissing)
 {
   const nlohmann::json* value = Take(aKey);
--- a/settings/object_reader.h
+++ b/settings/object_reader.h
@@ -23,6 +23,8 @@
                std::string aPath,
                std::vector<SettingsError>& aErrors);
 
+  /// Tells whether a field is there. @pre none.
+  [[nodiscard]] bool Has(std::string_view aKey) const;
   /// Reads an optional text. @pre none. @error aMissing when absent or wrong.
   std::string Text(std::string_view aKey, std::string aMissing = "");
   /// Reads a text that must be there and not empty. @pre none.
--- a/settings/tree_parser.cpp
+++ b/settings/tree_parser.cpp
@@ -39,15 +39,20 @@
 
 std::optional<SettingsTree> TreeParser::Parse(std::string_view aText)
 {
-  m_tree = SettingsTree();
-  m_errors.clear();
   JsonReader reader{ JsonLimits{} };
   const std::optional<json> document = reader.Parse(aText);
   if (!document) {
-    m_errors.push_back({ "/", "unreadable text", reader.LastReason() });
+    m_errors = { { "/", "unreadable text", reader.LastReason() } };
     return std::nullopt;
   }
-  ObjectReader root(*document, "", m_errors);
+  return Read(*document);
+}
+
+std::optional<SettingsTree> TreeParser::Read(const json& aDocument)
+{
+  m_tree = SettingsTree();
+  m_errors.clear();
+  ObjectReader root(aDocument, "", m_errors);
   m_tree.m_settings = ReadSettings(root, "");
   ReadSchemes(root);
   ReadRegions(root);
@@ -82,6 +87,10 @@
                                        const std::string& aPath)
 {
   SettingValues values;
+  // Most levels state nothing, and a large tree has thousands of them.
+  if (!aOwner.Has("settings")) {
+    return values;
+  }
   json fields = json::object();
   aOwner.ForEach("settings",
                  [&](const std::string& aName, const json& aValue, auto&&) {
--- a/settings/tree_parser.h
+++ b/settings/tree_parser.h
@@ -22,6 +22,9 @@
   /// Parses and checks a whole tree. @pre none.
   /// @error empty result; Errors() lists every fault found.
   std::optional<SettingsTree> Parse(std::string_view aText);
+  /// Checks a tree that is JSON already, which spares parsing its text.
+  /// @pre none. @error empty result; Errors() lists every fault found.
+  std::optional<SettingsTree> Read(const nlohmann::json& aDocument);
   /// Returns the faults of the last Parse(). @pre none.
   [[nodiscard]] const std::vector<SettingsError>& Errors() const
   {
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -127,6 +127,11 @@
     isBack = isBack || Choose() == "e1";
   }
   EXPECT_TRUE(isBack);
+  m_table.NoteStart(UpstreamId("e1"), At(m_now));
+  EXPECT_EQ(
+    m_table.NoteEnd(
+      UpstreamId("e1"), AttemptResult::Answered, Duration(1), At(m_now)),
+    HealthChange::Returned);
 }
 
 TEST_F(RouterTest, AllEjectedStillServes)
--- a/tools/fake_engine_server.cpp
+++ b/tools/fake_engine_server.cpp
@@ -1,4 +1,5 @@
 #include "tools/fake_engine_server.h"
+#include "http/http_status.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -11,11 +12,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kInsufficient = 507;
 constexpr Duration kLeastInterval(100);
 constexpr std::string_view kRepository = "/v2/repository/models/";
 constexpr std::string_view kAdapterOrder = "load_lora_adapter";
@@ -91,7 +87,8 @@
   void Start()
   {
     if (m_wantsStream) {
-      m_call->StartStream(kOk, { { "Content-Type", "text/event-stream" } });
+      m_call->StartStream(HttpStatus::kOk,
+                          { { "Content-Type", "text/event-stream" } });
     }
     const auto interval =
       Directive(m_prompt,
@@ -208,7 +205,7 @@
                           { "message", message },
                           { "finish_reason", "stop" } };
     ReplyJson(*m_call,
-              kOk,
+              HttpStatus::kOk,
               { { "object", "chat.completion" },
                 { "model", m_model },
                 { "choices", json::array({ choice }) } });
@@ -253,7 +250,7 @@
   } else if (path.starts_with(kRepository) || path.ends_with(kAdapterOrder)) {
     HandleOrder(std::move(aCall));
   } else {
-    ReplyJson(*aCall, kNotFound, { { "error", "no such path" } });
+    ReplyJson(*aCall, HttpStatus::kNotFound, { { "error", "no such path" } });
   }
 }
 
@@ -261,15 +258,16 @@
 {
   const json body = json::parse(aCall->Body(), nullptr, false);
   if (!body.is_object()) {
-    ReplyJson(*aCall, kBadRequest, { { "error", "no JSON" } });
+    ReplyJson(*aCall, HttpStatus::kBadRequest, { { "error", "no JSON" } });
     return;
   }
   if (!m_options.m_resident.contains(body.value("model", ""))) {
-    ReplyJson(*aCall, kNotFound, { { "error", "model is not resident" } });
+    ReplyJson(
+      *aCall, HttpStatus::kNotFound, { { "error", "model is not resident" } });
     return;
   }
-  const int64_t status = Directive(PromptOf(body), "status", kOk);
-  if (status != kOk) {
+  const int64_t status = Directive(PromptOf(body), "status", HttpStatus::kOk);
+  if (status != HttpStatus::kOk) {
     aCall->Reply(static_cast<int>(status),
                  { { "X-Outcome", "not_run" } },
                  "{\"error\":\"refused\"}");
@@ -308,14 +306,14 @@
       page += "engine_loading{model=\"" + name + "\"} 1\n";
     }
   }
-  aCall.Reply(kOk, { { "Content-Type", "text/plain" } }, page);
+  aCall.Reply(HttpStatus::kOk, { { "Content-Type", "text/plain" } }, page);
 }
 
 void FakeEngine::HandleOrder(std::unique_ptr<CallerCall> aCall)
 {
   const json body = json::parse(aCall->Body(), nullptr, false);
   if (!body.is_object()) {
-    ReplyJson(*aCall, kBadRequest, { { "error", "no JSON" } });
+    ReplyJson(*aCall, HttpStatus::kBadRequest, { { "error", "no JSON" } });
     return;
   }
   const std::string path(aCall->Path());
@@ -327,7 +325,8 @@
   }
   const auto token = body.value("fencing_token", uint64_t{ 0 });
   if (m_options.m_checksFencing && token < m_fencingToken) {
-    ReplyJson(*aCall, kConflict, { { "error", "old fencing token" } });
+    ReplyJson(
+      *aCall, HttpStatus::kConflict, { { "error", "old fencing token" } });
     return;
   }
   m_fencingToken = std::max(m_fencingToken, token);
@@ -341,7 +340,9 @@
                       held + bytes > m_options.m_memoryBytes;
   if (isFull) {
     m_peakMemory = std::max(m_peakMemory, held + bytes);
-    ReplyJson(*aCall, kInsufficient, { { "error", "out of memory" } });
+    ReplyJson(*aCall,
+              HttpStatus::kInsufficientStorage,
+              { { "error", "out of memory" } });
     return;
   }
   if (isLoad) {
@@ -353,7 +354,7 @@
     m_timers.After(isLoad ? m_options.m_loadTime : Duration::zero(),
                    [this, call, name, isLoad, bytes] {
                      ApplyOrder(name, isLoad, bytes);
-                     ReplyJson(*call, kOk, json::object());
+                     ReplyJson(*call, HttpStatus::kOk, json::object());
                    }));
 }
 
