--- /dev/null
+++ b/tests/placement/memory_ledger_test.cpp
@@ -0,0 +1,78 @@
+#include <gtest/gtest.h>
+
+#include "placement/memory_ledger.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+TimePoint At(int aSeconds)
+{
+  return TimePoint(std::chrono::seconds(aSeconds));
+}
+
+LoadReport Holding(std::set<std::string> aNames, int aTakenAt)
+{
+  LoadReport report;
+  report.m_resident = std::move(aNames);
+  report.m_takenAt = At(aTakenAt);
+  return report;
+}
+
+} // namespace
+
+class MemoryLedgerTest : public ::testing::Test
+{
+protected:
+  MemoryLedger m_ledger{ ByteCount(100), ByteCount(20) };
+  std::map<std::string, ByteCount> m_sizes = { { "a", ByteCount(50) },
+                                               { "b", ByteCount(40) } };
+};
+
+TEST_F(MemoryLedgerTest, AddsNothingBeforeItWasReadBack)
+{
+  EXPECT_FALSE(m_ledger.TryReserve("a", ByteCount(50), At(10)));
+  m_ledger.ApplyReport(Holding({}, 1), m_sizes);
+  EXPECT_TRUE(m_ledger.TryReserve("a", ByteCount(50), At(10)));
+  EXPECT_FALSE(m_ledger.TryReserve("b", ByteCount(40), At(10)));
+  EXPECT_EQ(m_ledger.Free(), ByteCount(30));
+}
+
+TEST_F(MemoryLedgerTest, KeepsALoadUntilAReportAfterItsLife)
+{
+  m_ledger.ApplyReport(Holding({}, 1), m_sizes);
+  ASSERT_TRUE(m_ledger.TryReserve("a", ByteCount(50), At(10)));
+  m_ledger.ApplyReport(Holding({}, 9), m_sizes);
+  EXPECT_EQ(m_ledger.Free(), ByteCount(30));
+  m_ledger.ApplyReport(Holding({}, 10), m_sizes);
+  EXPECT_EQ(m_ledger.Free(), ByteCount(80));
+}
+
+TEST_F(MemoryLedgerTest, AnUnloadFreesOnlyByTheEnginesWord)
+{
+  m_ledger.ApplyReport(Holding({ "a" }, 1), m_sizes);
+  m_ledger.NoteUnload("a", At(10));
+  EXPECT_EQ(m_ledger.Free(), ByteCount(30));
+  m_ledger.ApplyReport(Holding({}, 5), m_sizes);
+  EXPECT_EQ(m_ledger.Free(), ByteCount(30));
+  m_ledger.NoteSettled("a", At(6));
+  m_ledger.ApplyReport(Holding({}, 6), m_sizes);
+  EXPECT_EQ(m_ledger.Free(), ByteCount(80));
+}
+
+TEST_F(MemoryLedgerTest, SomethingOfUnknownSizeFillsTheEngine)
+{
+  m_ledger.ApplyReport(Holding({ "stranger" }, 1), m_sizes);
+  EXPECT_EQ(m_ledger.Free(), ByteCount());
+}
+
+TEST_F(MemoryLedgerTest, WhatLoadsTakesMemoryAlready)
+{
+  LoadReport report = Holding({}, 1);
+  report.m_loading = { "a" };
+  m_ledger.ApplyReport(report, m_sizes);
+  EXPECT_EQ(m_ledger.Free(), ByteCount(30));
+  EXPECT_EQ(m_ledger.Contents().at("a").m_state, ResidencyState::Loading);
+}
+
+} // namespace celeryspread::test
