--- a/tools/virtual_world.h
+++ b/tools/virtual_world.h
@@ -86,7 +86,7 @@
                                std::function<void()> aAction) override
   {
     auto timer = std::make_unique<VirtualTimer>();
-    Repeat(aPeriod, std::move(aAction), timer->m_isLive);
+    Repeat(aPeriod, aAction, timer->m_isLive);
     return timer;
   }
 
@@ -98,8 +98,8 @@
   };
 
   void Repeat(Duration aPeriod,
-              std::function<void()> aAction,
-              std::shared_ptr<bool> aIsLive)
+              const std::function<void()>& aAction,
+              const std::shared_ptr<bool>& aIsLive)
   {
     m_world.At(m_world.Now() + aPeriod, [=, this] {
       if (*aIsLive) {
