--- a/ledger/claim_ledger.cpp
+++ b/ledger/claim_ledger.cpp
@@ -16,32 +16,39 @@
   m_expiry.emplace(aRecord.m_expiresAt, aKey);
 }
 
-void ClaimLedger::Expire(Duration aNow)
+void ClaimLedger::ExpireKey(const Key& aKey, Duration aNow)
 {
-  for (int i = 0; i < kMaxExpiredPerCommand && !m_expiry.empty(); ++i) {
-    const auto due = m_expiry.begin();
-    if (due->first > aNow) {
-      return;
-    }
-    const Key key = due->second;
-    const Duration dueAt = due->first;
-    m_expiry.erase(due);
-    const auto found = m_claims.find(key);
-    if (found == m_claims.end() || found->second.m_expiresAt != dueAt) {
-      continue;
-    }
+  auto found = m_claims.find(aKey);
+  while (found != m_claims.end() && found->second.m_expiresAt <= aNow) {
     ClaimRecord& record = found->second;
     const bool isForgotten = record.m_state == ClaimState::Expired ||
                              record.m_state == ClaimState::NotRun;
     if (isForgotten) {
       m_claims.erase(found);
-      continue;
+      return;
     }
     record.m_state = ClaimState::Expired;
     record.m_answer = StoredAnswer();
-    record.m_expiresAt =
-      aNow + record.m_request.m_retention * kExpiredRetentions;
-    Schedule(key, record);
+    // Counted from its own end and not from now: replicas may get here at
+    // different commands.
+    record.m_expiresAt += record.m_request.m_retention * kExpiredRetentions;
+    Schedule(aKey, record);
+  }
+}
+
+void ClaimLedger::Expire(const Key& aKey, Duration aNow)
+{
+  // The key that is asked for is always brought up to date, so an answer never
+  // depends on how far the sweep of the others has come.
+  ExpireKey(aKey, aNow);
+  for (int i = 0; i < kMaxExpiredPerCommand && !m_expiry.empty(); ++i) {
+    const auto due = m_expiry.begin();
+    if (due->first > aNow) {
+      return;
+    }
+    const Key key = due->second;
+    m_expiry.erase(due);
+    ExpireKey(key, aNow);
   }
 }
 
@@ -58,8 +65,8 @@
 
 ClaimReply ClaimLedger::Claim(const ClaimRequest& aRequest, Duration aNow)
 {
-  Expire(aNow);
   const Key key{ aRequest.m_service, aRequest.m_key };
+  Expire(key, aNow);
   const auto found = m_claims.find(key);
   if (found == m_claims.end()) {
     Open(key, aRequest, aNow);
@@ -97,8 +104,8 @@
                         const StoredAnswer& aAnswer,
                         Duration aNow)
 {
-  Expire(aNow);
   const Key key{ aRequest.m_service, aRequest.m_key };
+  Expire(key, aNow);
   if (!m_claims.contains(key) && aOutcome == ClaimOutcome::NotRun) {
     // Remembered so that a claim which arrives after its own end stays dead.
     Open(key, aRequest, aNow);
@@ -129,9 +136,9 @@
 
 bool ClaimLedger::Settle(const ClaimSettlement& aSettlement, Duration aNow)
 {
-  Expire(aNow);
-  const auto found =
-    m_claims.find({ aSettlement.m_service, aSettlement.m_key });
+  const Key key{ aSettlement.m_service, aSettlement.m_key };
+  Expire(key, aNow);
+  const auto found = m_claims.find(key);
   if (found == m_claims.end()) {
     return false;
   }
--- a/ledger/claim_ledger.h
+++ b/ledger/claim_ledger.h
@@ -75,7 +75,8 @@
     auto operator<=>(const Key&) const = default;
   };
 
-  void Expire(Duration aNow);
+  void ExpireKey(const Key& aKey, Duration aNow);
+  void Expire(const Key& aKey, Duration aNow);
   void Open(const Key& aKey, const ClaimRequest& aRequest, Duration aNow);
   void Schedule(const Key& aKey, const ClaimRecord& aRecord);
 
--- a/tests/ledger/claim_ledger_test.cpp
+++ b/tests/ledger/claim_ledger_test.cpp
@@ -84,6 +84,36 @@
   EXPECT_FALSE(ledger.Settle(settlement, kNow));
 }
 
+TEST(ClaimLedgerTest, RestoredReplicaAnswersLikeTheOthers)
+{
+  constexpr int kKeys = 400;
+  ClaimLedger ledger;
+  const auto request = [](int aKey, const std::string& aAttempt) {
+    return ClaimRequest{ ServiceId("desk"),
+                         ClaimKey("k" + std::to_string(aKey)),
+                         1,
+                         aAttempt,
+                         kRetention };
+  };
+  // Keys are claimed against their order, so that a sweep in order of time
+  // and one in order of keys would reach them differently.
+  for (int key = kKeys; key > 0; --key) {
+    ledger.Claim(request(key, "a"), kNow);
+    if (key % 2 == 0) {
+      ledger.Close(request(key, "a"), ClaimOutcome::NotRun, {}, kNow);
+    }
+  }
+  ClaimLedger restored;
+  restored.Restore(ledger.Records());
+  const Duration later = kNow + kRetention + std::chrono::seconds(1);
+  for (int key = 1; key <= kKeys; ++key) {
+    const ClaimVerdict expected =
+      key % 2 == 0 ? ClaimVerdict::Granted : ClaimVerdict::Expired;
+    EXPECT_EQ(ledger.Claim(request(key, "a"), later).m_verdict, expected);
+    EXPECT_EQ(restored.Claim(request(key, "a"), later).m_verdict, expected);
+  }
+}
+
 TEST(ClaimLedgerTest, RestoreKeepsEverything)
 {
   ClaimLedger ledger;
