--- a/control/commands.cpp
+++ b/control/commands.cpp
@@ -44,6 +44,12 @@
     out.setReason(aSettlement.m_reason);
     out.setHasRun(aSettlement.m_hasRun);
   }
+  void operator()(const RouteChange& aChange)
+  {
+    auto out = m_out.initRouteChange();
+    out.setVersion(aChange.m_version.Value());
+    out.setDocument(DataOf(aChange.m_document));
+  }
 
 private:
   wire::Command::Builder m_out;
@@ -82,6 +88,12 @@
                          settle.getHasRun() };
       break;
     }
+    case wire::Command::ROUTE_CHANGE: {
+      const auto change = aIn.getRouteChange();
+      command.m_body = RouteChange{ Revision(change.getVersion()),
+                                    BytesOf(change.getDocument()) };
+      break;
+    }
   }
   return command;
 }
--- a/control/commands.h
+++ b/control/commands.h
@@ -27,12 +27,26 @@
   StoredAnswer m_answer;
 };
 
+/// A whole route configuration; the highest version is in force.
+struct RouteChange
+{
+  Revision m_version;
+  std::string m_document;
+
+  /// Compares all fields. @pre none. @thread any.
+  bool operator==(const RouteChange&) const = default;
+};
+
 /// One command of the replicated log.
 struct Command
 {
   /// The leader's wall time, so that every replica sees the same.
   Duration m_now{};
-  std::variant<SettingsChange, ClaimRequest, CloseClaim, ClaimSettlement>
+  std::variant<SettingsChange,
+               ClaimRequest,
+               CloseClaim,
+               ClaimSettlement,
+               RouteChange>
     m_body;
 };
 
--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -28,6 +28,8 @@
 };
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+/// How often leadership, routes and engines are looked after.
+constexpr Duration kFleetPeriod = std::chrono::milliseconds(50);
 constexpr Duration kJoinPeriod = std::chrono::milliseconds(500);
 constexpr size_t kMinClusterKeyBytes = 16;
 constexpr const char* kFirstReplicaSuffix = ".1";
@@ -47,9 +49,12 @@
 class ControlProcess::Impl : public CallHandler
 {
 public:
-  Impl(InstanceSettings aSettings, ControlStart aStart)
+  Impl(InstanceSettings aSettings,
+       ControlStart aStart,
+       std::optional<FleetEdges> aEdges)
     : m_settings(std::move(aSettings))
     , m_start(aStart)
+    , m_edges(std::move(aEdges))
     , m_base(event_base_new())
     , m_port(m_base.get())
     , m_random(std::random_device()())
@@ -71,7 +76,9 @@
     signal(SIGPIPE, SIG_IGN);
     m_log.Write(EventId::Started,
                 std::string("version=") + CELERYSPREAD_VERSION);
-    const auto key = ReadWholeFile(m_settings.m_clusterKeyFile);
+    const auto key = m_settings.m_clusterKey.empty()
+                       ? ReadWholeFile(m_settings.m_clusterKeyFile)
+                       : std::optional<std::string>(m_settings.m_clusterKey);
     if (!key || key->size() < kMinClusterKeyBytes) {
       m_log.Write(EventId::SettingsRefused,
                   "/cluster_key_file: expected a file of 16 bytes or more");
@@ -94,6 +101,10 @@
   {
     constexpr int kOk = 200;
     constexpr int kNotFound = 404;
+    if (m_operatorApi != nullptr && aCall->Path() != "/metrics") {
+      m_operatorApi->OnCall(std::move(aCall));
+      return;
+    }
     if (aCall->Path() == "/metrics") {
       aCall->Reply(kOk, { { "Content-Type", "text/plain" } }, MetricsPage());
       return;
@@ -181,9 +192,27 @@
       m_port, m_clock, *m_host, *m_peers, *m_admin, m_instances);
     m_service = service.get();
     m_host->SetRevisionListener([this] { m_service->NotifyRevision(); });
+    if (m_edges) {
+      AssembleFleet();
+    }
     m_node = kj::mv(service);
   }
 
+  void AssembleFleet()
+  {
+    m_engineControl = m_edges->m_makeEngineControl(m_client, m_log);
+    m_owner = std::make_unique<FleetOwner>(
+      FleetOwner::Parts{ m_clock, m_timers, *m_engineControl, m_log },
+      m_edges->m_limits,
+      [this] { return m_host->HasLease(); });
+    m_fleet = std::make_unique<FleetService>(FleetService::Parts{
+      m_port, m_clock, *m_host, *m_owner, *m_edges->m_documents, m_log });
+    m_routeAdmin =
+      std::make_unique<RouteAdmin>(*m_host, *m_edges->m_documents);
+    m_operatorApi = m_edges->m_makeOperatorApi(*m_routeAdmin);
+    m_service->SetFleet(*m_fleet);
+  }
+
   bool Listen(const ClusterKey& aKey)
   {
     m_wire =
@@ -211,6 +240,12 @@
       JoinIfNeeded();
       m_service->ReportInstances();
     });
+    if (m_fleet != nullptr) {
+      m_fleetTimer =
+        m_timers.Every(kFleetPeriod, [this] { m_fleet->Tick(); });
+    }
+    event* onHangUp = evsignal_new(m_base.get(), SIGHUP, OnHangUp, this);
+    event_add(onHangUp, nullptr);
     event* onTerm = evsignal_new(m_base.get(), SIGTERM, OnSignal, this);
     event* onInterrupt = evsignal_new(m_base.get(), SIGINT, OnSignal, this);
     event_add(onTerm, nullptr);
@@ -218,6 +253,27 @@
     event_base_dispatch(m_base.get());
     event_free(onTerm);
     event_free(onInterrupt);
+    event_free(onHangUp);
+  }
+
+  static void OnHangUp(int /*aSignal*/, short /*aWhat*/, void* aSelf)
+  {
+    static_cast<Impl*>(aSelf)->Reload();
+  }
+
+  void Reload()
+  {
+    if (!m_edges) {
+      return;
+    }
+    const auto peers = m_edges->m_reloadPeers();
+    if (!peers) {
+      m_log.Write(EventId::SettingsRefused, "the earlier ones stay in force");
+      return;
+    }
+    m_settings.m_control = *peers;
+    m_log.Write(EventId::SettingsReloaded,
+                "peers=" + std::to_string(peers->size()));
   }
 
   static void OnSignal(int /*aSignal*/, short /*aWhat*/, void* aSelf)
@@ -280,6 +336,7 @@
 
   InstanceSettings m_settings;
   ControlStart m_start;
+  std::optional<FleetEdges> m_edges;
   std::unique_ptr<event_base, EventBaseDeleter> m_base;
   LoopPort m_port;
   SystemClock m_clock;
@@ -296,6 +353,12 @@
   std::unique_ptr<PlacementRunner> m_placement;
   ControlService* m_service = nullptr;
   kj::Maybe<wire::ControlNode::Client> m_node;
+  std::unique_ptr<EngineControl> m_engineControl;
+  std::unique_ptr<FleetOwner> m_owner;
+  std::unique_ptr<FleetService> m_fleet;
+  std::unique_ptr<RouteAdmin> m_routeAdmin;
+  std::unique_ptr<CallHandler> m_operatorApi;
+  std::unique_ptr<Timer> m_fleetTimer;
   std::unique_ptr<WireServer> m_wire;
   CallerServer m_server;
   std::unique_ptr<Timer> m_tick;
@@ -303,7 +366,16 @@
 };
 
 ControlProcess::ControlProcess(InstanceSettings aSettings, ControlStart aStart)
-  : m_impl(std::make_unique<Impl>(std::move(aSettings), aStart))
+  : m_impl(std::make_unique<Impl>(std::move(aSettings), aStart, std::nullopt))
+{
+}
+
+ControlProcess::ControlProcess(InstanceSettings aSettings,
+                               ControlStart aStart,
+                               FleetEdges aEdges)
+  : m_impl(std::make_unique<Impl>(std::move(aSettings),
+                                  aStart,
+                                  std::move(aEdges)))
 {
 }
 
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -314,6 +314,23 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> ControlService::follow(FollowContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  return m_fleet->Follow(
+    aContext.getParams().getRequest(),
+    [aContext]() mutable { return aContext.getResults().initReply(); });
+}
+
+kj::Promise<void> ControlService::loadAdapter(LoadAdapterContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  return m_fleet->LoadAdapter(aContext.getParams().getRequest())
+    .then([aContext](std::string&& aEngine) mutable {
+      aContext.getResults().setEngine(aEngine);
+    });
+}
+
 kj::Promise<void> ControlService::join(JoinContext aContext)
 {
   const auto replica = aContext.getParams().getReplica();
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -3,6 +3,7 @@
 #include <list>
 
 #include "control/admin_api.h"
+#include "control/fleet_service.h"
 #include "control/peer_links.h"
 
 namespace celeryspread {
@@ -21,6 +22,9 @@
                  AdminApi& aAdmin,
                  InstanceRegistry& aInstances);
 
+  /// Offers what entries of routed calls need. @pre aFleet outlives the
+  /// service.
+  void SetFleet(FleetService& aFleet) { m_fleet = &aFleet; }
   /// Answers the fetches that wait for a change. @pre none.
   void NotifyRevision();
   /// Tells the leader which entries follow settings here. @pre none.
@@ -35,6 +39,8 @@
   kj::Promise<void> closeClaim(CloseClaimContext aContext) override;
   kj::Promise<void> join(JoinContext aContext) override;
   kj::Promise<void> reportInstances(ReportInstancesContext aContext) override;
+  kj::Promise<void> follow(FollowContext aContext) override;
+  kj::Promise<void> loadAdapter(LoadAdapterContext aContext) override;
 
 private:
   /// Returns a working link to the leader, null when there is none or this
@@ -53,6 +59,7 @@
   PeerLinks& m_peers;
   AdminApi& m_admin;
   InstanceRegistry& m_instances;
+  FleetService* m_fleet = nullptr;
   std::list<kj::Own<kj::PromiseFulfiller<void>>> m_waiting;
 };
 
--- a/control/state_machine.cpp
+++ b/control/state_machine.cpp
@@ -47,6 +47,13 @@
       close->m_request, close->m_outcome, close->m_answer, command->m_now);
     return CloseResult{};
   }
+  if (const auto* routes = std::get_if<RouteChange>(&command->m_body)) {
+    // Overtaken versions are acknowledged and change nothing.
+    if (routes->m_version > m_routes.m_version) {
+      m_routes = *routes;
+    }
+    return RouteResult{ m_routes.m_version };
+  }
   return SettleResult{ m_claims.Settle(
     std::get<ClaimSettlement>(command->m_body), command->m_now) };
 }
@@ -71,6 +78,9 @@
   for (unsigned i = 0; i < claims.size(); ++i) {
     WriteClaim(records[i], claims[i]);
   }
+  auto routes = out.initRoutes();
+  routes.setVersion(m_routes.m_version.Value());
+  routes.setDocument(DataOf(m_routes.m_document));
   return FlatBytes(message);
 }
 
@@ -93,6 +103,9 @@
       m_settings.Restore(
         Revision(aIn.getRevision()), TextOf(aIn.getTree()), std::move(changes));
       m_claims.Restore(std::move(claims));
+      const auto routes = aIn.getRoutes();
+      m_routes = { Revision(routes.getVersion()),
+                   BytesOf(routes.getDocument()) };
       return true;
     });
   return isRead.value_or(false);
--- a/control/state_machine.h
+++ b/control/state_machine.h
@@ -19,11 +19,17 @@
 struct CloseResult
 {};
 
+/// Answer to a route change: the version in force afterwards.
+struct RouteResult
+{
+  Revision m_inForce;
+};
+
 /// What applying a command gave.
-using CommandResult =
-  std::variant<ChangeResult, ClaimReply, CloseResult, SettleResult>;
+using CommandResult = std::
+  variant<ChangeResult, ClaimReply, CloseResult, SettleResult, RouteResult>;
 
-/// The system's own state: settings and claims.
+/// The system's own state: settings, claims and the route configuration.
 /// @thread loop thread only.
 class StateMachine
 {
@@ -38,10 +44,14 @@
   [[nodiscard]] const SettingsStore& Settings() const { return m_settings; }
   /// Returns the claims. @pre none.
   [[nodiscard]] const ClaimLedger& Claims() const { return m_claims; }
+  /// Returns the route configuration in force; version 0 before the first.
+  /// @pre none.
+  [[nodiscard]] const RouteChange& Routes() const { return m_routes; }
 
 private:
   SettingsStore m_settings;
   ClaimLedger m_claims;
+  RouteChange m_routes;
 };
 
 } // namespace celeryspread
--- a/core/ids.h
+++ b/core/ids.h
@@ -76,6 +76,7 @@
 };
 
 using AdapterId = StrongId<struct AdapterTag>;
+using AttemptId = StrongId<struct AttemptTag>;
 using ChangeId = StrongId<struct ChangeTag>;
 using ClaimKey = StrongId<struct ClaimKeyTag>;
 using FailureDomainId = StrongId<struct FailureDomainTag>;
@@ -83,8 +84,10 @@
 using MemberId = StrongId<struct MemberTag>;
 using ModelId = StrongId<struct ModelTag>;
 using OperatorId = StrongId<struct OperatorTag>;
+using PoolId = StrongId<struct PoolTag>;
 using PlainServiceId = StrongId<struct PlainServiceTag>;
 using RegionId = StrongId<struct RegionTag>;
+using RouteId = StrongId<struct RouteTag>;
 using SchemeId = StrongId<struct SchemeTag>;
 using ServiceId = StrongId<struct ServiceTag>;
 using UpstreamId = StrongId<struct UpstreamTag>;
--- /dev/null
+++ b/fleet/fleet_owner.cpp
@@ -0,0 +1,297 @@
+#include "fleet/fleet_owner.h"
+
+#include <algorithm>
+
+namespace celeryspread {
+
+namespace {
+
+/// The list itself lags by most of a second; reading it more often than this
+/// brings little.
+constexpr Duration kListPeriod = std::chrono::milliseconds(700);
+constexpr Duration kPlanPeriod = std::chrono::milliseconds(1000);
+/// Added to the lease of the owner before, for the time that its last order
+/// is on its way.
+constexpr Duration kOrderFlight = std::chrono::milliseconds(300);
+
+} // namespace
+
+FleetOwner::FleetOwner(Parts aParts,
+                       Limits aLimits,
+                       std::function<bool()> aHasLease)
+  : m_parts(aParts)
+  , m_limits(std::move(aLimits))
+  , m_hasLease(std::move(aHasLease))
+  , m_orders({ aParts.m_clock,
+               aParts.m_timers,
+               aParts.m_control,
+               m_directory,
+               aParts.m_log },
+             m_limits.m_owner,
+             [this](const PoolId& aPool) { return SpecOf(aPool); },
+             m_hasLease)
+{
+}
+
+FleetOwner::~FleetOwner() = default;
+
+const EngineSpec* FleetOwner::SpecOf(const PoolId& aPool) const
+{
+  const Pool* pool = m_config == nullptr ? nullptr : m_config->FindPool(aPool);
+  const bool isEngines = pool != nullptr && pool->m_engine.has_value();
+  return isEngines ? &*pool->m_engine : nullptr;
+}
+
+void FleetOwner::Begin(FencingToken aTerm)
+{
+  const TimePoint now = m_parts.m_clock.Now();
+  End();
+  m_term = aTerm;
+  m_orders.Begin(aTerm, now + m_limits.m_ownerLease + kOrderFlight);
+  m_listDue = now;
+  m_planDue = now + kPlanPeriod;
+  for (auto& [pool, budget] : m_budgets) {
+    budget.AssumeSpent(now);
+  }
+}
+
+void FleetOwner::End()
+{
+  ++m_generation;
+  m_term.reset();
+  m_isReadingList = false;
+  m_orders.End();
+  m_directory.Clear();
+  m_demand.Clear();
+}
+
+void FleetOwner::SetConfig(std::shared_ptr<const RouteConfig> aConfig)
+{
+  m_config = std::move(aConfig);
+  for (const Pool& pool : m_config->Pools()) {
+    if (pool.m_engine) {
+      m_budgets[pool.m_id].SetLimits(pool.m_engine->m_storeLoadsPerSecond,
+                                     m_limits.m_storeWindow);
+    }
+  }
+}
+
+void FleetOwner::Tick()
+{
+  if (!m_term) {
+    return;
+  }
+  const TimePoint now = m_parts.m_clock.Now();
+  if (now >= m_listDue && !m_isReadingList) {
+    ReadList();
+  }
+  m_orders.Tick();
+  if (now >= m_planDue) {
+    m_planDue = now + kPlanPeriod;
+    m_demand.Tick(now);
+    Plan(now);
+  }
+}
+
+void FleetOwner::ReadList()
+{
+  m_isReadingList = true;
+  m_listDue = m_parts.m_clock.Now() + kListPeriod;
+  m_parts.m_control.ReadList(
+    [this, generation = m_generation](
+      std::optional<std::vector<EngineRecord>> aList) {
+      if (generation != m_generation) {
+        return;
+      }
+      m_isReadingList = false;
+      if (!aList) {
+        m_parts.m_log.Write(EventId::PlatformListLost, "");
+        return;
+      }
+      const auto news =
+        m_directory.ApplyList(std::move(*aList), m_parts.m_clock.Now());
+      for (const UpstreamId& id : news.m_appeared) {
+        m_orders.Forget(id);
+        m_parts.m_log.Write(EventId::EngineSeen, "engine=" + id.Value());
+      }
+      for (const UpstreamId& id : news.m_gone) {
+        m_orders.Forget(id);
+        m_parts.m_log.Write(EventId::EngineGone, "engine=" + id.Value());
+      }
+    });
+}
+
+void FleetOwner::NoteDemand(const DemandTracker::Key& aKey,
+                            uint32_t aCalls,
+                            uint32_t aMisses)
+{
+  m_demand.Note(aKey, aCalls, aMisses, m_parts.m_clock.Now());
+}
+
+void FleetOwner::Plan(TimePoint aNow)
+{
+  if (m_config == nullptr || !m_directory.IsKnown() || !m_hasLease()) {
+    return;
+  }
+  for (const Pool& pool : m_config->Pools()) {
+    if (pool.m_engine) {
+      PlanPool(pool, aNow);
+    }
+  }
+}
+
+void FleetOwner::PlanPool(const Pool& aPool, TimePoint aNow)
+{
+  StoreBudget& budget = m_budgets[aPool.m_id];
+  std::vector<PlannedEngine> engines;
+  for (const auto& [id, entry] : m_directory.All()) {
+    const EngineRecord& record = entry.m_record;
+    if (entry.m_isGone || record.m_pool != aPool.m_id) {
+      continue;
+    }
+    PlannedEngine engine;
+    engine.m_id = id;
+    engine.m_domain = record.m_domain;
+    engine.m_isBusy = m_orders.IsBusy(id);
+    engine.m_isLeaving = record.m_isLeaving;
+    engine.m_freeMegabytes = m_orders.FreeMegabytes(record);
+    for (const auto& [name, held] : record.m_models) {
+      engine.m_models.push_back(name);
+    }
+    engines.push_back(std::move(engine));
+  }
+  std::map<std::string, ModelDemand> demand;
+  for (const auto& [name, spec] : aPool.m_engine->m_models) {
+    demand[name] = {
+      m_demand.ModelRate(aPool.m_id, name),
+      m_demand.Of({ aPool.m_id, { name, "" } }).m_misses
+    };
+  }
+  const auto moves = ModelPlanner::Plan(
+    *aPool.m_engine, engines, demand, budget.Left(aNow));
+  for (const ModelMove& move : moves) {
+    if (move.m_isLoad) {
+      budget.NoteLoad(aNow);
+      m_demand.TakeMisses({ aPool.m_id, { move.m_model, "" } });
+    }
+    m_orders.Submit(move.m_engine,
+                    move.m_isLoad ? EngineOrderKind::Load
+                                  : EngineOrderKind::Unload,
+                    { move.m_model, "" },
+                    [](bool) {});
+  }
+}
+
+const EngineRecord* FleetOwner::FindHolder(
+  const DemandTracker::Key& aKey) const
+{
+  for (const auto& [id, entry] : m_directory.All()) {
+    const EngineRecord& record = entry.m_record;
+    if (!entry.m_isGone && !record.m_isLeaving &&
+        record.m_pool == aKey.m_pool && record.Holds(aKey.m_target)) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+const EngineRecord* FleetOwner::ChooseForAdapter(
+  const DemandTracker::Key& aKey,
+  const FailureDomainId& aDomain) const
+{
+  struct Rank
+  {
+    bool m_isBusy;
+    bool m_isElsewhere;
+    bool m_isFull;
+    size_t m_adapters;
+    auto operator<=>(const Rank&) const = default;
+  };
+  const EngineRecord* best = nullptr;
+  Rank bestRank{};
+  for (const auto& [id, entry] : m_directory.All()) {
+    const EngineRecord& record = entry.m_record;
+    const bool isUsable = !entry.m_isGone && !record.m_isLeaving &&
+                          record.m_pool == aKey.m_pool &&
+                          record.m_models.contains(aKey.m_target.m_model);
+    if (!isUsable) {
+      continue;
+    }
+    const Rank rank{ m_orders.IsBusy(id),
+                     record.m_domain != aDomain,
+                     !m_orders.HasAdapterPlace(record),
+                     m_orders.AdaptersOf(record).size() };
+    if (best == nullptr || rank < bestRank) {
+      best = &record;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+void FleetOwner::MakeAdapterPlace(const DemandTracker::Key& aKey,
+                                  const EngineRecord& aRecord)
+{
+  if (m_orders.HasAdapterPlace(aRecord)) {
+    return;
+  }
+  std::optional<ModelTarget> victim;
+  double victimRate = 0;
+  for (const ModelTarget& adapter : m_orders.AdaptersOf(aRecord)) {
+    const double rate = m_demand.Of({ aKey.m_pool, adapter }).m_rate;
+    if (!victim || rate < victimRate) {
+      victim = adapter;
+      victimRate = rate;
+    }
+  }
+  if (victim) {
+    m_orders.Submit(
+      aRecord.m_id, EngineOrderKind::Unload, *victim, [](bool) {});
+  }
+}
+
+void FleetOwner::LoadAdapter(const DemandTracker::Key& aKey,
+                             const FailureDomainId& aDomain,
+                             std::function<void(UpstreamId)> aDone)
+{
+  if (!m_term) {
+    aDone(UpstreamId());
+    return;
+  }
+  AdapterLoad& load = m_adapterLoads[aKey];
+  load.m_waiting.push_back(std::move(aDone));
+  if (load.m_waiting.size() > 1) {
+    return;
+  }
+  const auto finish = [this, aKey](const UpstreamId& aEngine) {
+    const auto found = m_adapterLoads.find(aKey);
+    if (found == m_adapterLoads.end()) {
+      return;
+    }
+    const auto waiting = std::move(found->second.m_waiting);
+    m_adapterLoads.erase(found);
+    for (const auto& done : waiting) {
+      done(aEngine);
+    }
+  };
+  if (const EngineRecord* holder = FindHolder(aKey)) {
+    // The entry asked before it heard of a load that is done.
+    finish(holder->m_id);
+    return;
+  }
+  const EngineRecord* engine = ChooseForAdapter(aKey, aDomain);
+  if (engine == nullptr) {
+    finish(UpstreamId());
+    return;
+  }
+  const UpstreamId id = engine->m_id;
+  MakeAdapterPlace(aKey, *engine);
+  m_orders.Submit(id,
+                  EngineOrderKind::Load,
+                  aKey.m_target,
+                  [finish, id](bool aIsDone) {
+                    finish(aIsDone ? id : UpstreamId());
+                  });
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/gateway/directory_link.cpp
@@ -0,0 +1,228 @@
+#include "gateway/directory_link.h"
+
+#include "wire/engine_codec.h"
+#include "wire/message_bytes.h"
+
+namespace celeryspread {
+
+namespace {
+
+/// Longer than a long poll, so that only a silent link runs into it.
+constexpr Duration kFollowDeadline = std::chrono::milliseconds(2500);
+constexpr Duration kAdapterDeadline = std::chrono::milliseconds(1500);
+/// Pause before another control instance is asked.
+constexpr int64_t kRetryMicros = 100'000;
+
+} // namespace
+
+DirectoryLink::DirectoryLink(Parts aParts,
+                             const ClusterKey& aKey,
+                             NodeSettings aSettings,
+                             RoutesListener aListener)
+  : m_parts(aParts)
+  , m_key(aKey)
+  , m_settings(std::move(aSettings))
+  , m_listener(std::move(aListener))
+  , m_follow(nullptr)
+{
+  SetSeeds(m_settings.m_seeds);
+  m_follow = FollowLoop().eagerlyEvaluate(nullptr);
+}
+
+DirectoryLink::~DirectoryLink() noexcept = default;
+
+void DirectoryLink::SetSeeds(const std::vector<UpstreamAddress>& aSeeds)
+{
+  for (const UpstreamAddress& seed : aSeeds) {
+    LinkTo(seed.m_address);
+  }
+}
+
+WireLink& DirectoryLink::LinkTo(const std::string& aAddress)
+{
+  std::unique_ptr<WireLink>& link = m_links[aAddress];
+  if (link == nullptr) {
+    link = std::make_unique<WireLink>(
+      m_parts.m_port,
+      m_key,
+      WireEndpoint{ aAddress, m_settings.m_wirePort },
+      [this, aAddress](bool aIsUp) {
+        m_parts.m_log.Write(aIsUp ? EventId::ControlLinkUp
+                                  : EventId::ControlLinkLost,
+                            "control=" + aAddress);
+      });
+  }
+  return *link;
+}
+
+WireLink* DirectoryLink::CurrentLink()
+{
+  const auto current = m_links.find(m_current);
+  if (current != m_links.end() && current->second->IsUp()) {
+    return current->second.get();
+  }
+  TryNext();
+  const auto next = m_links.find(m_current);
+  const bool isUsable = next != m_links.end() && next->second->IsUp();
+  return isUsable ? next->second.get() : nullptr;
+}
+
+void DirectoryLink::TryNext()
+{
+  auto at = m_links.upper_bound(m_current);
+  for (size_t i = 0; i < m_links.size(); ++i, ++at) {
+    if (at == m_links.end()) {
+      at = m_links.begin();
+    }
+    if (at->second->IsUp()) {
+      m_current = at->first;
+      return;
+    }
+  }
+}
+
+kj::Promise<void> DirectoryLink::FollowLoop()
+{
+  return FollowOnce()
+    .catch_([this](kj::Exception&&) {
+      TryNext();
+      return PromiseAfter(m_parts.m_port.Base(), kRetryMicros);
+    })
+    .then([this] { return FollowLoop(); });
+}
+
+kj::Promise<void> DirectoryLink::FollowOnce()
+{
+  WireLink* link = CurrentLink();
+  if (link == nullptr) {
+    return PromiseAfter(m_parts.m_port.Base(), kRetryMicros);
+  }
+  auto call = link->Node().followRequest();
+  auto request = call.initRequest();
+  request.setInstance(m_settings.m_instance.Value());
+  request.setFailureDomain(m_settings.m_domain.Value());
+  request.setRouteVersion(m_routeVersion.Value());
+  request.setEpoch(m_epoch);
+  request.setDirectoryVersion(m_directoryVersion);
+  auto demand = request.initDemand(static_cast<unsigned>(m_demand.size()));
+  unsigned at = 0;
+  for (const auto& [key, counts] : m_demand) {
+    auto entry = demand[at++];
+    entry.setPool(key.m_pool.Value());
+    entry.setModel(key.m_target.m_model);
+    entry.setAdapter(key.m_target.m_adapter);
+    entry.setCalls(counts.m_calls);
+    entry.setMisses(counts.m_misses);
+  }
+  m_demand.clear();
+  auto answered = call.send().then(
+    [this](auto&& aResponse) { Apply(aResponse.getReply()); });
+  return link->WithDeadline<void>(kj::mv(answered), kFollowDeadline);
+}
+
+void DirectoryLink::LearnControls(wire::FollowReply::Reader aReply)
+{
+  for (const auto control : aReply.getControls()) {
+    LinkTo(TextOf(control.getAddress()));
+  }
+}
+
+void DirectoryLink::Apply(wire::FollowReply::Reader aReply)
+{
+  LearnControls(aReply);
+  const Revision version(aReply.getRoutes().getVersion());
+  if (version > m_routeVersion) {
+    m_routeVersion = version;
+    m_listener(version, BytesOf(aReply.getRoutes().getDocument()));
+  }
+  if (!aReply.getIsLeader()) {
+    const std::string leader = TextOf(aReply.getLeader().getAddress());
+    if (leader.empty() || leader == m_current) {
+      KJ_FAIL_REQUIRE("no leader is known there");
+    }
+    LinkTo(leader);
+    m_current = leader;
+    // The link may need a moment to come up, else another one is tried.
+    KJ_REQUIRE(LinkTo(leader).IsUp(), "the leader's link is not up");
+    return;
+  }
+  m_parts.m_retries.SetEntryCount(aReply.getEntryCount());
+  if (aReply.getHasDirectory()) {
+    ApplyEngines(aReply);
+  }
+}
+
+void DirectoryLink::ApplyEngines(wire::FollowReply::Reader aReply)
+{
+  std::set<UpstreamId> named;
+  for (const auto engine : aReply.getEngines()) {
+    EngineRecord record = ReadEngine(engine);
+    if (engine.getIsGone()) {
+      m_parts.m_table.Remove(record.m_id);
+      continue;
+    }
+    named.insert(record.m_id);
+    m_parts.m_table.Update(record);
+  }
+  if (aReply.getIsWhole()) {
+    m_parts.m_table.KeepOnly(named);
+    m_parts.m_log.Write(EventId::DirectoryFollowed,
+                        "leader=" + m_current +
+                          " epoch=" + std::to_string(aReply.getEpoch()) +
+                          " engines=" + std::to_string(named.size()));
+  }
+  m_epoch = aReply.getEpoch();
+  m_directoryVersion = aReply.getDirectoryVersion();
+  m_hasDirectory = true;
+}
+
+void DirectoryLink::NoteDemand(const PoolId& aPool,
+                               const ModelTarget& aTarget,
+                               bool aIsMiss)
+{
+  if (aTarget.m_model.empty()) {
+    return;
+  }
+  Demand& demand = m_demand[{ aPool, aTarget }];
+  ++demand.m_calls;
+  demand.m_misses += aIsMiss ? 1 : 0;
+}
+
+void DirectoryLink::LoadAdapter(const PoolId& aPool,
+                                const ModelTarget& aTarget,
+                                std::function<void(UpstreamId)> aDone)
+{
+  const DemandKey key{ aPool, aTarget };
+  auto& waiting = m_loads[key];
+  waiting.push_back(std::move(aDone));
+  if (waiting.size() > 1) {
+    return;
+  }
+  const auto finish = [this, key](const UpstreamId& aEngine) {
+    const auto callers = std::move(m_loads[key]);
+    m_loads.erase(key);
+    for (const auto& caller : callers) {
+      caller(aEngine);
+    }
+  };
+  WireLink* link = CurrentLink();
+  if (link == nullptr) {
+    finish(UpstreamId());
+    return;
+  }
+  auto call = link->Node().loadAdapterRequest();
+  auto request = call.initRequest();
+  request.setPool(aPool.Value());
+  request.setModel(aTarget.m_model);
+  request.setAdapter(aTarget.m_adapter);
+  request.setFailureDomain(m_settings.m_domain.Value());
+  auto answered = call.send().then([](auto&& aResponse) {
+    return UpstreamId(TextOf(aResponse.getEngine()));
+  });
+  link->WithDeadline<UpstreamId>(kj::mv(answered), kAdapterDeadline)
+    .then([finish](UpstreamId&& aEngine) { finish(aEngine); },
+          [finish](kj::Exception&&) { finish(UpstreamId()); })
+    .detach([](kj::Exception&&) {});
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/gateway/engine_table.cpp
@@ -0,0 +1,179 @@
+#include "gateway/engine_table.h"
+
+#include <algorithm>
+
+namespace celeryspread {
+
+namespace {
+
+/// A reading this old says less than the own calls in progress.
+constexpr Duration kReadingLife = std::chrono::seconds(2);
+/// Busy engines emit tokens every few tens of milliseconds.
+constexpr Duration kSilence = std::chrono::milliseconds(700);
+/// Failures in a row after which an upstream is avoided.
+constexpr uint32_t kFailuresToAvoid = 3;
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
+constexpr uint32_t kMaxAvoidanceDoublings = 4;
+
+} // namespace
+
+uint32_t EngineState::EstimatedLoad(TimePoint aNow) const
+{
+  if (m_readingAt == TimePoint() || aNow - m_readingAt > kReadingLife) {
+    return m_outstanding;
+  }
+  const int64_t corrected = static_cast<int64_t>(m_reading.m_running) +
+                            m_reading.m_waiting + m_changesSinceReading;
+  return static_cast<uint32_t>(std::max<int64_t>(corrected, m_outstanding));
+}
+
+bool EngineState::IsSilent(TimePoint aNow) const
+{
+  return m_outstanding > 0 && aNow - m_lastHeard > kSilence;
+}
+
+EngineState* EngineTable::FindMutable(const UpstreamId& aId)
+{
+  const auto found = m_engines.find(aId);
+  return found == m_engines.end() ? nullptr : found->second.get();
+}
+
+const EngineState* EngineTable::Find(const UpstreamId& aId) const
+{
+  const auto found = m_engines.find(aId);
+  return found == m_engines.end() ? nullptr : found->second.get();
+}
+
+void EngineTable::Update(const EngineRecord& aRecord)
+{
+  std::unique_ptr<EngineState>& state = m_engines[aRecord.m_id];
+  const bool isNew = state == nullptr;
+  if (isNew) {
+    state = std::make_unique<EngineState>();
+  }
+  const bool isMoved = state->m_record.m_pool != aRecord.m_pool;
+  state->m_record = aRecord;
+  if (isNew || isMoved) {
+    Reindex();
+  }
+}
+
+void EngineTable::Remove(const UpstreamId& aId)
+{
+  if (m_engines.erase(aId) != 0) {
+    Reindex();
+  }
+}
+
+void EngineTable::KeepOnly(const std::set<UpstreamId>& aKeep)
+{
+  std::erase_if(m_engines, [&](const auto& aEntry) {
+    return !aKeep.contains(aEntry.first);
+  });
+  Reindex();
+}
+
+void EngineTable::Reindex()
+{
+  m_byPool.clear();
+  for (const auto& [id, state] : m_engines) {
+    m_byPool[state->m_record.m_pool].push_back(state.get());
+  }
+}
+
+const EngineTable::EnginePointers& EngineTable::InPool(
+  const PoolId& aPool) const
+{
+  const auto found = m_byPool.find(aPool);
+  return found == m_byPool.end() ? m_none : found->second;
+}
+
+void EngineTable::NoteStart(const UpstreamId& aId, TimePoint aNow)
+{
+  EngineState* state = FindMutable(aId);
+  if (state == nullptr) {
+    return;
+  }
+  if (state->m_outstanding == 0) {
+    state->m_lastHeard = aNow;
+  }
+  ++state->m_outstanding;
+  ++state->m_changesSinceReading;
+}
+
+void EngineTable::NoteHeard(const UpstreamId& aId, TimePoint aNow)
+{
+  EngineState* state = FindMutable(aId);
+  if (state != nullptr) {
+    state->m_lastHeard = aNow;
+  }
+}
+
+void EngineTable::NoteLoad(const UpstreamId& aId,
+                           const LoadReading& aReading,
+                           TimePoint aNow)
+{
+  EngineState* state = FindMutable(aId);
+  if (state == nullptr) {
+    return;
+  }
+  state->m_reading = aReading;
+  state->m_readingAt = aNow;
+  state->m_changesSinceReading = 0;
+}
+
+void EngineTable::NoteMissing(const UpstreamId& aId, const ModelTarget& aTarget)
+{
+  EngineState* state = FindMutable(aId);
+  if (state == nullptr) {
+    return;
+  }
+  const auto model = state->m_record.m_models.find(aTarget.m_model);
+  if (model == state->m_record.m_models.end()) {
+    return;
+  }
+  if (aTarget.m_adapter.empty()) {
+    state->m_record.m_models.erase(model);
+  } else {
+    model->second.m_adapters.erase(aTarget.m_adapter);
+  }
+}
+
+void EngineTable::NoteLoaded(const UpstreamId& aId, const ModelTarget& aTarget)
+{
+  EngineState* state = FindMutable(aId);
+  if (state == nullptr) {
+    return;
+  }
+  const auto model = state->m_record.m_models.find(aTarget.m_model);
+  if (model != state->m_record.m_models.end() && !aTarget.m_adapter.empty()) {
+    model->second.m_adapters.insert(aTarget.m_adapter);
+  }
+}
+
+void EngineTable::NoteEnd(const UpstreamId& aId,
+                          AttemptEnd aEnd,
+                          TimePoint aNow)
+{
+  EngineState* state = FindMutable(aId);
+  if (state == nullptr) {
+    return;
+  }
+  state->m_outstanding -= state->m_outstanding > 0 ? 1 : 0;
+  --state->m_changesSinceReading;
+  if (aEnd == AttemptEnd::Answered || aEnd == AttemptEnd::Rejected) {
+    state->m_consecutiveFailures = 0;
+    state->m_lastHeard = aNow;
+  }
+  if (aEnd != AttemptEnd::Failed) {
+    return;
+  }
+  ++state->m_consecutiveFailures;
+  if (state->m_consecutiveFailures >= kFailuresToAvoid) {
+    const uint32_t doublings = std::min(
+      state->m_consecutiveFailures - kFailuresToAvoid, kMaxAvoidanceDoublings);
+    state->m_avoidUntil = aNow + kFirstAvoidance * (1U << doublings);
+  }
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/gateway/event_splitter.cpp
@@ -0,0 +1,84 @@
+#include "gateway/event_splitter.h"
+
+#include <charconv>
+
+namespace celeryspread {
+
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kIdField = "id:";
+
+std::optional<uint64_t> ParseNumber(std::string_view aText)
+{
+  uint64_t value = 0;
+  const auto result =
+    std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  const bool isWhole = result.ec == std::errc() &&
+                       result.ptr == aText.data() + aText.size();
+  return isWhole ? std::optional<uint64_t>(value) : std::nullopt;
+}
+
+std::string_view IdOf(std::string_view aEvent)
+{
+  size_t start = 0;
+  while (start < aEvent.size()) {
+    size_t end = aEvent.find('\n', start);
+    end = end == std::string_view::npos ? aEvent.size() : end;
+    std::string_view line = aEvent.substr(start, end - start);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+      }
+      return line;
+    }
+    start = end + 1;
+  }
+  return {};
+}
+
+} // namespace
+
+void EventSplitter::NoteEvent(std::string_view aEvent)
+{
+  const std::string_view id = IdOf(aEvent);
+  if (id.empty()) {
+    return;
+  }
+  if (m_checksNext) {
+    const auto before = ParseNumber(m_lastId);
+    const auto now = ParseNumber(id);
+    m_isOutOfOrder = !before || !now || *now != *before + 1;
+    m_checksNext = false;
+  }
+  m_lastId = id;
+}
+
+std::string_view EventSplitter::Feed(std::string_view aBytes)
+{
+  // Most reads bring whole events, which then pass without a copy.
+  std::string_view bytes = aBytes;
+  if (!m_rest.empty()) {
+    m_rest += aBytes;
+    m_whole.swap(m_rest);
+    m_rest.clear();
+    bytes = m_whole;
+  }
+  size_t start = 0;
+  for (size_t end = bytes.find(kEventEnd); end != std::string_view::npos;
+       end = bytes.find(kEventEnd, start)) {
+    NoteEvent(bytes.substr(start, end - start));
+    start = end + kEventEnd.size();
+  }
+  m_rest = bytes.substr(start);
+  return bytes.substr(0, start);
+}
+
+void EventSplitter::BeginResumed()
+{
+  m_rest.clear();
+  m_checksNext = !m_lastId.empty();
+}
+
+} // namespace celeryspread
--- /dev/null
+++ b/gateway/gateway_process.cpp
@@ -0,0 +1,251 @@
+#include "gateway/gateway_process.h"
+
+#include <csignal>
+#include <random>
+
+#include <event2/event.h>
+
+#include "core/system_clock.h"
+#include "gateway/directory_link.h"
+#include "gateway/gateway.h"
+#include "http/event_timers.h"
+#include "http/evhttp_upstream_client.h"
+#include "http/http_status.h"
+#include "main/exit_code.h"
+
+namespace celeryspread {
+
+namespace {
+
+struct EventBaseDeleter
+{
+  void operator()(event_base* aBase) const { event_base_free(aBase); }
+};
+
+/// Keeps strangers' links out by mistake, not by intent: the platform hands
+/// out no secret. See docs/design/platform.md.
+constexpr const char* kLinkKey = "celeryspread inner protocol";
+/// The balancer probes once a second and takes an instance out after two
+/// misses; connections that it opened before then may still bring calls.
+constexpr Duration kDrainLag = std::chrono::milliseconds(3000);
+constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
+constexpr size_t kMaxConnections = 3'000;
+
+/// Answers the balancer's probes and the metrics page.
+class ProbeHandler : public CallHandler
+{
+public:
+  ProbeHandler(std::string aReadyPath,
+               std::function<bool()> aIsReady,
+               const Metrics& aMetrics)
+    : m_readyPath(std::move(aReadyPath))
+    , m_isReady(std::move(aIsReady))
+    , m_metrics(aMetrics)
+  {
+  }
+
+  void OnCall(std::unique_ptr<CallerCall> aCall) override
+  {
+    if (aCall->Path() == m_readyPath) {
+      aCall->Reply(
+        m_isReady() ? HttpStatus::kOk : HttpStatus::kUnavailable, {}, "");
+      return;
+    }
+    if (aCall->Path() == "/metrics") {
+      aCall->Reply(HttpStatus::kOk,
+                   { { "Content-Type", "text/plain" } },
+                   m_metrics.PrometheusText());
+      return;
+    }
+    aCall->Reply(HttpStatus::kNotFound, {}, "");
+  }
+
+private:
+  std::string m_readyPath;
+  std::function<bool()> m_isReady;
+  const Metrics& m_metrics;
+};
+
+} // namespace
+
+class GatewayProcess::Impl
+{
+public:
+  Impl(NodeSettings aSettings, GatewayEdges aEdges)
+    : m_settings(std::move(aSettings))
+    , m_edges(std::move(aEdges))
+    , m_base(event_base_new())
+    , m_port(m_base.get())
+    , m_random(std::random_device()())
+    , m_timers(m_base.get())
+    , m_client(m_base.get(), m_clock)
+    , m_log(m_settings.m_instance.Value())
+    , m_selector(m_table, m_settings.m_domain, m_settings.m_regions, m_random)
+    , m_retries(RetryBounds{ m_settings.m_retryRatio,
+                             m_settings.m_retrySlack,
+                             m_settings.m_retryWindow })
+    , m_link({ m_port, m_clock, m_log, m_table, m_retries },
+             ClusterKey(kLinkKey),
+             m_settings,
+             [this](Revision, const std::string& aDocument) {
+               SetDocument(aDocument);
+             })
+    , m_context{ m_clock,   m_timers,   m_client, *m_edges.m_codec,
+                 m_table,   m_selector, m_retries, m_link,
+                 m_link,    m_metrics,  m_log }
+    , m_gateway(m_context)
+    , m_probes(m_edges.m_readyPath, [this] { return IsReady(); }, m_metrics)
+    , m_callServer(m_base.get(), m_clock, Limits(), m_gateway)
+    , m_probeServer(m_base.get(), m_clock, CallerServerLimits{}, m_probes)
+  {
+  }
+
+  int Run()
+  {
+    signal(SIGPIPE, SIG_IGN);
+    m_log.Write(EventId::Started,
+                std::string("version=") + CELERYSPREAD_VERSION);
+    if (!Listen(m_callServer, m_settings.m_callAddress) ||
+        !Listen(m_probeServer, m_settings.m_probeAddress)) {
+      return ExitCode::CannotListen;
+    }
+    struct Row
+    {
+      int m_signal;
+      event_callback_fn m_handler;
+    };
+    const Row rows[] = { { SIGTERM, OnTerminate },
+                         { SIGINT, OnTerminate },
+                         { SIGHUP, OnReload } };
+    std::vector<event*> events;
+    for (const Row& row : rows) {
+      events.push_back(
+        evsignal_new(m_base.get(), row.m_signal, row.m_handler, this));
+      event_add(events.back(), nullptr);
+    }
+    event_base_dispatch(m_base.get());
+    for (event* signalEvent : events) {
+      event_free(signalEvent);
+    }
+    m_log.Write(EventId::Stopped, "");
+    return ExitCode::Success;
+  }
+
+private:
+  static CallerServerLimits Limits()
+  {
+    CallerServerLimits limits;
+    limits.m_maxConnections = kMaxConnections;
+    const ClientLimits clients;
+    limits.m_maxHeaderBytes = clients.m_maxHeaderBytes;
+    limits.m_maxBodyBytes = clients.m_maxBodyBytes;
+    limits.m_idleTimeout = clients.m_idleTimeout;
+    return limits;
+  }
+
+  bool Listen(CallerServer& aServer, const UpstreamAddress& aAddress)
+  {
+    if (!aServer.Listen(aAddress.m_address, aAddress.m_port)) {
+      m_log.Write(EventId::ListenFailed, "address=" + aAddress.Text());
+      return false;
+    }
+    m_log.Write(EventId::Listening, "address=" + aAddress.Text());
+    return true;
+  }
+
+  [[nodiscard]] bool IsReady() const
+  {
+    return !m_isDraining && m_gateway.Config() != nullptr &&
+           m_link.HasDirectory();
+  }
+
+  void SetDocument(const std::string& aDocument)
+  {
+    std::string reason;
+    auto config = m_edges.m_documents->Read(aDocument, reason);
+    if (config == nullptr) {
+      m_log.Write(EventId::RoutesRefused, "reason=\"" + reason + "\"");
+      return;
+    }
+    m_gateway.SetConfig(std::move(config));
+  }
+
+  static void OnTerminate(int /*aSignal*/, short /*aWhat*/, void* aSelf)
+  {
+    static_cast<Impl*>(aSelf)->BeginDrain();
+  }
+
+  static void OnReload(int /*aSignal*/, short /*aWhat*/, void* aSelf)
+  {
+    static_cast<Impl*>(aSelf)->Reload();
+  }
+
+  void Reload()
+  {
+    const auto settings = m_edges.m_reload();
+    if (!settings) {
+      m_log.Write(EventId::SettingsRefused, "the earlier ones stay in force");
+      return;
+    }
+    m_log.Write(EventId::SettingsReloaded,
+                "seeds=" + std::to_string(settings->m_seeds.size()));
+    m_link.SetSeeds(settings->m_seeds);
+  }
+
+  void BeginDrain()
+  {
+    if (m_isDraining) {
+      return;
+    }
+    m_isDraining = true;
+    m_log.Write(EventId::DrainStarted,
+                "calls=" + std::to_string(m_gateway.CallCount()));
+    m_callServer.AnnounceDrain();
+    m_drainTimer = m_timers.After(kDrainLag, [this] {
+      m_callServer.BeginDrain();
+      m_endTimer = m_timers.Every(kDrainCheckPeriod, [this] {
+        if (m_gateway.CallCount() == 0 && m_callServer.BusyCount() == 0) {
+          event_base_loopbreak(m_base.get());
+        }
+      });
+    });
+  }
+
+  NodeSettings m_settings;
+  GatewayEdges m_edges;
+  std::unique_ptr<event_base, EventBaseDeleter> m_base;
+  LoopPort m_port;
+  SystemClock m_clock;
+  SeededRandomSource m_random;
+  EventTimers m_timers;
+  EvhttpUpstreamClient m_client;
+  EasyEventLog m_log;
+  Metrics m_metrics;
+  EngineTable m_table;
+  EngineSelector m_selector;
+  RetryShare m_retries;
+  DirectoryLink m_link;
+  GatewayContext m_context;
+  Gateway m_gateway;
+  ProbeHandler m_probes;
+  CallerServer m_callServer;
+  CallerServer m_probeServer;
+  std::unique_ptr<Timer> m_drainTimer;
+  std::unique_ptr<Timer> m_endTimer;
+  bool m_isDraining = false;
+};
+
+GatewayProcess::GatewayProcess(NodeSettings aSettings, GatewayEdges aEdges)
+  : m_impl(
+      std::make_unique<Impl>(std::move(aSettings), std::move(aEdges)))
+{
+}
+
+GatewayProcess::~GatewayProcess() = default;
+
+int GatewayProcess::Run()
+{
+  return m_impl->Run();
+}
+
+} // namespace celeryspread
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -66,6 +66,9 @@
   bool Listen(const std::string& aAddress, uint16_t aPort);
   /// Returns the bound port. @pre Listen() succeeded.
   [[nodiscard]] uint16_t Port() const { return m_port; }
+  /// Tells callers to open no further request on their connections; answers
+  /// close them. New connections are still accepted. @pre none.
+  void AnnounceDrain() { m_isAnnouncing = true; }
   /// Stops accepting and closes idle connections; calls in progress go on.
   /// @pre none.
   void BeginDrain();
@@ -131,6 +134,7 @@
   uint16_t m_port = 0;
   uint64_t m_refused = 0;
   bool m_isDraining = false;
+  bool m_isAnnouncing = false;
   ConnectionTable m_connections;
 };
 
--- a/http/evhttp_caller_call.cpp
+++ b/http/evhttp_caller_call.cpp
@@ -142,7 +142,7 @@
       evhttp_add_header(out, header.m_name.c_str(), header.m_value.c_str());
     }
   }
-  if (m_server.m_isDraining) {
+  if (m_server.m_isDraining || m_server.m_isAnnouncing) {
     evhttp_add_header(out, "Connection", "close");
   }
 }
--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -99,10 +99,12 @@
                                 OnError(static_cast<int>(aError), aSelf);
                               });
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Host", m_request.m_address.m_address.c_str());
   for (const HttpHeader& header : m_request.m_headers) {
     evhttp_add_header(headers, header.m_name.c_str(), header.m_value.c_str());
   }
+  if (evhttp_find_header(headers, "Host") == nullptr) {
+    evhttp_add_header(headers, "Host", m_request.m_address.m_address.c_str());
+  }
   evbuffer_add(evhttp_request_get_output_buffer(request),
                m_request.m_body.data(),
                m_request.m_body.size());
--- a/http/upstream_client.h
+++ b/http/upstream_client.h
@@ -6,20 +6,11 @@
 #include <string_view>
 
 #include "core/clock.h"
+#include "core/upstream_address.h"
 #include "http/caller_call.h"
 
 namespace celeryspread {
 
-/// Address of an upstream, by IP number.
-struct UpstreamAddress
-{
-  std::string m_address;
-  uint16_t m_port = 0;
-
-  /// Orders by fields. @pre none. @thread any.
-  auto operator<=>(const UpstreamAddress&) const = default;
-};
-
 /// A request to an upstream.
 struct UpstreamRequest
 {
--- a/settings/instance_settings.h
+++ b/settings/instance_settings.h
@@ -24,6 +24,9 @@
   InstanceId m_instance;
   FailureDomainId m_failureDomain;
   std::string m_address;
+  /// Instances whose loss at one time must be borne; a silent replica is
+  /// replaced once twice as many and one others answer. 0 keeps all replicas.
+  uint32_t m_toleratedLosses = 0;
   /// HTTP port; 0 takes an ephemeral one.
   uint16_t m_httpPort = 0;
   /// Port of the inner protocol; control instances only.
@@ -34,6 +37,8 @@
   std::string m_dataFolder;
   std::string m_traceFile;
   std::string m_clusterKeyFile;
+  /// The key itself, for instances that are given no file.
+  std::string m_clusterKey;
   /// Server of the polled JSON list of leaving instances; empty for none.
   std::string m_platformListAddress;
   uint16_t m_platformListPort = 0;
--- /dev/null
+++ b/settings/node_settings.cpp
@@ -0,0 +1,157 @@
+#include "settings/node_settings.h"
+
+#include <charconv>
+
+#include "core/json_text.h"
+#include "settings/object_reader.h"
+
+namespace celeryspread {
+
+namespace {
+
+constexpr int64_t kMaxPort = 65'535;
+constexpr int64_t kMaxMilliseconds = 3'600'000;
+constexpr int64_t kMaxCount = 1'000'000;
+constexpr int64_t kMaxTolerated = 10;
+
+Duration Milliseconds(int64_t aCount)
+{
+  return std::chrono::milliseconds(aCount);
+}
+
+/// Reads the fields of one settings object.
+class FieldReader
+{
+public:
+  FieldReader(ObjectReader& aReader, std::vector<SettingsError>& aErrors)
+    : m_reader(aReader)
+    , m_errors(aErrors)
+  {
+  }
+
+  UpstreamAddress Address(std::string_view aKey)
+  {
+    const std::string text = m_reader.Text(aKey);
+    if (text.empty()) {
+      return {};
+    }
+    const auto address = ParseAddress(text);
+    if (!address) {
+      m_errors.push_back({ "/" + std::string(aKey), text, "IP:PORT" });
+    }
+    return address.value_or(UpstreamAddress{});
+  }
+
+  double Number(std::string_view aKey, double aMissing)
+  {
+    const std::string text = m_reader.Text(aKey);
+    if (text.empty()) {
+      return aMissing;
+    }
+    double value = 0;
+    const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+    if (result.ec != std::errc() || value < 0) {
+      m_errors.push_back(
+        { "/" + std::string(aKey), text, "a number of 0 or more, as text" });
+      return aMissing;
+    }
+    return value;
+  }
+
+  Duration Time(std::string_view aKey, Duration aMissing)
+  {
+    constexpr int64_t kMicros = 1000;
+    return Milliseconds(m_reader.Integer(
+      aKey, 0, kMaxMilliseconds, aMissing.count() / kMicros));
+  }
+
+private:
+  ObjectReader& m_reader;
+  std::vector<SettingsError>& m_errors;
+};
+
+} // namespace
+
+std::optional<UpstreamAddress> ParseAddress(std::string_view aText)
+{
+  const size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) {
+    return std::nullopt;
+  }
+  const std::string_view digits = aText.substr(colon + 1);
+  uint16_t port = 0;
+  const auto result =
+    std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  const bool isPort = result.ec == std::errc() && port != 0 &&
+                      result.ptr == digits.data() + digits.size();
+  if (!isPort) {
+    return std::nullopt;
+  }
+  return UpstreamAddress{ std::string(aText.substr(0, colon)), port };
+}
+
+std::optional<NodeSettings> NodeSettingsReader::Parse(std::string_view aText)
+{
+  m_errors.clear();
+  JsonReader json(JsonLimits{});
+  const auto document = json.Parse(aText);
+  if (!document) {
+    m_errors.push_back({ "/", "unreadable text", json.LastReason() });
+    return std::nullopt;
+  }
+  ObjectReader reader(*document, "", m_errors);
+  FieldReader fields(reader, m_errors);
+  NodeSettings settings;
+  settings.m_instance = InstanceId(reader.RequiredText("instance"));
+  settings.m_domain = FailureDomainId(reader.RequiredText("failure_domain"));
+  settings.m_address = reader.RequiredText("address");
+  settings.m_wirePort =
+    static_cast<uint16_t>(reader.Integer("wire_port", 1, kMaxPort, 0));
+  settings.m_callAddress = fields.Address("call_address");
+  settings.m_probeAddress = fields.Address("probe_address");
+  settings.m_operatorAddress = fields.Address("operator_address");
+  settings.m_listAddress = fields.Address("engine_list_address");
+  settings.m_isBootstrap = reader.Boolean("bootstrap", false);
+  settings.m_dataFolder = reader.Text("data_folder");
+  settings.m_toleratedLosses = static_cast<uint32_t>(
+    reader.Integer("tolerated_losses", 0, kMaxTolerated, 1));
+  settings.m_listCallsPerSecond = fields.Number("engine_list_calls_per_s", 1);
+  settings.m_retryRatio = fields.Number("retry_ratio", settings.m_retryRatio);
+  settings.m_retrySlack = static_cast<uint32_t>(
+    reader.Integer("retry_slack", 0, kMaxCount, settings.m_retrySlack));
+  settings.m_retryWindow =
+    fields.Time("retry_window_ms", settings.m_retryWindow);
+  settings.m_grace = fields.Time("grace_ms", settings.m_grace);
+  settings.m_ownerLease = fields.Time("owner_lease_ms", settings.m_ownerLease);
+  settings.m_storeWindow =
+    fields.Time("store_window_ms", settings.m_storeWindow);
+  settings.m_storeOverage =
+    fields.Number("store_overage", settings.m_storeOverage);
+  for (const std::string& seed : reader.TextList("seeds")) {
+    const auto address = ParseAddress(seed);
+    if (!address) {
+      m_errors.push_back({ "/seeds", seed, "IP:PORT" });
+      continue;
+    }
+    settings.m_seeds.push_back(*address);
+  }
+  reader.ForEach("regions",
+                 [&](const std::string& aDomain,
+                     const nlohmann::json& aRegion,
+                     const std::string& aPath) {
+                   if (!aRegion.is_string()) {
+                     m_errors.push_back({ aPath, aRegion.dump(), "a text" });
+                     return;
+                   }
+                   settings.m_regions[FailureDomainId(aDomain)] =
+                     RegionId(aRegion.get<std::string>());
+                 });
+  reader.RefuseUnknown();
+  if (!m_errors.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+} // namespace celeryspread
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -23,6 +23,7 @@
   Stopped = 103,
   SettingsRefused = 104,
   ListenFailed = 105,
+  SettingsReloaded = 106,
   ConfigInForce = 200,
   ConfigRefused = 201,
   ControlLinkUp = 202,
@@ -34,6 +35,10 @@
   PlatformListLost = 304,
   CallFailed = 400,
   StreamBroken = 401,
+  CallRefused = 402,
+  RoutesInForce = 203,
+  RoutesRefused = 204,
+  DirectoryFollowed = 205,
   BecameLeader = 500,
   LostLeadership = 501,
   LogTailCut = 502,
@@ -44,7 +49,13 @@
   OrderFailed = 601,
   PlacementRefused = 602,
   ClaimSettled = 700,
-  AdminRefused = 701
+  AdminRefused = 701,
+  ReplicaJoined = 506,
+  ReplicaRemoved = 507,
+  ElectionStalled = 508,
+  EngineSeen = 305,
+  EngineGone = 306,
+  PlatformEntryUnreadable = 307
 };
 
 /// One row of the catalogue; docs/EVENTS.md is held against these rows.
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -82,9 +82,16 @@
     claim @2 :ClaimRequest;
     closeClaim @3 :CloseClaim;
     settleClaim @4 :SettleClaim;
+    routeChange @5 :RouteChange;
   }
 }
 
+# A whole route configuration under the operator's version number.
+struct RouteChange {
+  version @0 :UInt64;
+  document @1 :Data;
+}
+
 struct SettingsChange {
   changeId @0 :Text;
   operator @1 :Text;
@@ -130,6 +137,7 @@
   changes @2 :List(StoredChange);
   claims @3 :List(StoredClaim);
   expiredUpToMicros @4 :Int64;
+  routes @5 :RouteChange;
 }
 
 struct FetchRequest {
@@ -174,6 +182,68 @@
   revision @2 :UInt64;
 }
 
+struct EngineModel {
+  name @0 :Text;
+  version @1 :UInt64;
+  adapters @2 :List(Text);
+}
+
+# What is known of one engine; an entry drops one that is gone.
+struct EngineEntry {
+  id @0 :Text;
+  pool @1 :Text;
+  address @2 :Text;
+  port @3 :UInt16;
+  failureDomain @4 :Text;
+  slots @5 :UInt32;
+  isLeaving @6 :Bool;
+  isGone @7 :Bool;
+  models @8 :List(EngineModel);
+}
+
+# Calls for one model or adapter since the last report.
+struct DemandEntry {
+  pool @0 :Text;
+  model @1 :Text;
+  adapter @2 :Text;
+  calls @3 :UInt32;
+  # Calls refused because no engine held the target.
+  misses @4 :UInt32;
+}
+
+struct FollowRequest {
+  instance @0 :Text;
+  failureDomain @1 :Text;
+  routeVersion @2 :UInt64;
+  # Directory versions count within one epoch, the term of the leader.
+  epoch @3 :UInt64;
+  directoryVersion @4 :UInt64;
+  demand @5 :List(DemandEntry);
+}
+
+struct FollowReply {
+  isLeader @0 :Bool;
+  leader @1 :ReplicaEntry;
+  controls @2 :List(ReplicaEntry);
+  # Set when newer than what was asked with.
+  routes @3 :RouteChange;
+  epoch @4 :UInt64;
+  directoryVersion @5 :UInt64;
+  # The list is whole and replaces what the entry knows.
+  isWhole @6 :Bool;
+  engines @7 :List(EngineEntry);
+  # Entries that follow the leader, to share budgets among them.
+  entryCount @8 :UInt32;
+  hasDirectory @9 :Bool;
+}
+
+struct AdapterRequest {
+  pool @0 :Text;
+  model @1 :Text;
+  adapter @2 :Text;
+  failureDomain @3 :Text;
+}
+
 interface ControlNode {
   ping @0 () -> ();
   raft @1 (message :RaftMessage, from :ReplicaEntry) -> ();
@@ -184,6 +254,10 @@
   join @6 (replica :ReplicaEntry) -> (isAccepted :Bool);
   # A follower tells the leader which entries follow settings through it.
   reportInstances @7 (instances :List(KnownInstance)) -> ();
+  # Answers when there is news for an entry, or after a while without.
+  follow @8 (request :FollowRequest) -> (reply :FollowReply);
+  # Asks the leader to load an adapter; names the engine that holds it.
+  loadAdapter @9 (request :AdapterRequest) -> (engine :Text);
 }
 
 # What a new connection gets first: the node only for a proof of the key.
--- /dev/null
+++ b/wire/engine_codec.cpp
@@ -0,0 +1,50 @@
+#include "wire/engine_codec.h"
+
+#include "wire/message_bytes.h"
+
+namespace celeryspread {
+
+void WriteEngine(const EngineRecord& aRecord, wire::EngineEntry::Builder aOut)
+{
+  aOut.setId(aRecord.m_id.Value());
+  aOut.setPool(aRecord.m_pool.Value());
+  aOut.setAddress(aRecord.m_address.m_address);
+  aOut.setPort(aRecord.m_address.m_port);
+  aOut.setFailureDomain(aRecord.m_domain.Value());
+  aOut.setSlots(aRecord.m_slots);
+  aOut.setIsLeaving(aRecord.m_isLeaving);
+  auto models = aOut.initModels(static_cast<unsigned>(aRecord.m_models.size()));
+  unsigned at = 0;
+  for (const auto& [name, held] : aRecord.m_models) {
+    auto model = models[at++];
+    model.setName(name);
+    model.setVersion(held.m_version);
+    auto adapters =
+      model.initAdapters(static_cast<unsigned>(held.m_adapters.size()));
+    unsigned adapterAt = 0;
+    for (const std::string& adapter : held.m_adapters) {
+      adapters.set(adapterAt++, adapter);
+    }
+  }
+}
+
+EngineRecord ReadEngine(wire::EngineEntry::Reader aIn)
+{
+  EngineRecord record;
+  record.m_id = UpstreamId(TextOf(aIn.getId()));
+  record.m_pool = PoolId(TextOf(aIn.getPool()));
+  record.m_address = { TextOf(aIn.getAddress()), aIn.getPort() };
+  record.m_domain = FailureDomainId(TextOf(aIn.getFailureDomain()));
+  record.m_slots = aIn.getSlots();
+  record.m_isLeaving = aIn.getIsLeaving();
+  for (const auto model : aIn.getModels()) {
+    HeldModel& held = record.m_models[TextOf(model.getName())];
+    held.m_version = model.getVersion();
+    for (const auto adapter : model.getAdapters()) {
+      held.m_adapters.insert(TextOf(adapter));
+    }
+  }
+  return record;
+}
+
+} // namespace celeryspread
