Follow replies keep their state by value

Cause: kj::Promise::then() keeps a reference to an lvalue lambda, so a follow call that waited ran a dead one; every leader ended with signal 11.

--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -117,7 +117,7 @@
   m_waiting.push_back({ routes, epoch, directory, kj::mv(paf.fulfiller) });
   return paf.promise
     .exclusiveJoin(PromiseAfter(m_parts.m_port.Base(), kFollowMicros))
-    .then(answer);
+    .then([answer] { answer(); });
 }
 
 uint32_t FleetService::EntryCount(TimePoint aNow)
