--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -176,6 +176,8 @@
       m_log);
     RaftOptions options;
     options.m_self = m_store.Identity();
+    options.m_electionTimeout =
+      std::chrono::milliseconds(m_settings.m_electionTimeoutMs);
     m_host = std::make_unique<ReplicaHost>(
       ReplicaHost::Parts{
         m_clock, m_timers, m_random, m_store, *m_peers, m_log },
@@ -207,8 +209,7 @@
       [this] { return m_host->HasLease(); });
     m_fleet = std::make_unique<FleetService>(FleetService::Parts{
       m_port, m_clock, *m_host, *m_owner, *m_edges->m_documents, m_log });
-    m_routeAdmin =
-      std::make_unique<RouteAdmin>(*m_host, *m_edges->m_documents);
+    m_routeAdmin = std::make_unique<RouteAdmin>(*m_host, *m_edges->m_documents);
     m_operatorApi = m_edges->m_makeOperatorApi(*m_routeAdmin);
     m_service->SetFleet(*m_fleet);
   }
@@ -241,8 +242,7 @@
       m_service->ReportInstances();
     });
     if (m_fleet != nullptr) {
-      m_fleetTimer =
-        m_timers.Every(kFleetPeriod, [this] { m_fleet->Tick(); });
+      m_fleetTimer = m_timers.Every(kFleetPeriod, [this] { m_fleet->Tick(); });
     }
     event* onHangUp = evsignal_new(m_base.get(), SIGHUP, OnHangUp, this);
     event_add(onHangUp, nullptr);
@@ -373,9 +373,8 @@
 ControlProcess::ControlProcess(InstanceSettings aSettings,
                                ControlStart aStart,
                                FleetEdges aEdges)
-  : m_impl(std::make_unique<Impl>(std::move(aSettings),
-                                  aStart,
-                                  std::move(aEdges)))
+  : m_impl(
+      std::make_unique<Impl>(std::move(aSettings), aStart, std::move(aEdges)))
 {
 }
 
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -147,8 +147,7 @@
 {
   std::vector<const EngineDirectory::Entry*> changed;
   for (const auto& [id, entry] : m_parts.m_owner.Directory().All()) {
-    const bool isSent =
-      aIsWhole ? !entry.m_isGone : entry.m_changedAt > aKnown;
+    const bool isSent = aIsWhole ? !entry.m_isGone : entry.m_changedAt > aKnown;
     if (isSent) {
       changed.push_back(&entry);
     }
@@ -201,13 +200,13 @@
   wire::AdapterRequest::Reader aRequest)
 {
   auto paf = kj::newPromiseAndFulfiller<std::string>();
-  auto fulfiller =
-    std::make_shared<kj::Own<kj::PromiseFulfiller<std::string>>>(
-      kj::mv(paf.fulfiller));
+  auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<std::string>>>(
+    kj::mv(paf.fulfiller));
   m_parts.m_owner.LoadAdapter(
     { PoolId(TextOf(aRequest.getPool())),
       { TextOf(aRequest.getModel()), TextOf(aRequest.getAdapter()) } },
     FailureDomainId(TextOf(aRequest.getFailureDomain())),
+    UpstreamId(TextOf(aRequest.getEngine())),
     [fulfiller](const UpstreamId& aEngine) {
       if ((*fulfiller)->isWaiting()) {
         (*fulfiller)->fulfill(std::string(aEngine.Value()));
--- a/control/state_machine.cpp
+++ b/control/state_machine.cpp
@@ -86,28 +86,28 @@
 
 bool StateMachine::Restore(std::string_view aBytes)
 {
-  const auto isRead = ReadFlat<wire::StateImage>(
-    aBytes, kMaxMessageWords, [&](wire::StateImage::Reader aIn) {
-      std::deque<AcceptedChange> changes;
-      for (const auto change : aIn.getChanges()) {
-        changes.push_back({ ChangeId(TextOf(change.getChangeId())),
-                            OperatorId(TextOf(change.getOperator())),
-                            Revision(change.getRevision()),
-                            TextOf(change.getPatch()),
-                            Duration(change.getAtMicros()) });
-      }
-      std::vector<ClaimRecord> claims;
-      for (const auto claim : aIn.getClaims()) {
-        claims.push_back(ReadClaim(claim));
-      }
-      m_settings.Restore(
-        Revision(aIn.getRevision()), TextOf(aIn.getTree()), std::move(changes));
-      m_claims.Restore(std::move(claims));
-      const auto routes = aIn.getRoutes();
-      m_routes = { Revision(routes.getVersion()),
-                   BytesOf(routes.getDocument()) };
-      return true;
-    });
+  const auto isRead = ReadFlat<
+    wire::
+      StateImage>(aBytes, kMaxMessageWords, [&](wire::StateImage::Reader aIn) {
+    std::deque<AcceptedChange> changes;
+    for (const auto change : aIn.getChanges()) {
+      changes.push_back({ ChangeId(TextOf(change.getChangeId())),
+                          OperatorId(TextOf(change.getOperator())),
+                          Revision(change.getRevision()),
+                          TextOf(change.getPatch()),
+                          Duration(change.getAtMicros()) });
+    }
+    std::vector<ClaimRecord> claims;
+    for (const auto claim : aIn.getClaims()) {
+      claims.push_back(ReadClaim(claim));
+    }
+    m_settings.Restore(
+      Revision(aIn.getRevision()), TextOf(aIn.getTree()), std::move(changes));
+    m_claims.Restore(std::move(claims));
+    const auto routes = aIn.getRoutes();
+    m_routes = { Revision(routes.getVersion()), BytesOf(routes.getDocument()) };
+    return true;
+  });
   return isRead.value_or(false);
 }
 
--- a/fleet/demand_tracker.cpp
+++ b/fleet/demand_tracker.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Demand moves within seconds; a shorter memory would follow single bursts.
-constexpr double kSmoothingSeconds = 3.0;
+constexpr double kSmoothingSeconds = 1.5;
 constexpr double kMicrosPerSecond = 1e6;
 /// Below this rate a target that nobody asks for is forgotten.
 constexpr double kForgottenRate = 0.001;
--- a/fleet/demand_tracker.h
+++ b/fleet/demand_tracker.h
@@ -32,10 +32,7 @@
   };
 
   /// Notes calls that an entry counted since its last report. @pre none.
-  void Note(const Key& aKey,
-            uint32_t aCalls,
-            uint32_t aMisses,
-            TimePoint aNow);
+  void Note(const Key& aKey, uint32_t aCalls, uint32_t aMisses, TimePoint aNow);
   /// Folds what was noted into the rates. @pre called about once a second.
   void Tick(TimePoint aNow);
   /// Returns the demand for a target; zero when none is known. @pre none.
--- a/fleet/engine_directory.h
+++ b/fleet/engine_directory.h
@@ -65,7 +65,9 @@
     TimePoint m_until;
   };
 
-  static void Hold(EngineRecord& aRecord, const ModelTarget& aTarget, bool aIsHeld);
+  static void Hold(EngineRecord& aRecord,
+                   const ModelTarget& aTarget,
+                   bool aIsHeld);
   void ApplyOwnNews(EngineRecord& aRecord, TimePoint aNow);
   void Touch(Entry& aEntry);
 
--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kChangePeriod = std::chrono::milliseconds(500);
 /// An unload waits for its runs; the longest stream ends within this.
 constexpr Duration kChangeLimit = std::chrono::seconds(25);
+/// Time until every entry knows that a model is about to go: a tick of the
+/// directory and the way to another region.
+constexpr Duration kAnnouncement = std::chrono::milliseconds(200);
 constexpr uint32_t kMaxTries = 4;
 /// A queued order that is older has lost its purpose.
 constexpr Duration kQueueLimit = std::chrono::seconds(4);
@@ -25,10 +28,12 @@
 EngineOrders::EngineOrders(Parts aParts,
                            InstanceId aOwner,
                            SpecFinder aSpecs,
+                           StoreTaker aTakeStoreLoad,
                            std::function<bool()> aMayOrder)
   : m_parts(aParts)
   , m_owner(std::move(aOwner))
   , m_specs(std::move(aSpecs))
+  , m_takeStoreLoad(std::move(aTakeStoreLoad))
   , m_mayOrder(std::move(aMayOrder))
 {
 }
@@ -156,8 +161,8 @@
     return false;
   }
   const bool isAdapter = !aItem.m_target.m_adapter.empty();
-  const uint64_t needed = isAdapter ? model->second.m_adapterMegabytes
-                                    : model->second.m_megabytes;
+  const uint64_t needed =
+    isAdapter ? model->second.m_adapterMegabytes : model->second.m_megabytes;
   if (TakenMegabytes(*spec, aEngine) + needed > spec->m_weightMegabytes) {
     return false;
   }
@@ -168,6 +173,23 @@
          AdapterCount(aEngine) < spec->m_adapterPlaces;
 }
 
+bool EngineOrders::IsToBeAnnounced(const EngineRecord& aRecord,
+                                   const Item& aItem)
+{
+  return aItem.m_kind == EngineOrderKind::Unload &&
+         aItem.m_target.m_adapter.empty() && aRecord.Holds(aItem.m_target);
+}
+
+bool EngineOrders::MayLoadWeights(const EngineRecord& aRecord,
+                                  const Item& aItem) const
+{
+  const bool isFromStore =
+    aItem.m_kind == EngineOrderKind::Load &&
+    aItem.m_target.m_adapter.empty() &&
+    !aRecord.m_weightCopies.contains(aItem.m_target.m_model);
+  return !isFromStore || m_takeStoreLoad(aRecord.m_pool);
+}
+
 bool EngineOrders::HasAdapterPlace(const EngineRecord& aRecord) const
 {
   const EngineSpec* spec = m_specs(aRecord.m_pool);
@@ -194,7 +216,8 @@
           !found->second.m_queue.empty());
 }
 
-std::set<ModelTarget> EngineOrders::AdaptersOf(const EngineRecord& aRecord) const
+std::set<ModelTarget> EngineOrders::AdaptersOf(
+  const EngineRecord& aRecord) const
 {
   const auto found = m_engines.find(aRecord.m_id);
   const bool isRead =
@@ -257,9 +280,9 @@
     engine.m_queue.pop_front();
     done(false);
   }
-  const bool mayOrder = now >= m_quietUntil && m_mayOrder();
-  if (!mayOrder || engine.m_queue.empty() || engine.m_sent ||
-      engine.m_change) {
+  const bool mayOrder =
+    now >= m_quietUntil && now >= engine.m_announcedUntil && m_mayOrder();
+  if (!mayOrder || engine.m_queue.empty() || engine.m_sent || engine.m_change) {
     return;
   }
   const EngineRecord* record = m_parts.m_directory.Find(aId);
@@ -273,13 +296,24 @@
   }
   Item item = std::move(engine.m_queue.front());
   engine.m_queue.pop_front();
-  if (!HasRoom(*record, engine, item)) {
+  const bool hasRoom = HasRoom(*record, engine, item);
+  if (!hasRoom || !MayLoadWeights(*record, item)) {
     m_parts.m_log.Write(EventId::PlacementRefused,
-                        Describe(aId, item) + " reason=\"no room\"");
+                        Describe(aId, item) + " reason=\"" +
+                          (hasRoom ? "the weight store's rate is used up"
+                                   : "no room") +
+                          "\"");
     item.m_done(false);
     Pump(aId);
     return;
   }
+  if (IsToBeAnnounced(*record, item)) {
+    // Entries stop sending first; what came later would be turned away.
+    m_parts.m_directory.NoteHeld(aId, item.m_target, false, now);
+    engine.m_announcedUntil = now + kAnnouncement;
+    engine.m_queue.push_front(std::move(item));
+    return;
+  }
   const EngineOrder order{
     item.m_kind, item.m_target, m_owner, m_token, *engine.m_sequence
   };
@@ -401,6 +435,13 @@
     Pump(aId);
     return;
   }
+  if (aReply == OrderReply::Conflict && isAdapter &&
+      item.m_kind == EngineOrderKind::Unload) {
+    // In use, as a rule; a count that differs shows at the next order.
+    item.m_done(false);
+    Pump(aId);
+    return;
+  }
   // Whatever else it was, what the engine holds must be read anew.
   engine.m_sequence.reset();
   engine.m_readAt = now + kReportLag;
@@ -411,8 +452,8 @@
     return;
   }
   m_parts.m_log.Write(EventId::OrderFailed,
-                      Describe(aId, item) + " reply=" +
-                        std::to_string(static_cast<int>(aReply)) +
+                      Describe(aId, item) +
+                        " reply=" + std::to_string(static_cast<int>(aReply)) +
                         " tries=" + std::to_string(item.m_tries));
   if (aReply == OrderReply::FencedOff) {
     item.m_done(false);
--- a/fleet/engine_orders.h
+++ b/fleet/engine_orders.h
@@ -27,6 +27,8 @@
 {
 public:
   using Done = std::function<void(bool aIsDone)>;
+  /// Takes a load from the weight store; false while its rate is used up.
+  using StoreTaker = std::function<bool(const PoolId&)>;
   /// Finds what the engines of a pool have in common; null for none.
   using SpecFinder = std::function<const EngineSpec*(const PoolId&)>;
 
@@ -44,6 +46,7 @@
   EngineOrders(Parts aParts,
                InstanceId aOwner,
                SpecFinder aSpecs,
+               StoreTaker aTakeStoreLoad,
                std::function<bool()> aMayOrder);
   ~EngineOrders();
 
@@ -70,7 +73,8 @@
   /// @pre none.
   [[nodiscard]] bool IsBusy(const UpstreamId& aEngine) const;
   /// Returns the adapters that the engine holds as far as known. @pre none.
-  [[nodiscard]] std::set<ModelTarget> AdaptersOf(const EngineRecord& aRecord) const;
+  [[nodiscard]] std::set<ModelTarget> AdaptersOf(
+    const EngineRecord& aRecord) const;
   /// Returns the megabytes free for a further model. @pre none.
   [[nodiscard]] int64_t FreeMegabytes(const EngineRecord& aRecord) const;
 
@@ -101,6 +105,8 @@
     std::optional<ModelChange> m_change;
     bool m_isReading = false;
     TimePoint m_readAt;
+    /// Nothing is sent before this, while entries hear of an unload.
+    TimePoint m_announcedUntil;
   };
 
   void Pump(const UpstreamId& aId);
@@ -111,6 +117,10 @@
   void HandleAccepted(const UpstreamId& aId, Engine& aEngine, Item aItem);
   void FinishAdapter(const UpstreamId& aId, Item aItem);
   void CheckChange(const UpstreamId& aId, Engine& aEngine);
+  [[nodiscard]] static bool IsToBeAnnounced(const EngineRecord& aRecord,
+                                            const Item& aItem);
+  [[nodiscard]] bool MayLoadWeights(const EngineRecord& aRecord,
+                                    const Item& aItem) const;
   [[nodiscard]] bool HasRoom(const EngineRecord& aRecord,
                              const Engine& aEngine,
                              const Item& aItem) const;
@@ -124,6 +134,7 @@
   Parts m_parts;
   InstanceId m_owner;
   SpecFinder m_specs;
+  StoreTaker m_takeStoreLoad;
   std::function<bool()> m_mayOrder;
   std::map<UpstreamId, Engine> m_engines;
   FencingToken m_token;
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -9,10 +9,13 @@
 /// The list itself lags by most of a second; reading it more often than this
 /// brings little.
 constexpr Duration kListPeriod = std::chrono::milliseconds(700);
-constexpr Duration kPlanPeriod = std::chrono::milliseconds(1000);
+constexpr Duration kPlanPeriod = std::chrono::milliseconds(500);
 /// Added to the lease of the owner before, for the time that its last order
 /// is on its way.
 constexpr Duration kOrderFlight = std::chrono::milliseconds(300);
+/// Adapters that are tried to drop for one that is asked for; those in use
+/// stay.
+constexpr uint32_t kMaxAdapterDrops = 3;
 
 } // namespace
 
@@ -22,14 +25,18 @@
   : m_parts(aParts)
   , m_limits(std::move(aLimits))
   , m_hasLease(std::move(aHasLease))
-  , m_orders({ aParts.m_clock,
-               aParts.m_timers,
-               aParts.m_control,
-               m_directory,
-               aParts.m_log },
-             m_limits.m_owner,
-             [this](const PoolId& aPool) { return SpecOf(aPool); },
-             m_hasLease)
+  , m_orders(
+      { aParts.m_clock,
+        aParts.m_timers,
+        aParts.m_control,
+        m_directory,
+        aParts.m_log },
+      m_limits.m_owner,
+      [this](const PoolId& aPool) { return SpecOf(aPool); },
+      [this](const PoolId& aPool) {
+        return m_budgets[aPool].TryTake(m_parts.m_clock.Now());
+      },
+      m_hasLease)
 {
 }
 
@@ -47,11 +54,14 @@
   const TimePoint now = m_parts.m_clock.Now();
   End();
   m_term = aTerm;
-  m_orders.Begin(aTerm, now + m_limits.m_ownerLease + kOrderFlight);
+  const Duration wait = m_limits.m_isFenced
+                          ? Duration::zero()
+                          : m_limits.m_ownerLease + kOrderFlight;
+  m_orders.Begin(aTerm, now + wait);
   m_listDue = now;
   m_planDue = now + kPlanPeriod;
   for (auto& [pool, budget] : m_budgets) {
-    budget.AssumeSpent(now);
+    budget.AssumeHalfSpent(now);
   }
 }
 
@@ -97,28 +107,27 @@
 {
   m_isReadingList = true;
   m_listDue = m_parts.m_clock.Now() + kListPeriod;
-  m_parts.m_control.ReadList(
-    [this, generation = m_generation](
-      std::optional<std::vector<EngineRecord>> aList) {
-      if (generation != m_generation) {
-        return;
-      }
-      m_isReadingList = false;
-      if (!aList) {
-        m_parts.m_log.Write(EventId::PlatformListLost, "");
-        return;
-      }
-      const auto news =
-        m_directory.ApplyList(std::move(*aList), m_parts.m_clock.Now());
-      for (const UpstreamId& id : news.m_appeared) {
-        m_orders.Forget(id);
-        m_parts.m_log.Write(EventId::EngineSeen, "engine=" + id.Value());
-      }
-      for (const UpstreamId& id : news.m_gone) {
-        m_orders.Forget(id);
-        m_parts.m_log.Write(EventId::EngineGone, "engine=" + id.Value());
-      }
-    });
+  m_parts.m_control.ReadList([this, generation = m_generation](
+                               std::optional<std::vector<EngineRecord>> aList) {
+    if (generation != m_generation) {
+      return;
+    }
+    m_isReadingList = false;
+    if (!aList) {
+      m_parts.m_log.Write(EventId::PlatformListLost, "");
+      return;
+    }
+    const auto news =
+      m_directory.ApplyList(std::move(*aList), m_parts.m_clock.Now());
+    for (const UpstreamId& id : news.m_appeared) {
+      m_orders.Forget(id);
+      m_parts.m_log.Write(EventId::EngineSeen, "engine=" + id.Value());
+    }
+    for (const UpstreamId& id : news.m_gone) {
+      m_orders.Forget(id);
+      m_parts.m_log.Write(EventId::EngineGone, "engine=" + id.Value());
+    }
+  });
 }
 
 void FleetOwner::NoteDemand(const DemandTracker::Key& aKey,
@@ -155,25 +164,27 @@
     engine.m_isBusy = m_orders.IsBusy(id);
     engine.m_isLeaving = record.m_isLeaving;
     engine.m_freeMegabytes = m_orders.FreeMegabytes(record);
+    engine.m_copies = record.m_weightCopies;
     for (const auto& [name, held] : record.m_models) {
       engine.m_models.push_back(name);
     }
     engines.push_back(std::move(engine));
   }
-  std::map<std::string, ModelDemand> demand;
+  std::map<std::string, double> rates;
   for (const auto& [name, spec] : aPool.m_engine->m_models) {
-    demand[name] = {
-      m_demand.ModelRate(aPool.m_id, name),
-      m_demand.Of({ aPool.m_id, { name, "" } }).m_misses
-    };
+    rates[name] = m_demand.ModelRate(aPool.m_id, name);
   }
-  const auto moves = ModelPlanner::Plan(
-    *aPool.m_engine, engines, demand, budget.Left(aNow));
-  for (const ModelMove& move : moves) {
-    if (move.m_isLoad) {
-      budget.NoteLoad(aNow);
-      m_demand.TakeMisses({ aPool.m_id, { move.m_model, "" } });
-    }
+  PlanLimits limits;
+  limits.m_storeLoads = budget.Left(aNow);
+  for (const ModelMove& move :
+       ModelPlanner::Plan(*aPool.m_engine, engines, rates, limits)) {
+    m_parts.m_log.Write(EventId::PlacementPlanned,
+                        "engine=" + move.m_engine.Value() +
+                          " model=" + move.m_model +
+                          " kind=" + (move.m_isLoad ? "load" : "unload") +
+                          " store=" + (move.m_isFromStore ? "yes" : "no") +
+                          " calls_per_s=" +
+                          std::to_string(rates[move.m_model]));
     m_orders.Submit(move.m_engine,
                     move.m_isLoad ? EngineOrderKind::Load
                                   : EngineOrderKind::Unload,
@@ -182,8 +193,7 @@
   }
 }
 
-const EngineRecord* FleetOwner::FindHolder(
-  const DemandTracker::Key& aKey) const
+const EngineRecord* FleetOwner::FindHolder(const DemandTracker::Key& aKey) const
 {
   for (const auto& [id, entry] : m_directory.All()) {
     const EngineRecord& record = entry.m_record;
@@ -202,8 +212,8 @@
   struct Rank
   {
     bool m_isBusy;
-    bool m_isElsewhere;
     bool m_isFull;
+    bool m_isElsewhere;
     size_t m_adapters;
     auto operator<=>(const Rank&) const = default;
   };
@@ -218,8 +228,8 @@
       continue;
     }
     const Rank rank{ m_orders.IsBusy(id),
-                     record.m_domain != aDomain,
                      !m_orders.HasAdapterPlace(record),
+                     record.m_domain != aDomain,
                      m_orders.AdaptersOf(record).size() };
     if (best == nullptr || rank < bestRank) {
       best = &record;
@@ -229,42 +239,70 @@
   return best;
 }
 
-void FleetOwner::MakeAdapterPlace(const DemandTracker::Key& aKey,
-                                  const EngineRecord& aRecord)
+std::optional<ModelTarget> FleetOwner::ChooseVictim(
+  const DemandTracker::Key& aKey,
+  const EngineRecord& aRecord,
+  uint32_t aSkip) const
 {
-  if (m_orders.HasAdapterPlace(aRecord)) {
-    return;
-  }
-  std::optional<ModelTarget> victim;
-  double victimRate = 0;
+  std::vector<std::pair<double, ModelTarget>> victims;
   for (const ModelTarget& adapter : m_orders.AdaptersOf(aRecord)) {
-    const double rate = m_demand.Of({ aKey.m_pool, adapter }).m_rate;
-    if (!victim || rate < victimRate) {
-      victim = adapter;
-      victimRate = rate;
-    }
+    victims.emplace_back(m_demand.Of({ aKey.m_pool, adapter }).m_rate, adapter);
+  }
+  if (aSkip >= victims.size()) {
+    return std::nullopt;
   }
-  if (victim) {
+  std::sort(victims.begin(), victims.end());
+  return victims[aSkip].second;
+}
+
+void FleetOwner::LoadInto(const DemandTracker::Key& aKey,
+                          const UpstreamId& aEngine,
+                          uint32_t aDropsLeft,
+                          const std::function<void(bool)>& aDone)
+{
+  const EngineRecord* record = m_directory.Find(aEngine);
+  if (record == nullptr) {
+    aDone(false);
+    return;
+  }
+  if (m_orders.HasAdapterPlace(*record)) {
     m_orders.Submit(
-      aRecord.m_id, EngineOrderKind::Unload, *victim, [](bool) {});
+      aEngine, EngineOrderKind::Load, aKey.m_target, aDone);
+    return;
+  }
+  const auto victim =
+    aDropsLeft == 0
+      ? std::nullopt
+      : ChooseVictim(aKey, *record, kMaxAdapterDrops - aDropsLeft);
+  if (!victim) {
+    aDone(false);
+    return;
   }
+  m_orders.Submit(aEngine,
+                  EngineOrderKind::Unload,
+                  *victim,
+                  [this, aKey, aEngine, aDropsLeft, aDone](bool /*aIsDone*/) {
+                    LoadInto(aKey, aEngine, aDropsLeft - 1, aDone);
+                  });
 }
 
 void FleetOwner::LoadAdapter(const DemandTracker::Key& aKey,
                              const FailureDomainId& aDomain,
+                             const UpstreamId& aPreferred,
                              std::function<void(UpstreamId)> aDone)
 {
   if (!m_term) {
     aDone(UpstreamId());
     return;
   }
-  AdapterLoad& load = m_adapterLoads[aKey];
+  const AdapterLoadKey loadKey{ aKey, aPreferred };
+  AdapterLoad& load = m_adapterLoads[loadKey];
   load.m_waiting.push_back(std::move(aDone));
   if (load.m_waiting.size() > 1) {
     return;
   }
-  const auto finish = [this, aKey](const UpstreamId& aEngine) {
-    const auto found = m_adapterLoads.find(aKey);
+  const auto finish = [this, loadKey](const UpstreamId& aEngine) {
+    const auto found = m_adapterLoads.find(loadKey);
     if (found == m_adapterLoads.end()) {
       return;
     }
@@ -274,24 +312,31 @@
       done(aEngine);
     }
   };
-  if (const EngineRecord* holder = FindHolder(aKey)) {
-    // The entry asked before it heard of a load that is done.
-    finish(holder->m_id);
-    return;
+  const EngineRecord* engine = m_directory.Find(aPreferred);
+  const bool isPreferredUsable =
+    engine != nullptr && !engine->m_isLeaving &&
+    engine->m_models.contains(aKey.m_target.m_model) &&
+    !m_orders.IsBusy(aPreferred);
+  if (!isPreferredUsable) {
+    if (const EngineRecord* holder = FindHolder(aKey)) {
+      // The entry asked before it heard of a load that is done.
+      finish(holder->m_id);
+      return;
+    }
+    engine = ChooseForAdapter(aKey, aDomain);
   }
-  const EngineRecord* engine = ChooseForAdapter(aKey, aDomain);
   if (engine == nullptr) {
     finish(UpstreamId());
     return;
   }
   const UpstreamId id = engine->m_id;
-  MakeAdapterPlace(aKey, *engine);
-  m_orders.Submit(id,
-                  EngineOrderKind::Load,
-                  aKey.m_target,
-                  [finish, id](bool aIsDone) {
-                    finish(aIsDone ? id : UpstreamId());
-                  });
+  if (engine->Holds(aKey.m_target)) {
+    finish(id);
+    return;
+  }
+  LoadInto(aKey, id, kMaxAdapterDrops, [finish, id](bool aIsDone) {
+    finish(aIsDone ? id : UpstreamId());
+  });
 }
 
 } // namespace celeryspread
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -31,6 +31,9 @@
     InstanceId m_owner;
     Duration m_ownerLease{};
     Duration m_storeWindow{};
+    /// Engines refuse orders with an old fencing token, so that a new owner
+    /// needs not wait until the one before has surely stopped.
+    bool m_isFenced = false;
     double m_listCallsPerSecond = 1;
   };
 
@@ -40,8 +43,7 @@
   ~FleetOwner();
 
   /// Starts owning under a term of leadership. @pre aTerm is larger than that
-  /// of any owner before; aIsFirst when the system has just been founded, so
-  /// that no owner was before.
+  /// of any owner before.
   void Begin(FencingToken aTerm);
   /// Stops owning. @pre none.
   void End();
@@ -55,15 +57,14 @@
                   uint32_t aMisses);
   /// Has an adapter loaded; aDone hears the engine that holds it, empty when
   /// it can't be had now. @pre none; called exactly once.
+  /// @pre aPreferred names the engine that suits the asker best, or is empty.
   void LoadAdapter(const DemandTracker::Key& aKey,
                    const FailureDomainId& aDomain,
+                   const UpstreamId& aPreferred,
                    std::function<void(UpstreamId)> aDone);
 
   /// Returns what is known of the engines. @pre none.
-  [[nodiscard]] const EngineDirectory& Directory() const
-  {
-    return m_directory;
-  }
+  [[nodiscard]] const EngineDirectory& Directory() const { return m_directory; }
   /// Returns the term of ownership; empty when this is not the owner.
   /// @pre none.
   [[nodiscard]] std::optional<FencingToken> Term() const { return m_term; }
@@ -83,8 +84,16 @@
   [[nodiscard]] const EngineRecord* ChooseForAdapter(
     const DemandTracker::Key& aKey,
     const FailureDomainId& aDomain) const;
-  void MakeAdapterPlace(const DemandTracker::Key& aKey,
-                        const EngineRecord& aRecord);
+  /// Loads an adapter once there is a place for it, dropping others that
+  /// nothing uses, the least asked for first.
+  void LoadInto(const DemandTracker::Key& aKey,
+                const UpstreamId& aEngine,
+                uint32_t aDropsLeft,
+                const std::function<void(bool)>& aDone);
+  [[nodiscard]] std::optional<ModelTarget> ChooseVictim(
+    const DemandTracker::Key& aKey,
+    const EngineRecord& aRecord,
+    uint32_t aSkip) const;
 
   Parts m_parts;
   Limits m_limits;
@@ -93,7 +102,8 @@
   DemandTracker m_demand;
   EngineOrders m_orders;
   std::map<PoolId, StoreBudget> m_budgets;
-  std::map<DemandTracker::Key, AdapterLoad> m_adapterLoads;
+  using AdapterLoadKey = std::pair<DemandTracker::Key, UpstreamId>;
+  std::map<AdapterLoadKey, AdapterLoad> m_adapterLoads;
   std::shared_ptr<const RouteConfig> m_config;
   std::optional<FencingToken> m_term;
   TimePoint m_listDue;
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -2,152 +2,269 @@
 
 #include <algorithm>
 #include <limits>
-#include <set>
+#include <optional>
 
 namespace celeryspread {
 
 namespace {
 
+/// A load from the store takes seconds, one from a disk a fraction of one.
+constexpr double kStorePenalty = 1.08;
+/// A second copy in a domain saves no call the way to another one.
+constexpr double kSameDomainPenalty = 1.04;
+
 /// Working copy of the engines while a plan is made.
 class Draft
 {
 public:
   Draft(const EngineSpec& aSpec,
-        const std::vector<PlannedEngine>& aEngines,
-        const std::map<std::string, ModelDemand>& aDemand)
+        std::vector<PlannedEngine> aEngines,
+        const std::map<std::string, double>& aRates,
+        PlanLimits aLimits)
     : m_spec(aSpec)
-    , m_engines(aEngines)
-    , m_demand(aDemand)
+    , m_engines(std::move(aEngines))
+    , m_rates(aRates)
+    , m_limits(aLimits)
   {
+    std::erase_if(m_engines, [](const PlannedEngine& aEngine) {
+      return aEngine.m_isLeaving;
+    });
     for (const PlannedEngine& engine : m_engines) {
-      if (engine.m_isLeaving) {
-        continue;
-      }
       for (const std::string& model : engine.m_models) {
         ++m_copies[model];
       }
     }
+    for (const auto& [model, copies] : m_copies) {
+      m_rates[model] +=
+        ModelPlanner::kPriorRate * static_cast<double>(copies);
+    }
+  }
+
+  [[nodiscard]] double Rate(const std::string& aModel) const
+  {
+    const auto found = m_rates.find(aModel);
+    return found == m_rates.end() ? 0 : found->second;
+  }
+
+  /// Places every model that no engine holds, the busiest first.
+  void PlaceMissing()
+  {
+    std::vector<std::string> missing;
+    for (const auto& [name, spec] : m_spec.m_models) {
+      if (Copies(name) == 0) {
+        missing.push_back(name);
+      }
+    }
+    std::stable_sort(missing.begin(),
+                     missing.end(),
+                     [&](const std::string& aLeft, const std::string& aRight) {
+                       return Rate(aLeft) > Rate(aRight);
+                     });
+    for (const std::string& model : missing) {
+      const auto choice = BestPlace(model);
+      if (choice) {
+        Commit(*choice, model);
+      }
+    }
+  }
+
+  /// Relieves the most loaded engine. @return false when nothing helps.
+  bool Balance()
+  {
+    std::vector<PlannedEngine*> byLoad;
+    for (PlannedEngine& engine : m_engines) {
+      byLoad.push_back(&engine);
+    }
+    std::sort(byLoad.begin(), byLoad.end(), [&](auto* aLeft, auto* aRight) {
+      return Load(*aLeft) > Load(*aRight);
+    });
+    // The most loaded engines may hold nothing that can be shared further.
+    constexpr size_t kEnginesTried = 4;
+    for (size_t i = 0; i < std::min(kEnginesTried, byLoad.size()); ++i) {
+      const double load = Load(*byLoad[i]);
+      if (load < ModelPlanner::kMinLoadPerSlot * m_spec.m_slots) {
+        return false;
+      }
+      const auto model = std::max_element(
+        byLoad[i]->m_models.begin(),
+        byLoad[i]->m_models.end(),
+        [&](const std::string& aLeft, const std::string& aRight) {
+          return Share(aLeft) < Share(aRight);
+        });
+      if (model == byLoad[i]->m_models.end()) {
+        continue;
+      }
+      const std::string name = *model;
+      const auto choice = BestPlace(name);
+      if (choice && choice->m_load < load * ModelPlanner::kWorthwhile) {
+        Commit(*choice, name);
+        return true;
+      }
+    }
+    return false;
   }
 
+  [[nodiscard]] std::vector<ModelMove> TakeMoves()
+  {
+    return std::move(m_moves);
+  }
+
+private:
+  struct Choice
+  {
+    PlannedEngine* m_engine = nullptr;
+    std::string m_victim;
+    /// Largest load of an engine that the exchange touches.
+    double m_load = std::numeric_limits<double>::infinity();
+    bool m_isFromStore = false;
+  };
+
   [[nodiscard]] size_t Copies(const std::string& aModel) const
   {
     const auto found = m_copies.find(aModel);
     return found == m_copies.end() ? 0 : found->second;
   }
 
-  [[nodiscard]] double Rate(const std::string& aModel) const
+  /// Calls a second at each copy of a model.
+  [[nodiscard]] double Share(const std::string& aModel) const
+  {
+    return Rate(aModel) /
+           static_cast<double>(std::max<size_t>(1, Copies(aModel)));
+  }
+
+  [[nodiscard]] double Load(const PlannedEngine& aEngine) const
   {
-    const auto found = m_demand.find(aModel);
-    return found == m_demand.end() ? 0 : found->second.m_rate;
+    double load = 0;
+    for (const std::string& model : aEngine.m_models) {
+      load += Share(model);
+    }
+    return load;
   }
 
-  /// Calls a second at each of aCopies copies.
-  [[nodiscard]] double RateAt(const std::string& aModel, size_t aCopies) const
+  [[nodiscard]] static bool Holds(const PlannedEngine& aEngine,
+                                  const std::string& aModel)
   {
-    return aCopies == 0 ? std::numeric_limits<double>::infinity()
-                        : Rate(aModel) / static_cast<double>(aCopies);
+    const auto& models = aEngine.m_models;
+    return std::find(models.begin(), models.end(), aModel) != models.end();
   }
 
-  /// Loads a model where there is room, or makes room by dropping a copy
-  /// whose remaining copies stay below aMaxVictimRate.
-  bool Place(const std::string& aModel,
-             double aMaxVictimRate,
-             std::vector<ModelMove>& aMoves)
+  [[nodiscard]] bool IsInDomain(const std::string& aModel,
+                                const FailureDomainId& aDomain) const
+  {
+    return std::any_of(
+      m_engines.begin(), m_engines.end(), [&](const PlannedEngine& aEngine) {
+        return aEngine.m_domain == aDomain && Holds(aEngine, aModel);
+      });
+  }
+
+  /// Load of the busiest remaining holder of a model that loses one copy.
+  [[nodiscard]] double LoadWithout(const std::string& aModel,
+                                   const PlannedEngine& aLoser) const
+  {
+    const double more =
+      Rate(aModel) / static_cast<double>(Copies(aModel) - 1) - Share(aModel);
+    double load = 0;
+    for (const PlannedEngine& engine : m_engines) {
+      if (&engine != &aLoser && Holds(engine, aModel)) {
+        load = std::max(load, Load(engine) + more);
+      }
+    }
+    return load;
+  }
+
+  /// Load of the busiest present holder once there is one more copy.
+  [[nodiscard]] double LoadWithMore(const std::string& aModel) const
+  {
+    const double less =
+      Share(aModel) -
+      Rate(aModel) / static_cast<double>(Copies(aModel) + 1);
+    double load = 0;
+    for (const PlannedEngine& engine : m_engines) {
+      if (Holds(engine, aModel)) {
+        load = std::max(load, Load(engine) - less);
+      }
+    }
+    return load;
+  }
+
+  void Consider(PlannedEngine& aEngine,
+                const std::string& aVictim,
+                const std::string& aModel,
+                Choice& aBest) const
+  {
+    const bool isFromStore = !aEngine.m_copies.contains(aModel);
+    if (isFromStore && m_limits.m_storeLoads == 0) {
+      return;
+    }
+    const double gained =
+      Rate(aModel) / static_cast<double>(Copies(aModel) + 1);
+    double load = Load(aEngine) + gained;
+    if (!aVictim.empty()) {
+      load -= Share(aVictim);
+      load = std::max(load, LoadWithout(aVictim, aEngine));
+    }
+    load = std::max(load, LoadWithMore(aModel));
+    load *= isFromStore ? kStorePenalty : 1;
+    load *= IsInDomain(aModel, aEngine.m_domain) ? kSameDomainPenalty : 1;
+    if (load < aBest.m_load) {
+      aBest = { &aEngine, aVictim, load, isFromStore };
+    }
+  }
+
+  std::optional<Choice> BestPlace(const std::string& aModel)
   {
     const auto spec = m_spec.m_models.find(aModel);
     if (spec == m_spec.m_models.end()) {
-      return false;
+      return std::nullopt;
     }
     const auto needed = static_cast<int64_t>(spec->second.m_megabytes);
-    PlannedEngine* best = nullptr;
-    std::string bestVictim;
-    double bestRate = aMaxVictimRate;
+    Choice best;
     for (PlannedEngine& engine : m_engines) {
-      if (!IsOpen(engine, aModel)) {
+      if (engine.m_isBusy || Holds(engine, aModel)) {
         continue;
       }
       if (engine.m_freeMegabytes >= needed) {
-        if (best == nullptr || !bestVictim.empty() ||
-            DomainCopies(aModel, engine) < DomainCopies(aModel, *best)) {
-          best = &engine;
-          bestVictim.clear();
-          bestRate = -1;
-        }
+        Consider(engine, "", aModel, best);
         continue;
       }
       for (const std::string& victim : engine.m_models) {
-        const size_t copies = Copies(victim);
-        if (copies < 2 || !Fits(engine, victim, needed)) {
-          continue;
-        }
-        const double rate = RateAt(victim, copies - 1);
-        if (rate < bestRate) {
-          best = &engine;
-          bestVictim = victim;
-          bestRate = rate;
+        const auto victimSpec = m_spec.m_models.find(victim);
+        const int64_t freed =
+          victimSpec == m_spec.m_models.end()
+            ? 0
+            : static_cast<int64_t>(victimSpec->second.m_megabytes);
+        const bool isEnough = engine.m_freeMegabytes + freed >= needed;
+        if (Copies(victim) >= 2 && isEnough) {
+          Consider(engine, victim, aModel, best);
         }
       }
     }
-    if (best == nullptr) {
-      return false;
-    }
-    Commit(*best, bestVictim, aModel, aMoves);
-    return true;
-  }
-
-private:
-  [[nodiscard]] static bool IsOpen(const PlannedEngine& aEngine,
-                                   const std::string& aModel)
-  {
-    const auto& held = aEngine.m_models;
-    return !aEngine.m_isBusy && !aEngine.m_isLeaving &&
-           std::find(held.begin(), held.end(), aModel) == held.end();
-  }
-
-  [[nodiscard]] bool Fits(const PlannedEngine& aEngine,
-                          const std::string& aVictim,
-                          int64_t aNeeded) const
-  {
-    const auto victim = m_spec.m_models.find(aVictim);
-    const int64_t freed =
-      victim == m_spec.m_models.end()
-        ? 0
-        : static_cast<int64_t>(victim->second.m_megabytes);
-    return aEngine.m_freeMegabytes + freed >= aNeeded;
+    return best.m_engine == nullptr ? std::nullopt
+                                    : std::optional<Choice>(best);
   }
 
-  [[nodiscard]] size_t DomainCopies(const std::string& aModel,
-                                    const PlannedEngine& aEngine) const
+  void Commit(const Choice& aChoice, const std::string& aModel)
   {
-    return static_cast<size_t>(std::count_if(
-      m_engines.begin(), m_engines.end(), [&](const PlannedEngine& aOther) {
-        const auto& held = aOther.m_models;
-        return aOther.m_domain == aEngine.m_domain &&
-               std::find(held.begin(), held.end(), aModel) != held.end();
-      }));
-  }
-
-  void Commit(PlannedEngine& aEngine,
-              const std::string& aVictim,
-              const std::string& aModel,
-              std::vector<ModelMove>& aMoves)
-  {
-    if (!aVictim.empty()) {
-      aMoves.push_back({ aEngine.m_id, aVictim, false });
-      --m_copies[aVictim];
-      std::erase(aEngine.m_models, aVictim);
+    PlannedEngine& engine = *aChoice.m_engine;
+    if (!aChoice.m_victim.empty()) {
+      m_moves.push_back({ engine.m_id, aChoice.m_victim, false, false });
+      --m_copies[aChoice.m_victim];
+      std::erase(engine.m_models, aChoice.m_victim);
     }
-    aMoves.push_back({ aEngine.m_id, aModel, true });
+    m_moves.push_back({ engine.m_id, aModel, true, aChoice.m_isFromStore });
+    m_limits.m_storeLoads -= aChoice.m_isFromStore ? 1 : 0;
     ++m_copies[aModel];
-    aEngine.m_models.push_back(aModel);
-    // One exchange for each engine and plan: an engine does one at a time.
-    aEngine.m_isBusy = true;
+    engine.m_models.push_back(aModel);
+    // An engine carries out one exchange at a time.
+    engine.m_isBusy = true;
   }
 
   const EngineSpec& m_spec;
   std::vector<PlannedEngine> m_engines;
-  const std::map<std::string, ModelDemand>& m_demand;
+  std::map<std::string, double> m_rates;
+  PlanLimits m_limits;
   std::map<std::string, size_t> m_copies;
+  std::vector<ModelMove> m_moves;
 };
 
 } // namespace
@@ -155,44 +272,14 @@
 std::vector<ModelMove> ModelPlanner::Plan(
   const EngineSpec& aSpec,
   const std::vector<PlannedEngine>& aEngines,
-  const std::map<std::string, ModelDemand>& aDemand,
-  size_t aMaxLoads)
+  const std::map<std::string, double>& aRates,
+  PlanLimits aLimits)
 {
-  Draft draft(aSpec, aEngines, aDemand);
-  std::vector<ModelMove> moves;
-  std::vector<std::string> missing;
-  std::vector<std::string> held;
-  for (const auto& [name, spec] : aSpec.m_models) {
-    (draft.Copies(name) == 0 ? missing : held).push_back(name);
-  }
-  const auto byRate = [&](const std::string& aLeft, const std::string& aRight) {
-    return draft.Rate(aLeft) > draft.Rate(aRight);
-  };
-  std::stable_sort(missing.begin(), missing.end(), byRate);
-  size_t loads = 0;
-  for (const std::string& model : missing) {
-    if (loads >= aMaxLoads) {
-      return moves;
-    }
-    const double noLimit = std::numeric_limits<double>::infinity();
-    loads += draft.Place(model, noLimit, moves) ? 1 : 0;
-  }
-  while (loads < aMaxLoads) {
-    const auto hottest = std::max_element(
-      held.begin(), held.end(), [&](const auto& aLeft, const auto& aRight) {
-        return draft.RateAt(aLeft, draft.Copies(aLeft)) <
-               draft.RateAt(aRight, draft.Copies(aRight));
-      });
-    if (hottest == held.end()) {
-      return moves;
-    }
-    const double rate = draft.RateAt(*hottest, draft.Copies(*hottest));
-    if (rate < kMinRate || !draft.Place(*hottest, rate / kImbalance, moves)) {
-      return moves;
-    }
-    ++loads;
+  Draft draft(aSpec, aEngines, aRates, aLimits);
+  draft.PlaceMissing();
+  for (size_t i = 0; i < aLimits.m_exchanges && draft.Balance(); ++i) {
   }
-  return moves;
+  return draft.TakeMoves();
 }
 
 } // namespace celeryspread
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,52 +17,62 @@
   UpstreamId m_id;
   FailureDomainId m_domain;
   std::vector<std::string> m_models;
+  /// Models whose weights it loads from its own memory or disk.
+  std::set<std::string> m_copies;
   int64_t m_freeMegabytes = 0;
   /// Takes no further order now.
   bool m_isBusy = false;
   bool m_isLeaving = false;
 };
 
-/// Demand for one model.
-struct ModelDemand
-{
-  /// Calls a second.
-  double m_rate = 0;
-  /// Calls refused lately because no engine held it.
-  uint32_t m_misses = 0;
-};
-
 /// A model to load or unload.
 struct ModelMove
 {
   UpstreamId m_engine;
   std::string m_model;
   bool m_isLoad = true;
+  /// The load reads from the weight store.
+  bool m_isFromStore = false;
+};
+
+/// Limits of one plan.
+struct PlanLimits
+{
+  /// Loads from the weight store that may begin now.
+  size_t m_storeLoads = 0;
+  /// Exchanges for balance; models without a copy are placed besides.
+  size_t m_exchanges = 4;
 };
 
 /// Decides which engines hold which models, so that every model has a copy
-/// and busy models have as many as their share of the calls.
+/// and no engine gets much more of the calls than others.
 ///
 /// Pattern answered: demand that moves from some models to others while each
-/// engine can hold only a few. A model moves only when it is more than
-/// kImbalance times as loaded as the one that it replaces would become, so
-/// that two models with like demand do not trade places for ever.
+/// engine can hold only a few. The most loaded engine is relieved by one more
+/// copy of its busiest model, in place of a model that others hold as well.
+/// An exchange must lower the load of the engines that it touches by a
+/// fifth at least, so that models with like demand do not trade places.
 /// @thread any; no state.
 class ModelPlanner
 {
 public:
-  /// Load ratio beyond which a copy is exchanged.
-  static constexpr double kImbalance = 2.0;
-  /// Calls a second at one copy below which nothing is moved for balance.
-  static constexpr double kMinRate = 1.5;
+  /// Most that an exchange may leave of the load it answers.
+  static constexpr double kWorthwhile = 0.8;
+  /// Calls a second for each slot of an engine below which nothing is moved
+  /// for balance: such calls take about a second, so this is a third of what
+  /// an engine can serve.
+  static constexpr double kMinLoadPerSlot = 0.35;
+  /// Calls a second that each copy stands for besides the measured ones:
+  /// before there is any demand, the copies tell what was asked for earlier.
+  static constexpr double kPriorRate = 0.5;
 
-  /// Plans at most aMaxLoads loads and the unloads that make room for them.
-  /// @pre none.
+  /// Plans loads and the unloads that make room for them.
+  /// @pre aRates holds the calls a second of each model.
   static std::vector<ModelMove> Plan(
     const EngineSpec& aSpec,
     const std::vector<PlannedEngine>& aEngines,
-    const std::map<std::string, ModelDemand>& aDemand,
-    size_t aMaxLoads);
+    const std::map<std::string, double>& aRates,
+    PlanLimits aLimits);
 };
 
 } // namespace celeryspread
--- a/fleet/store_budget.h
+++ b/fleet/store_budget.h
@@ -17,9 +17,9 @@
   {
     constexpr double kMicrosPerSecond = 1e6;
     m_window = aWindow;
-    m_capacity = static_cast<size_t>(
-      aLoadsPerSecond * static_cast<double>(aWindow.count()) /
-      kMicrosPerSecond);
+    m_capacity = static_cast<size_t>(aLoadsPerSecond *
+                                     static_cast<double>(aWindow.count()) /
+                                     kMicrosPerSecond);
   }
   /// Returns how many loads may begin now. @pre none.
   [[nodiscard]] size_t Left(TimePoint aNow)
@@ -29,13 +29,18 @@
     }
     return m_capacity > m_begun.size() ? m_capacity - m_begun.size() : 0;
   }
-  /// Notes that a load begins. @pre none.
-  void NoteLoad(TimePoint aNow) { m_begun.push_back(aNow); }
-  /// Assumes that a former owner has spent the window. @pre none.
-  void AssumeSpent(TimePoint aNow)
+  /// Takes one load that begins now. @pre none. @error false when the rate
+  /// is used up.
+  bool TryTake(TimePoint aNow)
   {
-    m_begun.assign(m_capacity, aNow);
+    if (Left(aNow) == 0) {
+      return false;
+    }
+    m_begun.push_back(aNow);
+    return true;
   }
+  /// Assumes that a former owner has spent half of the window. @pre none.
+  void AssumeHalfSpent(TimePoint aNow) { m_begun.assign(m_capacity / 2, aNow); }
 
 private:
   Duration m_window{};
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -115,8 +115,8 @@
     entry.setMisses(counts.m_misses);
   }
   m_demand.clear();
-  auto answered = call.send().then(
-    [this](auto&& aResponse) { Apply(aResponse.getReply()); });
+  auto answered =
+    call.send().then([this](auto&& aResponse) { Apply(aResponse.getReply()); });
   return link->WithDeadline<void>(kj::mv(answered), kFollowDeadline);
 }
 
@@ -190,9 +190,10 @@
 
 void DirectoryLink::LoadAdapter(const PoolId& aPool,
                                 const ModelTarget& aTarget,
+                                const UpstreamId& aPreferred,
                                 std::function<void(UpstreamId)> aDone)
 {
-  const DemandKey key{ aPool, aTarget };
+  const LoadKey key{ { aPool, aTarget }, aPreferred };
   auto& waiting = m_loads[key];
   waiting.push_back(std::move(aDone));
   if (waiting.size() > 1) {
@@ -216,9 +217,9 @@
   request.setModel(aTarget.m_model);
   request.setAdapter(aTarget.m_adapter);
   request.setFailureDomain(m_settings.m_domain.Value());
-  auto answered = call.send().then([](auto&& aResponse) {
-    return UpstreamId(TextOf(aResponse.getEngine()));
-  });
+  request.setEngine(aPreferred.Value());
+  auto answered = call.send().then(
+    [](auto&& aResponse) { return UpstreamId(TextOf(aResponse.getEngine())); });
   link->WithDeadline<UpstreamId>(kj::mv(answered), kAdapterDeadline)
     .then([finish](UpstreamId&& aEngine) { finish(aEngine); },
           [finish](kj::Exception&&) { finish(UpstreamId()); })
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -51,6 +51,7 @@
 
   void LoadAdapter(const PoolId& aPool,
                    const ModelTarget& aTarget,
+                   const UpstreamId& aPreferred,
                    std::function<void(UpstreamId)> aDone) override;
   void NoteDemand(const PoolId& aPool,
                   const ModelTarget& aTarget,
@@ -91,7 +92,8 @@
   bool m_hasDirectory = false;
   std::map<DemandKey, Demand> m_demand;
   /// Callers that wait for the same adapter.
-  std::map<DemandKey, std::vector<std::function<void(UpstreamId)>>> m_loads;
+  using LoadKey = std::pair<DemandKey, UpstreamId>;
+  std::map<LoadKey, std::vector<std::function<void(UpstreamId)>>> m_loads;
   kj::Promise<void> m_follow;
 };
 
--- a/gateway/engine_selector.cpp
+++ b/gateway/engine_selector.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kBatchTime = std::chrono::milliseconds(1500);
 /// Larger than any wait, so that doubtful upstreams come last.
 constexpr Duration kDoubtCost = std::chrono::seconds(30);
+/// Time until an adapter is loaded on request, a round trip to its owner
+/// included, and what its load costs others.
+constexpr Duration kAdapterCost = std::chrono::milliseconds(150);
 /// Spreads calls over upstreams that look alike.
 constexpr uint64_t kJitterMicros = 10'000;
 
@@ -60,6 +63,23 @@
   return cost;
 }
 
+const EngineState* EngineSelector::ChooseForAdapter(const SelectQuery& aQuery,
+                                                    const EngineState* aHolder,
+                                                    TimePoint aNow)
+{
+  SelectQuery query = aQuery;
+  query.m_target.m_adapter.clear();
+  const EngineState* other = Choose(query, aNow);
+  if (other == nullptr || aHolder == nullptr) {
+    m_lastError =
+      other == nullptr ? m_lastError : SelectError::AdapterMissing;
+    return other;
+  }
+  const bool isBetter =
+    Cost(*other, aNow) + kAdapterCost < Cost(*aHolder, aNow);
+  return isBetter && !other->m_record.Holds(aQuery.m_target) ? other : nullptr;
+}
+
 const EngineState* EngineSelector::Choose(const SelectQuery& aQuery,
                                           TimePoint aNow)
 {
--- a/gateway/engine_selector.h
+++ b/gateway/engine_selector.h
@@ -46,6 +46,12 @@
 
   /// Chooses an upstream. @pre none. @error null; see LastError().
   const EngineState* Choose(const SelectQuery& aQuery, TimePoint aNow);
+  /// Chooses an upstream that holds the model and is worth the load of the
+  /// adapter there. @pre aHolder is the best one that holds the adapter, null
+  /// for none. @error null when there is none.
+  const EngineState* ChooseForAdapter(const SelectQuery& aQuery,
+                                      const EngineState* aHolder,
+                                      TimePoint aNow);
   /// Returns why the last Choose() failed. @pre it failed.
   [[nodiscard]] SelectError LastError() const { return m_lastError; }
 
--- a/gateway/event_splitter.cpp
+++ b/gateway/event_splitter.cpp
@@ -14,8 +14,8 @@
   uint64_t value = 0;
   const auto result =
     std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  const bool isWhole = result.ec == std::errc() &&
-                       result.ptr == aText.data() + aText.size();
+  const bool isWhole =
+    result.ec == std::errc() && result.ptr == aText.data() + aText.size();
   return isWhole ? std::optional<uint64_t>(value) : std::nullopt;
 }
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -108,8 +108,7 @@
   parts.m_route = route;
   parts.m_pool = ChoosePool(*route, parts.m_facts.m_attempt);
   parts.m_arrivedAt = now;
-  const Duration patience =
-    parts.m_facts.m_patience.value_or(route->m_timeout);
+  const Duration patience = parts.m_facts.m_patience.value_or(route->m_timeout);
   parts.m_deadline = now + std::min(patience, route->m_timeout);
   auto call = std::make_unique<GatewayCall>(
     m_context, std::move(parts), [this](GatewayCall& aEnded) {
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -64,20 +64,31 @@
   }
   const SelectQuery query{ m_parts.m_pool, m_parts.m_facts.m_target, m_tried };
   const EngineState* state = m_context.m_selector.Choose(query, now);
-  const bool isMiss =
-    state == nullptr &&
-    m_context.m_selector.LastError() != SelectError::NoUpstream;
+  const bool isMiss = state == nullptr && m_context.m_selector.LastError() !=
+                                            SelectError::NoUpstream;
   if (m_sends == 0 && !m_hasAskedForAdapter) {
     m_context.m_demand.NoteDemand(
       m_parts.m_pool, m_parts.m_facts.m_target, isMiss);
   }
+  const bool mayAsk =
+    !m_hasAskedForAdapter && !m_parts.m_facts.m_target.m_adapter.empty();
+  if (mayAsk) {
+    // Another engine may start the call sooner, the load of the adapter
+    // included.
+    const EngineState* better =
+      m_context.m_selector.ChooseForAdapter(query, state, now);
+    if (better != nullptr) {
+      AskForAdapter(better->m_record.m_id);
+      return;
+    }
+  }
   if (state != nullptr) {
     Send(*state);
     return;
   }
   switch (m_context.m_selector.LastError()) {
     case SelectError::AdapterMissing:
-      AskForAdapter();
+      AskForAdapter(UpstreamId());
       return;
     case SelectError::ModelMissing:
       Refuse("no engine holds the model", kMissingRetryAfter);
@@ -88,7 +99,7 @@
   }
 }
 
-void GatewayCall::AskForAdapter()
+void GatewayCall::AskForAdapter(const UpstreamId& aPreferred)
 {
   if (m_hasAskedForAdapter) {
     Refuse("the adapter could not be loaded", kMissingRetryAfter);
@@ -98,6 +109,7 @@
   m_context.m_adapters.LoadAdapter(
     m_parts.m_pool,
     m_parts.m_facts.m_target,
+    aPreferred,
     [this, isAlive = m_isAlive](const UpstreamId& aEngine) {
       if (!*isAlive || m_isFinished) {
         return;
@@ -184,8 +196,8 @@
   }
   if (!m_isStreaming) {
     m_isStreaming = true;
-    m_parts.m_caller->StartStream(
-      aStatus, m_context.m_codec.AnswerHeaders(aHeaders));
+    m_parts.m_caller->StartStream(aStatus,
+                                  m_context.m_codec.AnswerHeaders(aHeaders));
   }
 }
 
@@ -317,14 +329,24 @@
   }
   const SelectQuery query{ m_parts.m_pool, m_parts.m_facts.m_target, m_tried };
   const EngineState* state = m_context.m_selector.Choose(query, now);
-  if (state == nullptr || !m_context.m_retries.TryTake(m_parts.m_pool, now)) {
+  const bool isLoadable =
+    state == nullptr && !m_hasAskedForAdapter &&
+    m_context.m_selector.LastError() == SelectError::AdapterMissing;
+  if (state == nullptr && !isLoadable) {
+    return false;
+  }
+  if (!m_context.m_retries.TryTake(m_parts.m_pool, now)) {
     return false;
   }
   if (m_isStreaming) {
     m_events.BeginResumed();
   }
   m_context.m_metrics.Count("celeryspread_gateway_retries_total");
-  Send(*state);
+  if (isLoadable) {
+    AskForAdapter(UpstreamId());
+  } else {
+    Send(*state);
+  }
   return true;
 }
 
@@ -397,9 +419,8 @@
   }
   m_context.m_log.Write(
     aEvent,
-    "request=" + m_parts.m_facts.m_attempt.Value() +
-      " route=" + m_parts.m_route->m_id.Value() +
-      " status=" + std::to_string(aStatus) +
+    "request=" + m_parts.m_facts.m_attempt.Value() + " route=" +
+      m_parts.m_route->m_id.Value() + " status=" + std::to_string(aStatus) +
       " age_ms=" + std::to_string(age.count()) + " tried=" + tried +
       " model=" + m_parts.m_facts.m_target.m_model + "/" +
       m_parts.m_facts.m_target.m_adapter + " reason=\"" + aReason + "\"");
@@ -412,9 +433,9 @@
   }
   m_isFinished = true;
   m_context.m_metrics.CountOutcome({ m_parts.m_route->m_id.Value(), aStatus });
-  m_context.m_metrics.ObserveLatency(
-    { m_parts.m_pool.Value(), "call" },
-    m_context.m_clock.Now() - m_parts.m_arrivedAt);
+  m_context.m_metrics.ObserveLatency({ m_parts.m_pool.Value(), "call" },
+                                     m_context.m_clock.Now() -
+                                       m_parts.m_arrivedAt);
   m_finished(*this);
 }
 
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -60,7 +60,7 @@
 private:
   [[nodiscard]] bool MayRepeat() const;
   void Attempt();
-  void AskForAdapter();
+  void AskForAdapter(const UpstreamId& aPreferred);
   void Send(const EngineState& aState);
   /// Tries again after a failed attempt. @return false when it may not.
   bool TryAgain(bool aHasRun);
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -19,9 +19,11 @@
 public:
   virtual ~AdapterLoader() = default;
   /// Asks for an adapter; aDone hears the engine that holds it now, empty
-  /// when it can't be had. @pre the target names an adapter. @thread loop.
+  /// when it can't be had. @pre the target names an adapter; aPreferred is
+  /// the engine that suits the call best, or empty. @thread loop.
   virtual void LoadAdapter(const PoolId& aPool,
                            const ModelTarget& aTarget,
+                           const UpstreamId& aPreferred,
                            std::function<void(UpstreamId)> aDone) = 0;
 };
 
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -90,11 +90,14 @@
              [this](Revision, const std::string& aDocument) {
                SetDocument(aDocument);
              })
-    , m_context{ m_clock,   m_timers,   m_client, *m_edges.m_codec,
-                 m_table,   m_selector, m_retries, m_link,
-                 m_link,    m_metrics,  m_log }
+    , m_context{ m_clock, m_timers,   m_client,  *m_edges.m_codec,
+                 m_table, m_selector, m_retries, m_link,
+                 m_link,  m_metrics,  m_log }
     , m_gateway(m_context)
-    , m_probes(m_edges.m_readyPath, [this] { return IsReady(); }, m_metrics)
+    , m_probes(
+        m_edges.m_readyPath,
+        [this] { return IsReady(); },
+        m_metrics)
     , m_callServer(m_base.get(), m_clock, Limits(), m_gateway)
     , m_probeServer(m_base.get(), m_clock, CallerServerLimits{}, m_probes)
   {
@@ -236,8 +239,7 @@
 };
 
 GatewayProcess::GatewayProcess(NodeSettings aSettings, GatewayEdges aEdges)
-  : m_impl(
-      std::make_unique<Impl>(std::move(aSettings), std::move(aEdges)))
+  : m_impl(std::make_unique<Impl>(std::move(aSettings), std::move(aEdges)))
 {
 }
 
--- a/gateway/retry_share.cpp
+++ b/gateway/retry_share.cpp
@@ -47,8 +47,7 @@
   const uint32_t entries =
     m_entryCount == 0 ? kUnknownEntryCount : m_entryCount;
   const double allowed =
-    kUsedRatio * m_bounds.m_ratio *
-      static_cast<double>(events.m_calls.size()) +
+    kUsedRatio * m_bounds.m_ratio * static_cast<double>(events.m_calls.size()) +
     static_cast<double>(m_bounds.m_slack) / std::max<uint32_t>(1, entries);
   if (static_cast<double>(events.m_repeats.size() + 1) > allowed) {
     return false;
--- a/http/evhttp_caller_call.cpp
+++ b/http/evhttp_caller_call.cpp
@@ -228,6 +228,11 @@
   evhttp_request* request = m_request;
   m_request = nullptr;
   m_server.FinishCall(m_connection);
+  if (m_server.m_isDraining || m_server.m_isAnnouncing) {
+    // The headers went out before the drain began; evhttp looks here again.
+    evhttp_add_header(
+      evhttp_request_get_output_headers(request), "Connection", "close");
+  }
   evhttp_send_reply_end(request);
 }
 
--- a/routes/engine_record.h
+++ b/routes/engine_record.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <set>
 #include <map>
+#include <set>
 #include <string>
 
 #include "core/ids.h"
@@ -42,6 +42,9 @@
   /// @unit milliseconds since the Unix epoch; 0 when not known.
   int64_t m_startedAt = 0;
   std::map<std::string, HeldModel, std::less<>> m_models;
+  /// Models whose weights it keeps in its own memory or on its disk; loading
+  /// those does not touch the weight store.
+  std::set<std::string> m_weightCopies;
 
   /// Tells whether the target is loaded. @pre none. @thread any.
   [[nodiscard]] bool Holds(const ModelTarget& aTarget) const
--- a/routes/route_config.h
+++ b/routes/route_config.h
@@ -143,7 +143,8 @@
 
   RouteConfigData m_data;
   /// Prefix to route for each host; prefixes are few for each host.
-  std::map<std::string, std::map<std::string, const Route*, std::less<>>,
+  std::map<std::string,
+           std::map<std::string, const Route*, std::less<>>,
            std::less<>>
     m_byHost;
   std::map<PoolId, const Pool*> m_byPool;
--- a/settings/instance_settings.h
+++ b/settings/instance_settings.h
@@ -47,6 +47,8 @@
   int64_t m_maxConnections = 10'000;
   int64_t m_drainLagMs = 1'000;
   int64_t m_reportPeriodMs = 500;
+  /// Shortest time without a leader before an election.
+  int64_t m_electionTimeoutMs = 1'000;
   /// Log entries after which a snapshot is taken.
   int64_t m_snapshotEntries = 1'000;
 };
--- a/settings/node_settings.cpp
+++ b/settings/node_settings.cpp
@@ -62,8 +62,8 @@
   Duration Time(std::string_view aKey, Duration aMissing)
   {
     constexpr int64_t kMicros = 1000;
-    return Milliseconds(m_reader.Integer(
-      aKey, 0, kMaxMilliseconds, aMissing.count() / kMicros));
+    return Milliseconds(
+      m_reader.Integer(aKey, 0, kMaxMilliseconds, aMissing.count() / kMicros));
   }
 
 private:
@@ -124,6 +124,7 @@
     fields.Time("retry_window_ms", settings.m_retryWindow);
   settings.m_grace = fields.Time("grace_ms", settings.m_grace);
   settings.m_ownerLease = fields.Time("owner_lease_ms", settings.m_ownerLease);
+  settings.m_isFenced = reader.Boolean("engines_check_fencing", false);
   settings.m_storeWindow =
     fields.Time("store_window_ms", settings.m_storeWindow);
   settings.m_storeOverage =
--- a/settings/node_settings.h
+++ b/settings/node_settings.h
@@ -49,6 +49,8 @@
   Duration m_grace = std::chrono::seconds(8);
   /// Time in which two owners of one engine may not take turns.
   Duration m_ownerLease = std::chrono::seconds(3);
+  /// Engines refuse orders with an old fencing token.
+  bool m_isFenced = false;
   /// Window and share by which loads from the weight store may exceed its
   /// rate.
   Duration m_storeWindow = std::chrono::seconds(5);
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -48,6 +48,7 @@
   OrderSent = 600,
   OrderFailed = 601,
   PlacementRefused = 602,
+  PlacementPlanned = 603,
   ClaimSettled = 700,
   AdminRefused = 701,
   ReplicaJoined = 506,
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -242,6 +242,8 @@
   model @1 :Text;
   adapter @2 :Text;
   failureDomain @3 :Text;
+  # The engine that suits the asker best; empty for any.
+  engine @4 :Text;
 }
 
 interface ControlNode {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -539,7 +539,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f09e405c8a347459, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f09e405c8a347459, 0, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4142,6 +4142,9 @@
   inline bool hasFailureDomain() const;
   inline  ::capnp::Text::Reader getFailureDomain() const;
 
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4198,6 +4201,13 @@
   inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10090,6 +10100,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool AdapterRequest::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdapterRequest::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AdapterRequest::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AdapterRequest::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void AdapterRequest::Builder::setEngine( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AdapterRequest::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void AdapterRequest::Builder::adoptEngine(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AdapterRequest::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline ControlNode::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
