--- a/consensus/raft.cpp
+++ b/consensus/raft.cpp
@@ -40,6 +40,32 @@
   return progress != nullptr && progress->m_match >= m_commit;
 }
 
+VoterContact Raft::Contact(Duration aAge, TimePoint aNow) const
+{
+  VoterContact contact;
+  for (const auto& [id, address] : Replicas().m_voters) {
+    if (id == m_options.m_self) {
+      ++contact.m_answering;
+      continue;
+    }
+    const FollowerProgress* progress = m_progress.Find(id);
+    // Nothing was heard before this leadership; silence counts from there.
+    const TimePoint heard =
+      std::max(m_becameLeaderAt,
+               progress == nullptr ? TimePoint()
+                                   : progress->m_acknowledgedSentAt);
+    const Duration silence = aNow - heard;
+    const bool hasAnswered =
+      progress != nullptr && progress->m_acknowledgedSentAt != TimePoint();
+    contact.m_answering += hasAnswered && silence <= aAge ? 1 : 0;
+    if (silence > contact.m_longestSilence) {
+      contact.m_longestSilence = silence;
+      contact.m_mostSilent = id;
+    }
+  }
+  return contact;
+}
+
 std::nullopt_t Raft::Fail(ProposeError aError)
 {
   m_lastError = aError;
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -101,6 +101,11 @@
   [[nodiscard]] bool IsVoter() const;
   /// Tells whether a replica has everything committed. @pre IsLeader().
   [[nodiscard]] bool IsCaughtUp(const ReplicaId& aReplica) const;
+  /// Tells which voters answer; those that acknowledged something that is at
+  /// most aAge old count as answering. @pre IsLeader().
+  [[nodiscard]] VoterContact Contact(Duration aAge, TimePoint aNow) const;
+  /// Returns the votes of the election in progress. @pre none.
+  [[nodiscard]] size_t VoteCount() const { return m_votes.size(); }
   /// Returns why the last proposal was not taken. @pre it was not.
   [[nodiscard]] ProposeError LastError() const { return m_lastError; }
 
--- a/consensus/raft_types.h
+++ b/consensus/raft_types.h
@@ -119,6 +119,15 @@
   std::optional<Snapshot> m_snapshot;
 };
 
+/// Which voters answer a leader.
+struct VoterContact
+{
+  /// Voters that acknowledged something lately, the leader included.
+  size_t m_answering = 0;
+  ReplicaId m_mostSilent;
+  Duration m_longestSilence{};
+};
+
 /// Role of a replica.
 enum class RaftRole
 {
--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -31,6 +31,8 @@
 /// How often leadership, routes and engines are looked after.
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(50);
 constexpr Duration kJoinPeriod = std::chrono::milliseconds(500);
+/// Without a leader for this long an instance asks whether it still belongs.
+constexpr Duration kCutOffLimit = std::chrono::seconds(3);
 constexpr size_t kMinClusterKeyBytes = 16;
 constexpr const char* kFirstReplicaSuffix = ".1";
 
@@ -94,6 +96,9 @@
     }
     Serve();
     m_log.Write(EventId::Stopped, "");
+    if (m_isRemoved) {
+      return ExitCode::Success;
+    }
     return m_host->IsFailed() ? ExitCode::CannotUseDisk : ExitCode::Success;
   }
 
@@ -175,6 +180,7 @@
         m_settings.m_instance, m_settings.m_address, m_settings.m_wirePort },
       m_log);
     RaftOptions options;
+    m_leaderSeenAt = m_clock.Now();
     options.m_self = m_store.Identity();
     options.m_electionTimeout =
       std::chrono::milliseconds(m_settings.m_electionTimeoutMs);
@@ -183,6 +189,7 @@
         m_clock, m_timers, m_random, m_store, *m_peers, m_log },
       options,
       static_cast<uint64_t>(m_settings.m_snapshotEntries));
+    m_host->SetToleratedLosses(m_settings.m_toleratedLosses);
     m_admin = std::make_unique<AdminApi>(
       *m_host, m_instances, m_clock, m_log, m_settings.m_operatorKeyHash);
     m_placement = std::make_unique<PlacementRunner>(
@@ -291,9 +298,26 @@
     return own == 1 && replicas.m_voters.contains(m_store.Identity());
   }
 
+  /// Gives up an identity that the others removed; the next start joins as
+  /// another replica.
+  void StartAnew()
+  {
+    m_log.Write(EventId::ReplicaRemoved,
+                "replica=" + m_store.Identity().Value() +
+                  " reason=\"others took its place while it was away\"");
+    m_isRemoved = m_store.Discard();
+    event_base_loopbreak(m_base.get());
+  }
+
   void JoinIfNeeded()
   {
-    if (IsSettledMember()) {
+    const TimePoint now = m_clock.Now();
+    if (!m_host->Replica().Leader().IsEmpty()) {
+      m_leaderSeenAt = now;
+    }
+    // One that was replaced while it was away hears of no leader.
+    const bool isCutOff = m_leaderSeenAt + kCutOffLimit < now;
+    if (IsSettledMember() && !isCutOff) {
       return;
     }
     for (const PeerAddress& peer : m_settings.m_control) {
@@ -311,7 +335,12 @@
       replica.setInstance(m_settings.m_instance.Value());
       replica.setAddress(m_settings.m_address);
       replica.setPort(m_settings.m_wirePort);
-      link.WithDeadline<void>(request.send().ignoreResult(), kJoinPeriod)
+      auto answered = request.send().then([this](auto&& aReply) {
+        if (aReply.getIsRemoved()) {
+          StartAnew();
+        }
+      });
+      link.WithDeadline<void>(kj::mv(answered), kJoinPeriod)
         .detach([](kj::Exception&&) {});
     }
   }
@@ -363,6 +392,8 @@
   CallerServer m_server;
   std::unique_ptr<Timer> m_tick;
   std::unique_ptr<Timer> m_joinTimer;
+  TimePoint m_leaderSeenAt;
+  bool m_isRemoved = false;
 };
 
 ControlProcess::ControlProcess(InstanceSettings aSettings, ControlStart aStart)
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -334,14 +334,13 @@
 kj::Promise<void> ControlService::join(JoinContext aContext)
 {
   const auto replica = aContext.getParams().getReplica();
-  const bool isLeader = m_host.Replica().IsLeader();
-  if (isLeader) {
+  const JoinVerdict verdict =
     m_host.Join(ReplicaId(TextOf(replica.getReplica())),
                 { InstanceId(TextOf(replica.getInstance())),
                   TextOf(replica.getAddress()),
                   replica.getPort() });
-  }
-  aContext.getResults().setIsAccepted(isLeader);
+  aContext.getResults().setIsAccepted(verdict == JoinVerdict::Accepted);
+  aContext.getResults().setIsRemoved(verdict == JoinVerdict::Removed);
   return kj::READY_NOW;
 }
 
--- a/control/replica_host.cpp
+++ b/control/replica_host.cpp
@@ -5,6 +5,13 @@
 namespace {
 
 constexpr Duration kPendingLimit = std::chrono::seconds(10);
+/// A voter that acknowledged something sent this lately is there.
+constexpr Duration kAnsweringAge = std::chrono::milliseconds(1000);
+/// A voter whose place was taken is removed after this silence; a successor
+/// must count before the next loss, four seconds later at the earliest.
+constexpr Duration kVoterSilence = std::chrono::milliseconds(2500);
+/// Elections succeed within a second or two where a quorum is connected.
+constexpr Duration kLeaderlessLimit = std::chrono::seconds(3);
 
 } // namespace
 
@@ -65,6 +72,8 @@
     return;
   }
   m_raft.Tick(m_parts.m_clock.Now());
+  RemoveSilentVoter();
+  NoteLeaderless();
   DropStalePending();
   Process();
 }
@@ -95,28 +104,90 @@
   return true;
 }
 
-void ReplicaHost::Join(const ReplicaId& aReplica,
-                       const ReplicaAddress& aAddress)
+JoinVerdict ReplicaHost::Join(const ReplicaId& aReplica,
+                              const ReplicaAddress& aAddress)
 {
   if (m_isFailed || !m_raft.IsLeader()) {
-    return;
+    return JoinVerdict::NotLeader;
   }
-  const TimePoint now = m_parts.m_clock.Now();
   const ReplicaSet& replicas = m_raft.Replicas();
-  if (replicas.m_voters.contains(aReplica)) {
-    for (const auto& [id, address] : replicas.m_voters) {
-      // The instance has a new disk, so its earlier replica is gone for good.
+  if (replicas.m_removed.contains(aReplica)) {
+    return JoinVerdict::Removed;
+  }
+  const TimePoint now = m_parts.m_clock.Now();
+  // The instance has a new disk, so its earlier replica is gone for good. It
+  // goes before the new one counts: a voter that is gone beside one that may
+  // be lost again could leave too few for any quorum.
+  for (const auto* group : { &replicas.m_voters, &replicas.m_learners }) {
+    for (const auto& [id, address] : *group) {
       if (id != aReplica && address.m_instance == aAddress.m_instance) {
-        m_raft.ProposeRemoval(ReplicaId(id), now);
-        break;
+        Remove(ReplicaId(id), "its instance has a new disk");
+        ScheduleProcess();
+        return JoinVerdict::Accepted;
       }
     }
-  } else if (replicas.m_learners.contains(aReplica)) {
+  }
+  if (replicas.m_learners.contains(aReplica)) {
     m_raft.ProposeVoter(aReplica, now);
-  } else {
-    m_raft.ProposeLearner(aReplica, aAddress, now);
+  } else if (!replicas.m_voters.contains(aReplica) &&
+             m_raft.ProposeLearner(aReplica, aAddress, now)) {
+    m_parts.m_log.Write(EventId::ReplicaJoined,
+                        "replica=" + aReplica.Value() +
+                          " address=" + aAddress.m_address);
   }
   ScheduleProcess();
+  return JoinVerdict::Accepted;
+}
+
+void ReplicaHost::Remove(const ReplicaId& aReplica, const std::string& aReason)
+{
+  if (m_raft.ProposeRemoval(aReplica, m_parts.m_clock.Now())) {
+    m_parts.m_log.Write(EventId::ReplicaRemoved,
+                        "replica=" + aReplica.Value() + " reason=\"" +
+                          aReason + "\"");
+  }
+}
+
+void ReplicaHost::RemoveSilentVoter()
+{
+  if (m_toleratedLosses == 0 || !m_raft.IsLeader()) {
+    return;
+  }
+  const VoterContact contact =
+    m_raft.Contact(kAnsweringAge, m_parts.m_clock.Now());
+  const bool isReplaced =
+    contact.m_answering >= 2 * static_cast<size_t>(m_toleratedLosses) + 1;
+  if (isReplaced && contact.m_longestSilence > kVoterSilence) {
+    Remove(contact.m_mostSilent, "it is silent and others took its place");
+  }
+}
+
+void ReplicaHost::NoteLeaderless()
+{
+  const TimePoint now = m_parts.m_clock.Now();
+  const bool hasLeader = !m_raft.Leader().IsEmpty();
+  if (hasLeader || m_leaderlessSince == TimePoint()) {
+    m_leaderlessSince = now;
+    return;
+  }
+  const bool isDue = now - m_leaderlessSince > kLeaderlessLimit &&
+                     now - m_leaderlessLogged > kLeaderlessLimit;
+  if (!isDue) {
+    return;
+  }
+  m_leaderlessLogged = now;
+  std::string voters;
+  for (const auto& [id, address] : m_raft.Replicas().m_voters) {
+    voters += (voters.empty() ? "" : ",") + id.Value();
+  }
+  m_parts.m_log.Write(EventId::ElectionStalled,
+                      "self=" + m_parts.m_store.Identity().Value() +
+                        " term=" +
+                        std::to_string(m_raft.CurrentTerm().Value()) +
+                        " voters=" + voters +
+                        " granted=" + std::to_string(m_raft.VoteCount()) +
+                        " needed=" +
+                        std::to_string(m_raft.Replicas().Quorum()));
 }
 
 void ReplicaHost::ScheduleProcess()
--- a/control/replica_host.h
+++ b/control/replica_host.h
@@ -14,6 +14,17 @@
 
 namespace celeryspread {
 
+/// Answer to a replica's wish to join.
+enum class JoinVerdict
+{
+  /// This replica does not lead.
+  NotLeader,
+  /// The wish is being fulfilled, step by step with each call.
+  Accepted,
+  /// The replica was removed; its identity is never used again.
+  Removed
+};
+
 /// Carries messages to other replicas; may lose, delay and reorder them.
 /// @thread loop thread only.
 class PeerTransport
@@ -56,9 +67,13 @@
   /// known whether it was committed. @pre none.
   /// @error false when this replica does not lead; aDone is not called.
   bool Propose(Command aCommand, Done aDone);
-  /// Handles a replica's wish to join: as a learner, then as a voter, then in
-  /// place of the lost replica of the same instance. @pre none.
-  void Join(const ReplicaId& aReplica, const ReplicaAddress& aAddress);
+  /// Handles a replica's wish to join: the lost replica of the same instance
+  /// goes first, then it becomes a learner, then a voter. @pre none.
+  JoinVerdict Join(const ReplicaId& aReplica, const ReplicaAddress& aAddress);
+  /// Sets how many instances may be lost at one time: a silent voter is
+  /// removed once twice as many and one other voters answer. 0 keeps silent
+  /// voters. @pre none.
+  void SetToleratedLosses(uint32_t aCount) { m_toleratedLosses = aCount; }
   /// Calls aListener after each change of the settings. @pre set once.
   void SetRevisionListener(std::function<void()> aListener)
   {
@@ -97,6 +112,9 @@
   void DropStalePending();
   void TakeSnapshot();
   void NoteRole();
+  void Remove(const ReplicaId& aReplica, const std::string& aReason);
+  void RemoveSilentVoter();
+  void NoteLeaderless();
   [[nodiscard]] const ReplicaAddress* AddressOf(const ReplicaId& aId) const;
 
   Parts m_parts;
@@ -113,6 +131,10 @@
   uint64_t m_syncs = 0;
   bool m_isFailed = false;
   bool m_wasLeader = false;
+  uint32_t m_toleratedLosses = 0;
+  /// Since when no leader is known here, and when that was last logged.
+  TimePoint m_leaderlessSince;
+  TimePoint m_leaderlessLogged;
 };
 
 } // namespace celeryspread
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -150,6 +150,7 @@
   m_isRejected = false;
   m_body.clear();
   ++m_sends;
+  NoteAttempt(aState, now);
   m_context.m_table.NoteStart(m_upstream, now);
   m_attempt = m_context.m_client.Start(std::move(request), *this);
 }
@@ -159,6 +160,10 @@
   if (m_upstream.IsEmpty()) {
     return;
   }
+  static constexpr const char* kOutcomes[] = {
+    "answered", "rejected", "failed", "cancelled"
+  };
+  NoteOutcome(kOutcomes[static_cast<size_t>(aEnd)]);
   m_context.m_table.NoteEnd(m_upstream, aEnd, m_context.m_clock.Now());
   m_upstream = UpstreamId();
   m_attempt.reset();
@@ -242,6 +247,7 @@
     }
     CloseAttempt(AttemptEnd::Answered);
     m_parts.m_caller->EndStream();
+    LogEnd(EventId::CallEnded, m_status, "");
     Finish(m_status);
     return;
   }
@@ -267,6 +273,9 @@
   }
   m_parts.m_caller->Reply(
     m_status, m_context.m_codec.AnswerHeaders(m_headers), m_body);
+  LogEnd(isUpstreamFault ? EventId::CallFailed : EventId::CallEnded,
+         m_status,
+         isUpstreamFault ? "the upstream's own failure" : "");
   Finish(m_status);
 }
 
@@ -374,6 +383,7 @@
     return;
   }
   CloseAttempt(AttemptEnd::Cancelled);
+  LogEnd(EventId::CallEnded, HttpStatus::kClientClosed, "the client left");
   Finish(HttpStatus::kClientClosed);
 }
 
@@ -383,7 +393,7 @@
     Fail(HttpStatus::kBadGateway, aReason);
     return;
   }
-  LogFailure(EventId::CallRefused, HttpStatus::kUnavailable, aReason);
+  LogEnd(EventId::CallRefused, HttpStatus::kUnavailable, aReason);
   m_parts.m_caller->Reply(
     HttpStatus::kUnavailable,
     m_context.m_codec.OwnHeaders(&m_parts.m_facts, aRetryAfter),
@@ -393,7 +403,7 @@
 
 void GatewayCall::Fail(int aStatus, const std::string& aReason)
 {
-  LogFailure(EventId::CallFailed, aStatus, aReason);
+  LogEnd(EventId::CallFailed, aStatus, aReason);
   m_parts.m_caller->Reply(
     aStatus, m_context.m_codec.OwnHeaders(&m_parts.m_facts, std::nullopt), "");
   Finish(aStatus);
@@ -402,28 +412,48 @@
 void GatewayCall::Break(const std::string& aReason)
 {
   CloseAttempt(AttemptEnd::Failed);
-  LogFailure(EventId::StreamBroken, m_status, aReason);
+  LogEnd(EventId::StreamBroken, m_status, aReason);
   m_parts.m_caller->Abort();
   Finish(m_status);
 }
 
-void GatewayCall::LogFailure(EventId aEvent,
-                             int aStatus,
-                             const std::string& aReason)
+void GatewayCall::NoteAttempt(const EngineState& aState, TimePoint aNow)
+{
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aNow - aState.m_readingAt);
+  const bool hasReading = aState.m_readingAt != TimePoint();
+  m_attempts += (m_attempts.empty() ? "" : " ") +
+                aState.m_record.m_id.Value() +
+                " load:" + std::to_string(aState.EstimatedLoad(aNow)) + "/" +
+                std::to_string(aState.m_record.m_slots) + " reading_ms:" +
+                (hasReading ? std::to_string(age.count()) : "none");
+}
+
+void GatewayCall::NoteOutcome(const char* aOutcome)
+{
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+    m_context.m_clock.Now() - m_attemptStartedAt);
+  m_attempts +=
+    " " + std::string(aOutcome) + ":" + std::to_string(took.count()) + "ms;";
+}
+
+void GatewayCall::LogEnd(EventId aEvent,
+                         int aStatus,
+                         const std::string& aReason)
 {
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
     m_context.m_clock.Now() - m_parts.m_arrivedAt);
-  std::string tried;
-  for (const UpstreamId& id : m_tried) {
-    tried += (tried.empty() ? "" : ",") + id.Value();
-  }
   m_context.m_log.Write(
     aEvent,
-    "request=" + m_parts.m_facts.m_attempt.Value() + " route=" +
-      m_parts.m_route->m_id.Value() + " status=" + std::to_string(aStatus) +
-      " age_ms=" + std::to_string(age.count()) + " tried=" + tried +
-      " model=" + m_parts.m_facts.m_target.m_model + "/" +
-      m_parts.m_facts.m_target.m_adapter + " reason=\"" + aReason + "\"");
+    "request=" + m_parts.m_facts.m_attempt.Value() +
+      " route=" + m_parts.m_route->m_id.Value() + " routes_version=" +
+      std::to_string(m_parts.m_config->Version().Value()) +
+      " pool=" + m_parts.m_pool.Value() +
+      " model=" + m_parts.m_facts.m_target.m_model +
+      " adapter=" + m_parts.m_facts.m_target.m_adapter +
+      " status=" + std::to_string(aStatus) +
+      " age_ms=" + std::to_string(age.count()) + " attempts=\"" + m_attempts +
+      "\" reason=\"" + aReason + "\"");
 }
 
 void GatewayCall::Finish(int aStatus)
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -74,7 +74,10 @@
   void Fail(int aStatus, const std::string& aReason);
   void Break(const std::string& aReason);
   void Finish(int aStatus);
-  void LogFailure(EventId aEvent, int aStatus, const std::string& aReason);
+  /// Writes one line with the attempts and what decided them.
+  void LogEnd(EventId aEvent, int aStatus, const std::string& aReason);
+  void NoteAttempt(const EngineState& aState, TimePoint aNow);
+  void NoteOutcome(const char* aOutcome);
 
   GatewayContext& m_context;
   Parts m_parts;
@@ -91,6 +94,9 @@
   bool m_isRejected = false;
   bool m_isFinished = false;
   int m_status = 0;
+  /// Attempts so far for the log: engine, estimated load, age of the reading
+  /// that the estimate rests on, and outcome.
+  std::string m_attempts;
   HttpHeaders m_headers;
   AnswerFacts m_answer;
   std::string m_body;
--- a/storage/record_log.cpp
+++ b/storage/record_log.cpp
@@ -59,6 +59,32 @@
   Damaged
 };
 
+/// Tells whether a write got lost in part: its beginning stands, and zeros
+/// follow to the end of the file. A record that was whole once can't read so,
+/// because nothing is appended after it before it is synced.
+bool IsTornToZeros(std::string_view aBytes)
+{
+  const size_t last = aBytes.find_last_not_of('\0');
+  const size_t written = last == std::string_view::npos ? 0 : last + 1;
+  if (written == aBytes.size()) {
+    return false;
+  }
+  if (written < kHeaderBytes) {
+    return true;
+  }
+  const auto length = GetNumber<uint32_t>(aBytes);
+  const bool isLengthWhole =
+    LengthCheck(length) == GetNumber<uint32_t>(aBytes.substr(kLengthBytes));
+  const size_t end = kHeaderBytes + static_cast<size_t>(length);
+  if (!isLengthWhole || end > aBytes.size() || written >= end) {
+    return false;
+  }
+  const auto stored =
+    GetNumber<uint64_t>(aBytes.substr(kLengthBytes + kLengthCheckBytes));
+  // A record may itself end in zeros.
+  return stored != ContentHash(aBytes.substr(kHeaderBytes, length));
+}
+
 FrameState Examine(std::string_view aBytes)
 {
   const bool isUnwritten = std::all_of(
@@ -66,6 +92,9 @@
   if (aBytes.size() < kHeaderBytes || isUnwritten) {
     return FrameState::Torn;
   }
+  if (IsTornToZeros(aBytes)) {
+    return FrameState::Torn;
+  }
   const auto length = GetNumber<uint32_t>(aBytes);
   if (LengthCheck(length) != GetNumber<uint32_t>(aBytes.substr(kLengthBytes))) {
     return FrameState::Damaged;
@@ -134,11 +163,9 @@
   if (m_lastError.m_kind != StorageErrorKind::None) {
     return false;
   }
-  const std::string frame = Frame(aPayload);
-  if (!m_file->Append(frame)) {
-    return Fail(StorageErrorKind::WriteFailed, m_length);
-  }
-  m_length += frame.size();
+  // Written as one by Sync(): of several writes a loss of power could keep a
+  // later one and drop one before.
+  m_unwritten += Frame(aPayload);
   return true;
 }
 
@@ -149,6 +176,11 @@
   if (m_lastError.m_kind != StorageErrorKind::None) {
     return false;
   }
+  if (!m_unwritten.empty() && !m_file->Append(m_unwritten)) {
+    return Fail(StorageErrorKind::WriteFailed, m_length);
+  }
+  m_length += m_unwritten.size();
+  m_unwritten.clear();
   if (!m_file->Sync()) {
     return Fail(StorageErrorKind::SyncFailed, m_length);
   }
@@ -168,6 +200,7 @@
     return Fail(StorageErrorKind::WriteFailed, 0);
   }
   m_length = content.size();
+  m_unwritten.clear();
   m_file = m_files.OpenForAppend(m_name);
   if (m_file == nullptr) {
     return Fail(StorageErrorKind::OpenFailed, 0);
--- a/storage/record_log.h
+++ b/storage/record_log.h
@@ -46,10 +46,10 @@
   /// Reads every record and opens the file for appending. @pre called once.
   /// @error empty; see LastError().
   std::optional<std::vector<std::string>> Open();
-  /// Appends a record, not yet durable. @pre Open() succeeded.
+  /// Appends a record, which Sync() writes. @pre Open() succeeded.
   /// @error false, and every later call fails too.
   bool Append(std::string_view aPayload);
-  /// Makes all appended records durable. @pre Open() succeeded.
+  /// Writes all appended records at once and makes them durable. @pre Open() succeeded.
   /// @error false, and every later call fails too.
   bool Sync();
   /// Replaces the whole content durably. @pre Open() succeeded.
@@ -65,6 +65,8 @@
   FileSystem& m_files;
   std::string m_name;
   std::unique_ptr<DurableFile> m_file;
+  /// Frames appended since the last sync.
+  std::string m_unwritten;
   uint64_t m_length = 0;
   size_t m_cutBytes = 0;
   StorageError m_lastError;
--- a/storage/replica_store.cpp
+++ b/storage/replica_store.cpp
@@ -96,6 +96,12 @@
   return SaveSnapshot(aFirst, {});
 }
 
+bool ReplicaStore::Discard()
+{
+  m_hard = HardState();
+  return Format(ReplicaId(), Snapshot());
+}
+
 bool ReplicaStore::Store(const RaftReady& aReady)
 {
   if (m_lastError.m_kind != StorageErrorKind::None) {
--- a/storage/replica_store.h
+++ b/storage/replica_store.h
@@ -27,6 +27,9 @@
   /// Gives a fresh folder its identity and first state, durably.
   /// @pre Identity() is empty. @error false.
   bool Format(const ReplicaId& aIdentity, const Snapshot& aFirst);
+  /// Gives up the identity with everything stored, so that the next start
+  /// finds a fresh folder. @pre Open() succeeded. @error false.
+  bool Discard();
   /// Stores what a replica hands out and syncs it when needed.
   /// @pre Open() succeeded. @error false; nothing may be acknowledged.
   bool Store(const RaftReady& aReady);
--- /dev/null
+++ b/tests/fleet/engine_orders_test.cpp
@@ -0,0 +1,250 @@
+#include <gtest/gtest.h>
+
+#include "fleet/engine_orders.h"
+#include "tests/support/gateway_fakes.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+/// EngineControl of one engine that carries orders out as the test says.
+class FakeEngineControl : public EngineControl
+{
+public:
+  void SendOrder(const EngineRecord& /*aEngine*/,
+                 const EngineOrder& aOrder,
+                 std::function<void(OrderReply)> aDone) override
+  {
+    m_orders.push_back(aOrder);
+    m_reply = std::move(aDone);
+  }
+  void ReadReport(
+    const EngineRecord& /*aEngine*/,
+    std::function<void(std::optional<EngineReport>)> aDone) override
+  {
+    ++m_reads;
+    aDone(m_report);
+  }
+  void ReadList(std::function<void(std::optional<std::vector<EngineRecord>>)>
+                  aDone) override
+  {
+    aDone(std::nullopt);
+  }
+
+  EngineReport m_report;
+  std::vector<EngineOrder> m_orders;
+  std::function<void(OrderReply)> m_reply;
+  int m_reads = 0;
+};
+
+} // namespace
+
+class EngineOrdersTest : public ::testing::Test
+{
+protected:
+  EngineOrdersTest()
+  {
+    m_spec.m_weightMegabytes = 250;
+    m_spec.m_adapterPlaces = 2;
+    for (const char* name : { "m1", "m2", "m3" }) {
+      ModelSpec model;
+      model.m_name = name;
+      model.m_megabytes = 100;
+      model.m_adapterMegabytes = 1;
+      m_spec.m_models[name] = model;
+    }
+    EngineRecord record = MakeEngine("e", "here", "m1");
+    record.m_weightCopies = { "m1", "m2" };
+    m_directory.ApplyList({ record }, m_world.Now());
+    m_control.m_report.m_models["m1"] = HeldModel{ 1, {} };
+    m_control.m_report.m_sequence = 7;
+    m_orders.Begin(FencingToken(4), m_world.Now());
+  }
+
+  void Submit(EngineOrderKind aKind, const ModelTarget& aTarget)
+  {
+    m_orders.Submit(m_engine, aKind, aTarget, [this](bool aIsDone) {
+      m_results.push_back(aIsDone);
+    });
+  }
+  void Wait(int aMilliseconds)
+  {
+    for (int i = 0; i < aMilliseconds; i += 50) {
+      m_world.RunFor(std::chrono::milliseconds(50));
+      m_orders.Tick();
+    }
+  }
+
+  const UpstreamId m_engine{ "e" };
+  VirtualWorld m_world;
+  SkewedClock m_clock{ m_world, 0 };
+  VirtualTimers m_timers{ m_world };
+  RecordingEventLog m_log;
+  FakeEngineControl m_control;
+  EngineDirectory m_directory;
+  EngineSpec m_spec;
+  bool m_mayOrder = true;
+  int m_storeLoads = 1;
+  std::vector<bool> m_results;
+  EngineOrders m_orders{
+    { m_clock, m_timers, m_control, m_directory, m_log },
+    InstanceId("owner"),
+    [this](const PoolId&) { return &m_spec; },
+    [this](const PoolId&) { return m_storeLoads-- > 0; },
+    [this] { return m_mayOrder; }
+  };
+};
+
+TEST_F(EngineOrdersTest, NamesTheContentsThatTheOrderWasCheckedAgainst)
+{
+  Submit(EngineOrderKind::Load, { "m1", "a1" });
+  ASSERT_EQ(m_control.m_orders.size(), 1U);
+  EXPECT_EQ(m_control.m_orders[0].m_expectedSequence, 7U);
+  EXPECT_EQ(m_control.m_orders[0].m_token, FencingToken(4));
+  m_control.m_reply(OrderReply::Accepted);
+  Submit(EngineOrderKind::Load, { "m1", "a2" });
+  ASSERT_EQ(m_control.m_orders.size(), 2U);
+  EXPECT_EQ(m_control.m_orders[1].m_expectedSequence, 8U);
+}
+
+TEST_F(EngineOrdersTest, TellsWhenAnAdapterIsLoaded)
+{
+  Submit(EngineOrderKind::Load, { "m1", "a1" });
+  m_control.m_reply(OrderReply::Accepted);
+  EXPECT_TRUE(m_results.empty());
+  Wait(50);
+  EXPECT_EQ(m_results, std::vector<bool>{ true });
+  EXPECT_TRUE(m_directory.Find(m_engine)->Holds({ "m1", "a1" }));
+}
+
+TEST_F(EngineOrdersTest, OrdersNoMoreAdaptersThanThereArePlaces)
+{
+  m_control.m_report.m_models["m1"].m_adapters = { "a1" };
+  m_control.m_report.m_loadingAdapters = { { "m1", "a2" } };
+  Submit(EngineOrderKind::Load, { "m1", "a3" });
+  EXPECT_TRUE(m_control.m_orders.empty());
+  EXPECT_EQ(m_results, std::vector<bool>{ false });
+}
+
+TEST_F(EngineOrdersTest, OrdersNoMoreWeightsThanThereIsRoom)
+{
+  m_control.m_report.m_models["m2"] = HeldModel{ 1, {} };
+  Submit(EngineOrderKind::Load, { "m3", "" });
+  EXPECT_TRUE(m_control.m_orders.empty());
+  EXPECT_EQ(m_results, std::vector<bool>{ false });
+}
+
+TEST_F(EngineOrdersTest, TakesLoadsFromTheStoreButNotFromTheDisk)
+{
+  Submit(EngineOrderKind::Load, { "m2", "" });
+  EXPECT_EQ(m_control.m_orders.size(), 1U);
+  EXPECT_EQ(m_storeLoads, 1);
+  m_control.m_reply(OrderReply::Refused);
+  m_storeLoads = 0;
+  Wait(1000);
+  Submit(EngineOrderKind::Load, { "m3", "" });
+  EXPECT_EQ(m_control.m_orders.size(), 1U);
+}
+
+TEST_F(EngineOrdersTest, ReadsAnewAfterAnOrderWithoutAnswer)
+{
+  Submit(EngineOrderKind::Load, { "m1", "a1" });
+  m_control.m_reply(OrderReply::NoAnswer);
+  EXPECT_EQ(m_results, std::vector<bool>{ false });
+  EXPECT_FALSE(m_orders.IsResponsive(m_engine));
+  // It was carried out late; the next order counts from there.
+  m_control.m_report.m_sequence = 8;
+  m_control.m_report.m_models["m1"].m_adapters = { "a1" };
+  Submit(EngineOrderKind::Load, { "m1", "a2" });
+  EXPECT_EQ(m_control.m_orders.size(), 1U);
+  Wait(1000);
+  ASSERT_EQ(m_control.m_orders.size(), 2U);
+  EXPECT_EQ(m_control.m_orders[1].m_expectedSequence, 8U);
+}
+
+TEST_F(EngineOrdersTest, StopsForGoodWhenAHigherTokenWasSeen)
+{
+  Submit(EngineOrderKind::Load, { "m1", "a1" });
+  m_control.m_reply(OrderReply::FencedOff);
+  Submit(EngineOrderKind::Load, { "m1", "a2" });
+  EXPECT_EQ(m_control.m_orders.size(), 1U);
+  EXPECT_EQ(m_results, (std::vector<bool>{ false, false }));
+}
+
+TEST_F(EngineOrdersTest, SendsNothingWithoutALeaseOrInTheQuietTime)
+{
+  m_mayOrder = false;
+  Submit(EngineOrderKind::Load, { "m1", "a1" });
+  EXPECT_TRUE(m_control.m_orders.empty());
+  m_mayOrder = true;
+  m_orders.Begin(FencingToken(5), m_world.Now() + std::chrono::seconds(1));
+  Submit(EngineOrderKind::Load, { "m1", "a1" });
+  EXPECT_TRUE(m_control.m_orders.empty());
+  Wait(1100);
+  EXPECT_EQ(m_control.m_orders.size(), 1U);
+}
+
+TEST_F(EngineOrdersTest, AnnouncesAnUnloadBeforeItSendsIt)
+{
+  Submit(EngineOrderKind::Unload, { "m1", "" });
+  EXPECT_TRUE(m_control.m_orders.empty());
+  EXPECT_FALSE(m_directory.Find(m_engine)->Holds({ "m1", "" }));
+  Wait(300);
+  EXPECT_EQ(m_control.m_orders.size(), 1U);
+}
+
+TEST_F(EngineOrdersTest, ForgetsAnEngineThatStartedAnew)
+{
+  Submit(EngineOrderKind::Load, { "m1", "a1" });
+  m_orders.Forget(m_engine);
+  EXPECT_EQ(m_results, std::vector<bool>{ false });
+  m_control.m_report.m_sequence = 0;
+  Submit(EngineOrderKind::Load, { "m1", "a1" });
+  ASSERT_EQ(m_control.m_orders.size(), 2U);
+  EXPECT_EQ(m_control.m_orders[1].m_expectedSequence, 0U);
+}
+
+TEST(EngineDirectoryTest, BelievesOwnOrdersWhileTheListLags)
+{
+  EngineDirectory directory;
+  TimePoint now(std::chrono::seconds(10));
+  const EngineRecord listed = MakeEngine("e", "here", "m");
+  directory.ApplyList({ listed }, now);
+  directory.NoteHeld(UpstreamId("e"), { "m", "a1" }, true, now);
+  const uint64_t version = directory.Version();
+  now += std::chrono::milliseconds(700);
+  directory.ApplyList({ listed }, now);
+  EXPECT_TRUE(directory.Find(UpstreamId("e"))->Holds({ "m", "a1" }));
+  EXPECT_EQ(directory.Version(), version);
+  now += std::chrono::seconds(5);
+  directory.ApplyList({ listed }, now);
+  EXPECT_FALSE(directory.Find(UpstreamId("e"))->Holds({ "m", "a1" }));
+}
+
+TEST(EngineDirectoryTest, LeavingIsNotTakenBackWithinOneStart)
+{
+  EngineDirectory directory;
+  const TimePoint now(std::chrono::seconds(10));
+  EngineRecord record = MakeEngine("e", "here", "m");
+  record.m_isLeaving = true;
+  directory.ApplyList({ record }, now);
+  record.m_isLeaving = false;
+  directory.ApplyList({ record }, now);
+  EXPECT_TRUE(directory.Find(UpstreamId("e"))->m_isLeaving);
+  record.m_startedAt = 5;
+  const auto news = directory.ApplyList({ record }, now);
+  EXPECT_FALSE(directory.Find(UpstreamId("e"))->m_isLeaving);
+  EXPECT_EQ(news.m_appeared, std::vector<UpstreamId>{ UpstreamId("e") });
+}
+
+TEST(EngineDirectoryTest, TellsWhatIsGone)
+{
+  EngineDirectory directory;
+  const TimePoint now(std::chrono::seconds(10));
+  directory.ApplyList({ MakeEngine("e", "here") }, now);
+  const auto news = directory.ApplyList({}, now);
+  EXPECT_EQ(news.m_gone, std::vector<UpstreamId>{ UpstreamId("e") });
+  EXPECT_EQ(directory.Find(UpstreamId("e")), nullptr);
+}
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/tests/fleet/model_planner_test.cpp
@@ -0,0 +1,183 @@
+#include <gtest/gtest.h>
+
+#include "core/random_source.h"
+#include "fleet/model_planner.h"
+#include "fleet/store_budget.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+EngineSpec MakeSpec(size_t aModels)
+{
+  EngineSpec spec;
+  spec.m_slots = 10;
+  spec.m_weightMegabytes = 200;
+  for (size_t i = 0; i < aModels; ++i) {
+    ModelSpec model;
+    model.m_name = "m" + std::to_string(i);
+    model.m_megabytes = 100;
+    spec.m_models[model.m_name] = model;
+  }
+  return spec;
+}
+
+PlannedEngine MakeEngine(const std::string& aId,
+                         std::vector<std::string> aModels)
+{
+  PlannedEngine engine;
+  engine.m_id = UpstreamId(aId);
+  engine.m_domain = FailureDomainId("d" + aId);
+  engine.m_freeMegabytes = 200 - 100 * static_cast<int64_t>(aModels.size());
+  engine.m_models = std::move(aModels);
+  return engine;
+}
+
+PlanLimits StoreLoads(size_t aCount)
+{
+  PlanLimits limits;
+  limits.m_storeLoads = aCount;
+  return limits;
+}
+
+/// Carries a plan out; returns how many models are without a copy.
+size_t Apply(const EngineSpec& aSpec,
+             const std::vector<ModelMove>& aMoves,
+             std::vector<PlannedEngine>& aEngines)
+{
+  std::map<std::string, size_t> copies;
+  for (PlannedEngine& engine : aEngines) {
+    for (const ModelMove& move : aMoves) {
+      if (move.m_engine != engine.m_id) {
+        continue;
+      }
+      if (move.m_isLoad) {
+        engine.m_models.push_back(move.m_model);
+      } else {
+        std::erase(engine.m_models, move.m_model);
+      }
+    }
+    engine.m_freeMegabytes =
+      200 - 100 * static_cast<int64_t>(engine.m_models.size());
+    for (const std::string& model : engine.m_models) {
+      ++copies[model];
+    }
+  }
+  return aSpec.m_models.size() - copies.size();
+}
+
+} // namespace
+
+TEST(ModelPlannerTest, PlacesEveryModelOnce)
+{
+  const EngineSpec spec = MakeSpec(3);
+  std::vector<PlannedEngine> engines = { MakeEngine("a", { "m0", "m1" }),
+                                         MakeEngine("b", { "m0", "m1" }) };
+  const auto moves = ModelPlanner::Plan(spec, engines, {}, StoreLoads(5));
+  EXPECT_EQ(Apply(spec, moves, engines), 0U);
+}
+
+TEST(ModelPlannerTest, RelievesTheMostLoadedEngine)
+{
+  const EngineSpec spec = MakeSpec(3);
+  std::vector<PlannedEngine> engines = { MakeEngine("a", { "m0", "m1" }),
+                                         MakeEngine("b", { "m1", "m2" }),
+                                         MakeEngine("c", { "m2", "m1" }) };
+  const auto moves = ModelPlanner::Plan(
+    spec, engines, { { "m0", 30.0 }, { "m1", 1.0 } }, StoreLoads(5));
+  ASSERT_GE(moves.size(), 2U);
+  EXPECT_FALSE(moves[0].m_isLoad);
+  EXPECT_EQ(moves[1].m_model, "m0");
+}
+
+TEST(ModelPlannerTest, PrefersAnEngineWithTheWeightsOnItsDisk)
+{
+  const EngineSpec spec = MakeSpec(2);
+  std::vector<PlannedEngine> engines = { MakeEngine("a", { "m0" }),
+                                         MakeEngine("b", { "m1" }),
+                                         MakeEngine("c", { "m1" }) };
+  engines[2].m_copies = { "m0" };
+  const auto moves =
+    ModelPlanner::Plan(spec, engines, { { "m0", 30.0 } }, StoreLoads(0));
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(moves[0].m_engine, UpstreamId("c"));
+  EXPECT_FALSE(moves[0].m_isFromStore);
+}
+
+TEST(ModelPlannerTest, MovesNothingForEvenDemand)
+{
+  const EngineSpec spec = MakeSpec(2);
+  const std::vector<PlannedEngine> engines = {
+    MakeEngine("a", { "m0", "m1" }), MakeEngine("b", { "m0", "m1" })
+  };
+  EXPECT_TRUE(ModelPlanner::Plan(spec,
+                                 engines,
+                                 { { "m0", 20.0 }, { "m1", 22.0 } },
+                                 StoreLoads(5))
+                .empty());
+}
+
+TEST(ModelPlannerTest, NeverDropsALastCopyNorOverfillsAnEngine)
+{
+  SeededRandomSource random(3);
+  for (int run = 0; run < 200; ++run) {
+    const size_t models = 2 + random.Below(6);
+    const EngineSpec spec = MakeSpec(models);
+    std::vector<PlannedEngine> engines;
+    for (size_t i = 0; i < models; ++i) {
+      engines.push_back(
+        MakeEngine(std::to_string(i), { "m" + std::to_string(i) }));
+    }
+    for (int step = 0; step < 20; ++step) {
+      std::map<std::string, double> rates;
+      for (const auto& [name, unused] : spec.m_models) {
+        rates[name] = static_cast<double>(random.Below(60));
+      }
+      const auto moves =
+        ModelPlanner::Plan(spec, engines, rates, StoreLoads(3));
+      ASSERT_EQ(Apply(spec, moves, engines), 0U);
+      for (const PlannedEngine& engine : engines) {
+        ASSERT_LE(engine.m_models.size(), 2U);
+      }
+    }
+  }
+}
+
+TEST(ModelPlannerTest, SettlesUnderSteadyDemand)
+{
+  const EngineSpec spec = MakeSpec(4);
+  std::vector<PlannedEngine> engines;
+  for (int i = 0; i < 8; ++i) {
+    engines.push_back(MakeEngine(std::to_string(i),
+                                 { "m" + std::to_string(i % 4),
+                                   "m" + std::to_string((i + 1) % 4) }));
+  }
+  const std::map<std::string, double> rates = {
+    { "m0", 70.0 }, { "m1", 30.0 }, { "m2", 4.0 }, { "m3", 1.0 }
+  };
+  size_t lastMoves = 1;
+  for (int step = 0; step < 20; ++step) {
+    const auto moves = ModelPlanner::Plan(spec, engines, rates, StoreLoads(9));
+    lastMoves = moves.size();
+    Apply(spec, moves, engines);
+  }
+  EXPECT_EQ(lastMoves, 0U);
+}
+
+TEST(StoreBudgetTest, KeepsEveryWindowWithinTheRate)
+{
+  StoreBudget budget;
+  budget.SetLimits(3.0, std::chrono::seconds(5));
+  std::vector<TimePoint> begun;
+  for (int i = 0; i < 1000; ++i) {
+    const TimePoint now = TimePoint(std::chrono::milliseconds(37 * i));
+    if (budget.TryTake(now)) {
+      begun.push_back(now);
+    }
+  }
+  for (size_t i = 15; i < begun.size(); ++i) {
+    EXPECT_GE(begun[i] - begun[i - 15], std::chrono::seconds(5));
+  }
+}
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/tests/gateway/engine_selector_test.cpp
@@ -0,0 +1,146 @@
+#include <gtest/gtest.h>
+
+#include "tests/support/gateway_fakes.h"
+
+namespace celeryspread::test {
+
+class EngineSelectorTest : public ::testing::Test
+{
+protected:
+  void Load(const std::string& aId, uint32_t aRunning, uint32_t aWaiting = 0)
+  {
+    m_table.NoteLoad(UpstreamId(aId), { aRunning, aWaiting, 4 }, m_now);
+  }
+  std::string Choose(const ModelTarget& aTarget,
+                     std::set<UpstreamId> aTried = {})
+  {
+    const EngineState* state = m_selector.Choose(
+      { PoolId("pool"), aTarget, std::move(aTried) }, m_now);
+    return state == nullptr ? "" : state->m_record.m_id.Value();
+  }
+
+  TimePoint m_now{ std::chrono::seconds(100) };
+  SeededRandomSource m_random{ 1 };
+  EngineTable m_table;
+  EngineSelector m_selector{ m_table,
+                             FailureDomainId("here"),
+                             { { FailureDomainId("here"), RegionId("r1") },
+                               { FailureDomainId("far"), RegionId("r2") } },
+                             m_random };
+};
+
+TEST_F(EngineSelectorTest, PrefersTheOwnDomainUntilItIsLoaded)
+{
+  m_table.Update(MakeEngine("near", "here", "m"));
+  m_table.Update(MakeEngine("remote", "far", "m"));
+  EXPECT_EQ(Choose({ "m", "" }), "near");
+  Load("near", 4, 2);
+  EXPECT_EQ(Choose({ "m", "" }), "remote");
+}
+
+TEST_F(EngineSelectorTest, LeavesOutUpstreamsThatLeaveOrWereTried)
+{
+  EngineRecord leaving = MakeEngine("leaving", "here", "m");
+  leaving.m_isLeaving = true;
+  m_table.Update(leaving);
+  m_table.Update(MakeEngine("staying", "far", "m"));
+  EXPECT_EQ(Choose({ "m", "" }), "staying");
+  EXPECT_EQ(Choose({ "m", "" }, { UpstreamId("staying") }), "");
+}
+
+TEST_F(EngineSelectorTest, TellsWhatIsMissing)
+{
+  EXPECT_EQ(Choose({ "m", "" }), "");
+  EXPECT_EQ(m_selector.LastError(), SelectError::NoUpstream);
+  m_table.Update(MakeEngine("e", "here", "other"));
+  EXPECT_EQ(Choose({ "m", "" }), "");
+  EXPECT_EQ(m_selector.LastError(), SelectError::ModelMissing);
+  m_table.Update(MakeEngine("e", "here", "m"));
+  EXPECT_EQ(Choose({ "m", "a1" }), "");
+  EXPECT_EQ(m_selector.LastError(), SelectError::AdapterMissing);
+}
+
+TEST_F(EngineSelectorTest, AvoidsAnUpstreamThatFellSilent)
+{
+  m_table.Update(MakeEngine("near", "here", "m"));
+  m_table.Update(MakeEngine("remote", "far", "m"));
+  m_table.NoteStart(UpstreamId("near"), m_now);
+  m_now += std::chrono::seconds(1);
+  EXPECT_EQ(Choose({ "m", "" }), "remote");
+  m_table.NoteHeard(UpstreamId("near"), m_now);
+  EXPECT_EQ(Choose({ "m", "" }), "near");
+}
+
+TEST_F(EngineSelectorTest, AvoidsAnUpstreamThatFailsInARow)
+{
+  m_table.Update(MakeEngine("near", "here", "m"));
+  m_table.Update(MakeEngine("remote", "far", "m"));
+  for (int i = 0; i < 3; ++i) {
+    m_table.NoteStart(UpstreamId("near"), m_now);
+    m_table.NoteEnd(UpstreamId("near"), AttemptEnd::Failed, m_now);
+  }
+  EXPECT_EQ(Choose({ "m", "" }), "remote");
+  m_now += std::chrono::seconds(1);
+  EXPECT_EQ(Choose({ "m", "" }), "near");
+}
+
+TEST_F(EngineSelectorTest, AsksForTheAdapterWhereTheCallStartsSooner)
+{
+  EngineRecord holder = MakeEngine("holder", "here", "m");
+  holder.m_models["m"].m_adapters.insert("a1");
+  m_table.Update(holder);
+  m_table.Update(MakeEngine("idle", "here", "m"));
+  const SelectQuery query{ PoolId("pool"), { "m", "a1" }, {} };
+  const EngineState* state = m_selector.Choose(query, m_now);
+  ASSERT_NE(state, nullptr);
+  EXPECT_EQ(m_selector.ChooseForAdapter(query, state, m_now), nullptr);
+  Load("holder", 4, 6);
+  const EngineState* better = m_selector.ChooseForAdapter(query, state, m_now);
+  ASSERT_NE(better, nullptr);
+  EXPECT_EQ(better->m_record.m_id, UpstreamId("idle"));
+}
+
+TEST(EngineTableTest, CorrectsAReadingByOwnStartsAndEnds)
+{
+  EngineTable table;
+  const TimePoint now(std::chrono::seconds(5));
+  const UpstreamId id("e");
+  table.Update(MakeEngine("e", "here"));
+  table.NoteLoad(id, { 3, 1, 4 }, now);
+  table.NoteStart(id, now);
+  table.NoteStart(id, now);
+  EXPECT_EQ(table.Find(id)->EstimatedLoad(now), 6U);
+  table.NoteEnd(id, AttemptEnd::Answered, now);
+  EXPECT_EQ(table.Find(id)->EstimatedLoad(now), 5U);
+  // An old reading says less than the own calls.
+  EXPECT_EQ(table.Find(id)->EstimatedLoad(now + std::chrono::seconds(9)), 1U);
+}
+
+TEST(RetryShareTest, SharesTheSlackAmongTheEntries)
+{
+  const TimePoint now(std::chrono::seconds(5));
+  const PoolId pool("pool");
+  RetryShare share({ 0.2, 40, std::chrono::seconds(10) });
+  share.SetEntryCount(8);
+  int taken = 0;
+  while (share.TryTake(pool, now)) {
+    ++taken;
+  }
+  EXPECT_EQ(taken, 5);
+  EXPECT_TRUE(share.TryTake(pool, now + std::chrono::seconds(11)));
+}
+
+TEST(RetryShareTest, EarnsFurtherArrivalsByCalls)
+{
+  const TimePoint now(std::chrono::seconds(5));
+  RetryShare share({ 0.2, 0, std::chrono::seconds(10) });
+  share.SetEntryCount(1);
+  EXPECT_FALSE(share.TryTake(PoolId("pool"), now));
+  for (int i = 0; i < 20; ++i) {
+    share.NoteCall(PoolId("pool"), now);
+  }
+  EXPECT_TRUE(share.TryTake(PoolId("pool"), now));
+  EXPECT_FALSE(share.TryTake(PoolId("other"), now));
+}
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,276 @@
+#include <gtest/gtest.h>
+
+#include "gateway/gateway.h"
+#include "tests/support/gateway_fakes.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+Route MakeRoute(const std::string& aPrefix, CallKind aKind, uint32_t aAttempts)
+{
+  Route route;
+  route.m_id = RouteId("r" + aPrefix);
+  route.m_host = "shop.example";
+  route.m_pathPrefix = aPrefix;
+  route.m_kind = aKind;
+  route.m_timeout = std::chrono::seconds(3);
+  route.m_maxAttempts = aAttempts;
+  route.m_pools = { { PoolId("pool"), 1 } };
+  return route;
+}
+
+} // namespace
+
+class GatewayTest : public ::testing::Test
+{
+protected:
+  GatewayTest()
+  {
+    RouteConfigData data;
+    data.m_version = Revision(3);
+    data.m_pools = { Pool{ PoolId("pool"), "/healthz", 10, std::nullopt } };
+    data.m_routes = { MakeRoute("/pay/", CallKind::NonIdempotent, 1),
+                      MakeRoute("/look/", CallKind::Idempotent, 2),
+                      MakeRoute("/chat/", CallKind::Stream, 1),
+                      MakeRoute("/report/", CallKind::Stream, 2) };
+    data.m_routes.back().m_isResumable = true;
+    std::string reason;
+    m_gateway.SetConfig(RouteConfig::Make(std::move(data), reason));
+    m_table.Update(MakeEngine("e1", "here", "m"));
+    m_table.Update(MakeEngine("e2", "far", "m"));
+    m_retries.SetEntryCount(1);
+  }
+
+  void Call(const std::string& aPath, HttpHeaders aHeaders = {})
+  {
+    aHeaders.push_back({ "Host", "shop.example" });
+    aHeaders.push_back({ "id", "a1" });
+    m_gateway.OnCall(std::make_unique<FakeCallerCall>(
+      m_caller, "POST", aPath, std::move(aHeaders)));
+  }
+  FakeUpstreamClient::Sent& Attempt(size_t aIndex)
+  {
+    return *m_client.m_sent.at(aIndex);
+  }
+  void Answer(size_t aIndex, int aStatus, const HttpHeaders& aHeaders)
+  {
+    Attempt(aIndex).m_observer->OnUpstreamHeaders(aStatus, aHeaders);
+  }
+  void Reject(size_t aIndex)
+  {
+    Answer(aIndex, 503, { { "id", "a1" }, { "not-run", "1" } });
+    Attempt(aIndex).m_observer->OnUpstreamEnd();
+  }
+  void Lose(size_t aIndex)
+  {
+    Attempt(aIndex).m_observer->OnUpstreamFailed(
+      { UpstreamFailureKind::ConnectionLost, true, "lost" });
+  }
+
+  const HttpHeaders m_good = { { "id", "a1" }, { "signed", "x" } };
+  VirtualWorld m_world;
+  SkewedClock m_clock{ m_world, 0 };
+  VirtualTimers m_timers{ m_world };
+  SeededRandomSource m_random{ 1 };
+  FakeUpstreamClient m_client;
+  FakeCodec m_codec;
+  EngineTable m_table;
+  EngineSelector m_selector{ m_table,
+                             FailureDomainId("here"),
+                             { { FailureDomainId("here"), RegionId("r1") },
+                               { FailureDomainId("far"), RegionId("r2") } },
+                             m_random };
+  RetryShare m_retries{ RetryBounds{} };
+  FakeFleet m_fleet;
+  Metrics m_metrics;
+  RecordingEventLog m_log;
+  GatewayContext m_context{ m_clock,    m_timers,  m_client, m_codec,
+                            m_table,    m_selector, m_retries, m_fleet,
+                            m_fleet,    m_metrics, m_log };
+  Gateway m_gateway{ m_context };
+  CallerRecord m_caller;
+};
+
+TEST_F(GatewayTest, RefusesBeforeAnyConfigurationIsKnown)
+{
+  Gateway fresh(m_context);
+  fresh.OnCall(std::make_unique<FakeCallerCall>(
+    m_caller, "GET", "/look/1", HttpHeaders{ { "id", "a1" } }));
+  EXPECT_EQ(m_caller.m_status, 503);
+}
+
+TEST_F(GatewayTest, AnswersNotFoundOnlyUnderAConfiguration)
+{
+  Call("/elsewhere/");
+  EXPECT_EQ(m_caller.m_status, 404);
+}
+
+TEST_F(GatewayTest, KeepsTheConfigurationWhenAnOlderOneArrives)
+{
+  RouteConfigData data;
+  data.m_version = Revision(2);
+  std::string reason;
+  m_gateway.SetConfig(RouteConfig::Make(std::move(data), reason));
+  EXPECT_EQ(m_gateway.Config()->Version(), Revision(3));
+}
+
+TEST_F(GatewayTest, PassesAnswersOnUnchanged)
+{
+  Call("/pay/1");
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("paid");
+  Attempt(0).m_observer->OnUpstreamEnd();
+  EXPECT_EQ(m_caller.m_status, 200);
+  EXPECT_EQ(m_caller.m_body, "paid");
+}
+
+TEST_F(GatewayTest, NeverRepeatsWorkThatMayHaveRun)
+{
+  Call("/pay/1");
+  Lose(0);
+  EXPECT_EQ(m_client.m_sent.size(), 1U);
+  EXPECT_EQ(m_caller.m_status, 502);
+}
+
+TEST_F(GatewayTest, SendsRejectedWorkElsewhere)
+{
+  Call("/pay/1");
+  Reject(0);
+  ASSERT_EQ(m_client.m_sent.size(), 2U);
+  EXPECT_EQ(m_codec.m_lastFields.m_upstream, UpstreamId("e2"));
+}
+
+TEST_F(GatewayTest, RefusesOnlyWhatHasNotRun)
+{
+  Call("/pay/1");
+  Reject(0);
+  Reject(1);
+  EXPECT_EQ(m_caller.m_status, 503);
+  EXPECT_EQ(m_caller.m_headers.front().m_name, "retry-after");
+}
+
+TEST_F(GatewayTest, FailsWorkThatRanAndWasRejectedElsewhere)
+{
+  Call("/look/1");
+  Lose(0);
+  Reject(1);
+  EXPECT_EQ(m_caller.m_status, 502);
+}
+
+TEST_F(GatewayTest, RepeatsIdempotentWorkWithinItsAttempts)
+{
+  Call("/look/1");
+  Lose(0);
+  Lose(1);
+  EXPECT_EQ(m_client.m_sent.size(), 2U);
+  EXPECT_EQ(m_caller.m_status, 502);
+}
+
+TEST_F(GatewayTest, DropsAnAnswerThatBelongsToAnotherCall)
+{
+  Call("/pay/1");
+  Answer(0, 200, { { "id", "other" }, { "signed", "x" } });
+  EXPECT_TRUE(Attempt(0).m_isCancelled);
+  EXPECT_EQ(m_caller.m_status, 502);
+}
+
+TEST_F(GatewayTest, DropsASuccessWithoutSignature)
+{
+  Call("/pay/1");
+  Answer(0, 200, { { "id", "a1" } });
+  Attempt(0).m_observer->OnUpstreamBody("forged");
+  Attempt(0).m_observer->OnUpstreamEnd();
+  EXPECT_EQ(m_caller.m_status, 502);
+  EXPECT_EQ(m_caller.m_body, "");
+}
+
+TEST_F(GatewayTest, BreaksAStreamVisiblyThatMayNotBeResumed)
+{
+  Call("/chat/1", { { "model", "m" } });
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\nid: 2\nda");
+  Lose(0);
+  EXPECT_TRUE(m_caller.m_isAborted);
+  EXPECT_FALSE(m_caller.m_isEnded);
+  EXPECT_EQ(m_caller.m_body, "id: 1\ndata: x\n\n");
+}
+
+TEST_F(GatewayTest, ResumesAStreamBehindItsLastEvent)
+{
+  Call("/report/1", { { "model", "m" } });
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\nid: 2\nda");
+  Lose(0);
+  ASSERT_EQ(m_client.m_sent.size(), 2U);
+  EXPECT_EQ(m_codec.m_lastFields.m_lastEvent, "1");
+  Answer(1, 200, m_good);
+  Attempt(1).m_observer->OnUpstreamBody("id: 2\ndata: y\n\n");
+  Attempt(1).m_observer->OnUpstreamEnd();
+  EXPECT_TRUE(m_caller.m_isEnded);
+  EXPECT_EQ(m_caller.m_body, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+}
+
+TEST_F(GatewayTest, BreaksAResumedStreamThatSkipsAnEvent)
+{
+  Call("/report/1", { { "model", "m" } });
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+  Lose(0);
+  Answer(1, 200, m_good);
+  Attempt(1).m_observer->OnUpstreamBody("id: 3\ndata: y\n\n");
+  EXPECT_TRUE(m_caller.m_isAborted);
+  EXPECT_EQ(m_caller.m_body, "id: 1\ndata: x\n\n");
+}
+
+TEST_F(GatewayTest, CancelsTheAttemptOfACallerThatLeft)
+{
+  Call("/pay/1");
+  m_caller.m_observer->OnCallerGone();
+  EXPECT_TRUE(Attempt(0).m_isCancelled);
+  m_world.RunFor(std::chrono::seconds(1));
+  EXPECT_EQ(m_gateway.CallCount(), 0U);
+}
+
+TEST_F(GatewayTest, EndsACallAtItsRoutesTimeout)
+{
+  Call("/pay/1");
+  m_world.RunFor(std::chrono::milliseconds(3200));
+  EXPECT_EQ(m_caller.m_status, 504);
+  EXPECT_TRUE(Attempt(0).m_isCancelled);
+}
+
+TEST_F(GatewayTest, AsksForAnAdapterThatNoEngineHolds)
+{
+  Call("/chat/1", { { "model", "m" }, { "adapter", "a1" } });
+  ASSERT_EQ(m_fleet.m_asked.size(), 1U);
+  EXPECT_TRUE(m_client.m_sent.empty());
+  m_fleet.m_done(UpstreamId("e2"));
+  ASSERT_EQ(m_client.m_sent.size(), 1U);
+  EXPECT_EQ(m_codec.m_lastFields.m_upstream, UpstreamId("e2"));
+}
+
+TEST_F(GatewayTest, RefusesWhenTheAdapterCantBeHad)
+{
+  Call("/chat/1", { { "model", "m" }, { "adapter", "a1" } });
+  m_fleet.m_done(UpstreamId());
+  EXPECT_EQ(m_caller.m_status, 503);
+}
+
+TEST_F(GatewayTest, LateAdapterReplyFindsTheCallGone)
+{
+  Call("/chat/1", { { "model", "m" }, { "adapter", "a1" } });
+  m_caller.m_observer->OnCallerGone();
+  m_world.RunFor(std::chrono::seconds(1));
+  m_fleet.m_done(UpstreamId("e2"));
+  EXPECT_TRUE(m_client.m_sent.empty());
+}
+
+TEST_F(GatewayTest, CountsTheDemandForAMissingModel)
+{
+  Call("/chat/1", { { "model", "unknown" } });
+  EXPECT_EQ(m_caller.m_status, 503);
+  EXPECT_EQ(m_fleet.m_misses, 1);
+}
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,287 @@
+#include <gtest/gtest.h>
+
+#include "core/random_source.h"
+#include "platform/call_codec.h"
+#include "platform/engine_client.h"
+#include "platform/route_document.h"
+#include "settings/node_settings.h"
+#include "tests/support/gateway_fakes.h"
+
+namespace celeryspread::test {
+
+using platform::FormatOrder;
+using platform::ParseListPage;
+using platform::ParseLoad;
+using platform::ParsePromptParts;
+using platform::ParseReport;
+
+namespace {
+
+constexpr const char* kDocument = R"({"Version":7,
+  "Routes":[{"Name":"r","Hostname":"h.example","PathPrefix":"/p/",
+    "RouteKind":"streaming","TimeoutMs":12000,"AimMs":500,"Priority":1,
+    "Split":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}],
+    "MaxAttempts":2,"Sticky":true,"Resumable":true,"GapTargetMs":200}],
+  "Services":[{"Name":"s","HealthPath":"/healthz","MaxConns":370,
+    "Engine":{"Slots":64,"KvCapacity":113991,"WeightsMb":230000.0,
+      "AdapterSlots":5,"LoadsPerS":2.4,
+      "Models":[{"Name":"m","WeightsMb":65099.99,"LoadTimeS":2.8,
+        "Adapters":2,"AdapterSizeMb":12.0,"WarmS":0.45,"DiskLoadS":0.59}]}},
+    {"Name":"t"}],
+  "Limits":{"MaxHeaderBytes":16384}})";
+
+std::string ReasonFor(std::string aDocument,
+                      const std::string& aOld,
+                      const std::string& aNew)
+{
+  const size_t at = aDocument.find(aOld);
+  EXPECT_NE(at, std::string::npos) << aOld;
+  aDocument.replace(at, aOld.size(), aNew);
+  std::string reason = "accepted";
+  platform::PlatformRouteDocument().Read(aDocument, reason);
+  return reason;
+}
+
+FakeCallerCall MakeCall(CallerRecord& aRecord, HttpHeaders aHeaders)
+{
+  return { aRecord, "POST", "/p/1", std::move(aHeaders) };
+}
+
+std::string Value(const HttpHeaders& aHeaders, const std::string& aName)
+{
+  std::string all;
+  for (const HttpHeader& header : aHeaders) {
+    if (header.m_name == aName) {
+      all += "[" + header.m_value + "]";
+    }
+  }
+  return all;
+}
+
+} // namespace
+
+TEST(RouteDocumentTest, ReadsEveryField)
+{
+  std::string reason;
+  const auto config = platform::PlatformRouteDocument().Read(kDocument, reason);
+  ASSERT_NE(config, nullptr) << reason;
+  EXPECT_EQ(config->Version(), Revision(7));
+  const Route* route = config->Find("h.example", "/p/x");
+  ASSERT_NE(route, nullptr);
+  EXPECT_EQ(route->m_kind, CallKind::Stream);
+  EXPECT_EQ(route->m_timeout, std::chrono::seconds(12));
+  EXPECT_EQ(route->m_pools.size(), 2U);
+  EXPECT_TRUE(route->m_isResumable);
+  const Pool* pool = config->FindPool(PoolId("s"));
+  ASSERT_NE(pool, nullptr);
+  EXPECT_EQ(pool->m_engine->m_adapterPlaces, 5U);
+  const ModelSpec& model = pool->m_engine->m_models.at("m");
+  EXPECT_EQ(model.m_megabytes, 65'100U);
+  EXPECT_EQ(model.m_diskLoad, std::chrono::milliseconds(590));
+  EXPECT_FALSE(config->FindPool(PoolId("t"))->m_engine);
+}
+
+TEST(RouteDocumentTest, SaysWhatIsWrongAndWhere)
+{
+  EXPECT_NE(ReasonFor(kDocument, "}})", "}}").find("accepted"), 1U);
+  EXPECT_EQ(ReasonFor(kDocument, "\"Version\":7", "\"Version\":-1"),
+            "/Version: expected a whole number of 0 or more");
+  EXPECT_EQ(ReasonFor(kDocument, "\"streaming\"", "\"other\""),
+            "/Routes/0/RouteKind: expected streaming, idempotent or "
+            "non_idempotent");
+  EXPECT_EQ(ReasonFor(kDocument, "\"TimeoutMs\":12000", "\"TimeoutMs\":0"),
+            "route \"r\": the timeout must be above 0");
+  EXPECT_EQ(
+    ReasonFor(kDocument, "\"Service\":\"t\"", "\"Service\":\"gone\""),
+    "route \"r\": pool \"gone\" is not declared");
+}
+
+TEST(RouteDocumentTest, RefusesEveryDocumentThatIsCutShort)
+{
+  const std::string whole(kDocument);
+  for (size_t length = 0; length < whole.size(); ++length) {
+    std::string reason;
+    EXPECT_EQ(
+      platform::PlatformRouteDocument().Read(whole.substr(0, length), reason),
+      nullptr)
+      << length;
+    EXPECT_NE(reason, "") << length;
+  }
+}
+
+TEST(CallCodecTest, ReadsARequest)
+{
+  CallerRecord record;
+  const auto facts = platform::PlatformCallCodec().ReadCall(
+    MakeCall(record,
+             { { "Attempt-Id", "9c41" },
+               { "Model", "daka/a3" },
+               { "Token-Usage", "1460,80" },
+               { "Prompt-Prefix", "5c:800, 91:410" },
+               { "Deadline-Ms", "2500" } }));
+  ASSERT_TRUE(facts);
+  EXPECT_EQ(facts->m_attempt, AttemptId("9c41"));
+  EXPECT_EQ(facts->m_target, (ModelTarget{ "daka", "a3" }));
+  EXPECT_EQ(facts->m_promptTokens, 1460U);
+  EXPECT_EQ(facts->m_maxOutputTokens, 80U);
+  EXPECT_EQ(facts->m_patience, std::chrono::milliseconds(2500));
+  ASSERT_EQ(facts->m_prompt.size(), 2U);
+  EXPECT_EQ(facts->m_prompt[1].m_tokens, 410U);
+}
+
+TEST(CallCodecTest, RefusesMalformedHeaders)
+{
+  platform::PlatformCallCodec codec;
+  CallerRecord record;
+  const HttpHeader id{ "Attempt-Id", "1" };
+  EXPECT_FALSE(codec.ReadCall(MakeCall(record, {})));
+  EXPECT_FALSE(codec.ReadCall(MakeCall(record, { id, { "Deadline-Ms", "x" } })));
+  EXPECT_FALSE(codec.ReadCall(MakeCall(record, { id, { "Token-Usage", "1" } })));
+  EXPECT_FALSE(
+    codec.ReadCall(MakeCall(record, { id, { "Prompt-Prefix", ":1" } })));
+}
+
+TEST(CallCodecTest, LetsNoClientSetWhatIsTheSystems)
+{
+  CallerRecord record;
+  AttemptFields fields;
+  fields.m_upstream = UpstreamId("i-1");
+  fields.m_timeLeft = std::chrono::milliseconds(900);
+  const auto headers = platform::PlatformCallCodec().AttemptHeaders(
+    MakeCall(record,
+             { { "Host", "h.example" },
+               { "Attempt-Id", "1" },
+               { "deadline-ms", "5000" },
+               { "Expect-Instance", "i-9" },
+               { "Hold", "h" },
+               { "Pin-Ms", "1" },
+               { "Kv-Backup", "x" },
+               { "Kv-From", "x" },
+               { "Connection", "close, X-Own" },
+               { "X-Own", "1" },
+               { "X-Other", "2" } }),
+    fields);
+  EXPECT_EQ(Value(headers, "Deadline-Ms"), "[900]");
+  EXPECT_EQ(Value(headers, "deadline-ms"), "");
+  EXPECT_EQ(Value(headers, "Expect-Instance"), "[i-1]");
+  for (const char* dropped :
+       { "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Connection", "X-Own" }) {
+    EXPECT_EQ(Value(headers, dropped), "") << dropped;
+  }
+  EXPECT_EQ(Value(headers, "X-Other"), "[2]");
+  EXPECT_EQ(Value(headers, "Host"), "[h.example]");
+}
+
+TEST(CallCodecTest, ReadsWhatProvesThatARequestHasNotRun)
+{
+  platform::PlatformCallCodec codec;
+  EXPECT_TRUE(codec.ReadAnswer(503, { { "not-executed", "1" } }).m_isNotRun);
+  EXPECT_TRUE(codec.ReadAnswer(421, {}).m_isMisdirected);
+  EXPECT_FALSE(codec.ReadAnswer(503, {}).m_isNotRun);
+  const auto answer = codec.ReadAnswer(
+    200,
+    { { "Server-Stamp", "s" },
+      { "Instance-Load", "3,1,8,250" },
+      { "Keep-Alive", "timeout=4, max=9" } });
+  EXPECT_TRUE(answer.m_isSigned);
+  EXPECT_EQ(answer.m_load->m_slownessPercent, 250U);
+  EXPECT_EQ(answer.m_keepAlive, std::chrono::seconds(4));
+  EXPECT_FALSE(
+    codec
+      .ReadAnswer(200, { { "Server-Stamp", "s" }, { "Content-Encoding", "x" } })
+      .m_isSigned);
+}
+
+TEST(EngineClientTest, LeavesOutListEntriesThatCantBeRead)
+{
+  const auto page = ParseListPage(R"({"Instances":[
+    {"Id":"i-1","Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":32,
+     "State":"draining","born":17,
+     "Models":[{"Name":"m","Version":2,"Adapters":["a1"]}],
+     "Resident":{"InMemory":["x"],"OnDisk":["y"]}},
+    {"Id":"i-2","Service":"s","Address":"nowhere","Zone":"z","State":"ready"},
+    {"Id":3},{"Id":"i-4","Service":"s","Address":"10.0.0.9:81","Zone":"z",
+     "State":"odd"},7],"Next":"p-50"})");
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page->m_unreadable, 4U);
+  ASSERT_EQ(page->m_engines.size(), 1U);
+  const EngineRecord& engine = page->m_engines[0];
+  EXPECT_TRUE(engine.m_isLeaving);
+  EXPECT_EQ(engine.m_startedAt, 17);
+  EXPECT_TRUE(engine.Holds({ "m", "a1" }));
+  EXPECT_EQ(engine.m_weightCopies, (std::set<std::string>{ "x", "y" }));
+  EXPECT_EQ(page->m_nextToken, "p-50");
+  EXPECT_FALSE(ParseListPage("{\"Instances\":"));
+}
+
+TEST(EngineClientTest, ReadsAReport)
+{
+  const auto report = ParseReport(
+    R"({"Models":[{"Name":"m","Version":1,"Adapters":[]}],"Busy":true,"Seq":2,
+        "Waiting":1,"Running":12,"Pending":["m/a2@1"]})");
+  ASSERT_TRUE(report);
+  EXPECT_TRUE(report->m_isBusy);
+  EXPECT_EQ(report->m_sequence, 2U);
+  EXPECT_TRUE(report->m_loadingAdapters.contains({ "m", "a2" }));
+  EXPECT_FALSE(ParseReport(R"({"Models":[]})"));
+}
+
+TEST(EngineClientTest, WritesAnOrder)
+{
+  const EngineOrder order{ EngineOrderKind::Unload,
+                           { "m", "a1" },
+                           InstanceId("c1"),
+                           FencingToken(4),
+                           9 };
+  EXPECT_EQ(FormatOrder(order),
+            R"({"Adapter":"a1","Expect":9,"Fence":4,"Holder":"c1",)"
+            R"("Model":"m","Op":"unload"})");
+}
+
+/// Feeds the parsers pieces of valid texts with bytes changed at random.
+TEST(PlatformFuzzTest, ParsersBearAnyBytes)
+{
+  const std::string corpus[] = {
+    kDocument,
+    R"({"Instances":[{"Id":"i","Service":"s","Address":"1.2.3.4:5",)"
+    R"("Zone":"z","State":"ready","Models":[{"Name":"m"}]}],"Next":null})",
+    R"({"Models":[],"Seq":1,"Pending":["a/b@1"]})",
+    "5c1e:800,91bd:410",
+    "3,1,8,100"
+  };
+  SeededRandomSource random(11);
+  for (int i = 0; i < 4000; ++i) {
+    std::string text = corpus[random.Below(std::size(corpus))];
+    for (uint64_t changes = random.Below(4); changes > 0; --changes) {
+      text[random.Below(text.size())] = static_cast<char>(random.Below(256));
+    }
+    text.resize(random.Below(text.size() + 1));
+    std::string reason;
+    platform::PlatformRouteDocument().Read(text, reason);
+    ParseListPage(text);
+    ParseReport(text);
+    ParsePromptParts(text);
+    ParseLoad(text);
+    ParseAddress(text);
+    NodeSettingsReader().Parse(text);
+  }
+}
+
+TEST(NodeSettingsTest, ReadsAndNamesFaults)
+{
+  NodeSettingsReader reader;
+  const auto settings = reader.Parse(
+    R"({"instance":"c1","failure_domain":"z","address":"10.0.0.1",
+        "wire_port":7380,"seeds":["10.0.0.2:8144"],
+        "regions":{"z":"r"},"retry_ratio":"0.25"})");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->m_seeds.front().m_address, "10.0.0.2");
+  EXPECT_EQ(settings->m_retryRatio, 0.25);
+  EXPECT_FALSE(reader.Parse(
+    R"({"instance":"c1","failure_domain":"z","address":"10.0.0.1",
+        "wire_port":7380,"seeds":["nowhere"]})"));
+  ASSERT_EQ(reader.Errors().size(), 1U);
+  EXPECT_EQ(reader.Errors()[0].m_path, "/seeds");
+}
+
+} // namespace celeryspread::test
--- a/tests/storage/record_log_test.cpp
+++ b/tests/storage/record_log_test.cpp
@@ -41,6 +41,31 @@
   }
 }
 
+TEST_F(RecordLogTest, CutsAWriteOfWhichOnlyTheBeginningIsLeft)
+{
+  Fill({ "one", "two" });
+  const size_t synced = m_disk.SizeOf("log");
+  Fill({ "a longer record" });
+  const size_t size = m_disk.SizeOf("log");
+  for (size_t kept = synced; kept < size; ++kept) {
+    FakeFileSystem disk = m_disk;
+    disk.Truncate("log", kept);
+    disk.OpenForAppend("log")->Append(std::string(size - kept, '\0'));
+    RecordLog log(disk, "log");
+    EXPECT_EQ(log.Open(), (Records{ "one", "two" })) << kept;
+  }
+}
+
+TEST_F(RecordLogTest, WritesABatchAsOne)
+{
+  RecordLog log(m_disk, "log");
+  ASSERT_TRUE(log.Open());
+  ASSERT_TRUE(log.Append("one") && log.Append("two"));
+  EXPECT_EQ(m_disk.SizeOf("log"), 0U);
+  ASSERT_TRUE(log.Sync());
+  EXPECT_GT(m_disk.SizeOf("log"), 0U);
+}
+
 TEST_F(RecordLogTest, CutsATornTailAndSaysSo)
 {
   Fill({ "one", "two" });
--- a/tests/support/control_cluster.cpp
+++ b/tests/support/control_cluster.cpp
@@ -117,6 +117,25 @@
   m_nodes.at(aName)->m_disk.LoseEverything();
 }
 
+void ControlCluster::AddEmpty(const std::string& aName)
+{
+  auto node = std::make_unique<Node>(*this, aName, 0);
+  // Only the first disks of the first instances found the cluster.
+  node->m_disks = 1;
+  m_nodes[aName] = std::move(node);
+  Start(aName);
+}
+
+void ControlCluster::SetToleratedLosses(uint32_t aCount)
+{
+  m_toleratedLosses = aCount;
+  for (auto& [name, node] : m_nodes) {
+    if (node->m_host != nullptr) {
+      node->m_host->SetToleratedLosses(aCount);
+    }
+  }
+}
+
 void ControlCluster::Start(const std::string& aName)
 {
   Node& node = *m_nodes.at(aName);
@@ -150,6 +169,7 @@
                                                       node.m_log },
                                   options,
                                   kSnapshotEntries);
+  node.m_host->SetToleratedLosses(m_toleratedLosses);
   node.m_generation = ++m_generations;
   TickLoop(aName, node.m_generation);
 }
--- a/tests/support/control_cluster.h
+++ b/tests/support/control_cluster.h
@@ -36,6 +36,10 @@
   void Crash(const std::string& aName);
   void Start(const std::string& aName);
   void LoseDisk(const std::string& aName);
+  /// Starts a further instance with an empty disk, which joins.
+  void AddEmpty(const std::string& aName);
+  /// Lets silent replicas be replaced on every instance.
+  void SetToleratedLosses(uint32_t aCount);
   /// Stops an instance without its knowing, like SIGSTOP.
   void Freeze(const std::string& aName, bool aIsFrozen);
   /// Sends a change to an instance, as an operator would.
@@ -73,6 +77,7 @@
   std::map<std::string, std::unique_ptr<Node>> m_nodes;
   std::vector<std::set<std::string>> m_groups;
   uint64_t m_lossPercent = 0;
+  uint32_t m_toleratedLosses = 0;
   SettingsHistory m_history;
   std::map<std::string, Revision> m_accepted;
   size_t m_conflicts = 0;
--- /dev/null
+++ b/tests/support/gateway_fakes.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_context.h"
+#include "tests/support/entry_fixture.h"
+#include "tools/virtual_world.h"
+
+namespace celeryspread::test {
+
+/// What a caller was given.
+struct CallerRecord
+{
+  int m_status = 0;
+  HttpHeaders m_headers;
+  std::string m_body;
+  bool m_isEnded = false;
+  bool m_isAborted = false;
+  CallerObserver* m_observer = nullptr;
+};
+
+/// CallerCall that keeps what it is given.
+class FakeCallerCall : public CallerCall
+{
+public:
+  FakeCallerCall(CallerRecord& aRecord,
+                 std::string aMethod,
+                 std::string aPath,
+                 HttpHeaders aHeaders)
+    : m_record(aRecord)
+    , m_method(std::move(aMethod))
+    , m_path(std::move(aPath))
+    , m_headers(std::move(aHeaders))
+  {
+  }
+  [[nodiscard]] std::string_view Method() const override { return m_method; }
+  [[nodiscard]] std::string_view Path() const override { return m_path; }
+  [[nodiscard]] std::string_view Query() const override { return ""; }
+  [[nodiscard]] std::optional<std::string_view> Header(
+    const char* aName) const override
+  {
+    for (const HttpHeader& header : m_headers) {
+      if (header.m_name == aName) {
+        return header.m_value;
+      }
+    }
+    return std::nullopt;
+  }
+  [[nodiscard]] HttpHeaders AllHeaders() const override { return m_headers; }
+  [[nodiscard]] std::string_view Body() override { return "body"; }
+  void SetObserver(CallerObserver* aObserver) override
+  {
+    m_record.m_observer = aObserver;
+  }
+  void Reply(int aStatus,
+             const HttpHeaders& aHeaders,
+             std::string_view aBody) override
+  {
+    m_record.m_status = aStatus;
+    m_record.m_headers = aHeaders;
+    m_record.m_body = aBody;
+    m_record.m_isEnded = true;
+  }
+  void StartStream(int aStatus, const HttpHeaders& aHeaders) override
+  {
+    m_record.m_status = aStatus;
+    m_record.m_headers = aHeaders;
+  }
+  void SendChunk(std::string_view aBytes) override
+  {
+    m_record.m_body += aBytes;
+  }
+  void EndStream() override { m_record.m_isEnded = true; }
+  void Abort() override { m_record.m_isAborted = true; }
+  [[nodiscard]] size_t PendingBytes() const override { return 0; }
+
+private:
+  CallerRecord& m_record;
+  std::string m_method;
+  std::string m_path;
+  HttpHeaders m_headers;
+};
+
+/// UpstreamClient whose answers the test gives.
+class FakeUpstreamClient : public UpstreamClient
+{
+public:
+  struct Sent
+  {
+    UpstreamRequest m_request;
+    UpstreamObserver* m_observer = nullptr;
+    bool m_isCancelled = false;
+  };
+
+  std::unique_ptr<UpstreamCall> Start(UpstreamRequest aRequest,
+                                      UpstreamObserver& aObserver) override
+  {
+    m_sent.push_back(
+      std::make_shared<Sent>(Sent{ std::move(aRequest), &aObserver }));
+    return std::make_unique<Call>(m_sent.back());
+  }
+
+  std::vector<std::shared_ptr<Sent>> m_sent;
+
+private:
+  class Call : public UpstreamCall
+  {
+  public:
+    explicit Call(std::shared_ptr<Sent> aSent)
+      : m_sent(std::move(aSent))
+    {
+    }
+    ~Call() override { m_sent->m_isCancelled = true; }
+    void Pause() override {}
+    void Resume() override {}
+
+  private:
+    std::shared_ptr<Sent> m_sent;
+  };
+};
+
+/// CallCodec with one letter for each fact: headers "id", "not-run",
+/// "signed".
+class FakeCodec : public CallCodec
+{
+public:
+  std::optional<CallFacts> ReadCall(const CallerCall& aCall) override
+  {
+    CallFacts facts;
+    facts.m_attempt =
+      AttemptId(std::string(aCall.Header("id").value_or("")));
+    facts.m_target.m_model = aCall.Header("model").value_or("");
+    facts.m_target.m_adapter = aCall.Header("adapter").value_or("");
+    return facts.m_attempt.IsEmpty() ? std::nullopt
+                                     : std::optional<CallFacts>(facts);
+  }
+  HttpHeaders AttemptHeaders(const CallerCall& /*aCall*/,
+                             const AttemptFields& aFields) override
+  {
+    m_lastFields = aFields;
+    return {};
+  }
+  AnswerFacts ReadAnswer(int /*aStatus*/, const HttpHeaders& aHeaders) override
+  {
+    AnswerFacts facts;
+    for (const HttpHeader& header : aHeaders) {
+      if (header.m_name == "id") {
+        facts.m_attempt = AttemptId(header.m_value);
+      }
+      facts.m_isNotRun = facts.m_isNotRun || header.m_name == "not-run";
+      facts.m_isSigned = facts.m_isSigned || header.m_name == "signed";
+    }
+    return facts;
+  }
+  HttpHeaders AnswerHeaders(const HttpHeaders& aHeaders) override
+  {
+    return aHeaders;
+  }
+  HttpHeaders OwnHeaders(const CallFacts* /*aFacts*/,
+                         std::optional<Duration> aRetryAfter) override
+  {
+    if (!aRetryAfter) {
+      return {};
+    }
+    return { { "retry-after", std::to_string(aRetryAfter->count()) } };
+  }
+
+  AttemptFields m_lastFields;
+};
+
+/// AdapterLoader and DemandSink that the test answers.
+class FakeFleet
+  : public AdapterLoader
+  , public DemandSink
+{
+public:
+  void LoadAdapter(const PoolId& /*aPool*/,
+                   const ModelTarget& aTarget,
+                   const UpstreamId& /*aPreferred*/,
+                   std::function<void(UpstreamId)> aDone) override
+  {
+    m_asked.push_back(aTarget);
+    m_done = std::move(aDone);
+  }
+  void NoteDemand(const PoolId& /*aPool*/,
+                  const ModelTarget& /*aTarget*/,
+                  bool aIsMiss) override
+  {
+    ++m_calls;
+    m_misses += aIsMiss ? 1 : 0;
+  }
+
+  std::vector<ModelTarget> m_asked;
+  std::function<void(UpstreamId)> m_done;
+  int m_calls = 0;
+  int m_misses = 0;
+};
+
+/// Makes a record of an engine in a domain that holds one model.
+inline EngineRecord MakeEngine(const std::string& aId,
+                               const std::string& aDomain,
+                               const std::string& aModel = "")
+{
+  EngineRecord record;
+  record.m_id = UpstreamId(aId);
+  record.m_pool = PoolId("pool");
+  record.m_address = { "10.0.0.1", 80 };
+  record.m_domain = FailureDomainId(aDomain);
+  record.m_slots = 4;
+  if (!aModel.empty()) {
+    record.m_models[aModel] = HeldModel{ 1, {} };
+  }
+  return record;
+}
+
+} // namespace celeryspread::test
--- /dev/null
+++ b/tests/telemetry/event_log_test.cpp
@@ -0,0 +1,84 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "telemetry/event_log.h"
+#include "telemetry/line_sink.h"
+
+namespace celeryspread::test {
+
+TEST(FormatEventTest, MakesOneObjectOfPairs)
+{
+  const auto line = nlohmann::json::parse(
+    FormatEvent(EventId::CallRefused,
+                "e1",
+                "now",
+                "request=9c41 status=503 tried= reason=\"no engine holds it\""));
+  EXPECT_EQ(line["event"], "E402");
+  EXPECT_EQ(line["request"], "9c41");
+  EXPECT_EQ(line["status"], 503);
+  EXPECT_EQ(line["tried"], "");
+  EXPECT_EQ(line["reason"], "no engine holds it");
+}
+
+TEST(FormatEventTest, BytesFromOutsideCantForgeALine)
+{
+  const std::string line = FormatEvent(
+    EventId::CallRefused, "e1", "now", "path=/a\n{\"x\":1} b=\xff\xfe \"");
+  EXPECT_EQ(line.find('\n'), std::string::npos);
+  EXPECT_TRUE(nlohmann::json::accept(line));
+}
+
+class LineSinkTest : public ::testing::Test
+{
+protected:
+  LineSinkTest() { EXPECT_EQ(pipe(m_ends), 0); }
+  ~LineSinkTest() override
+  {
+    close(m_ends[0]);
+    close(m_ends[1]);
+  }
+  std::string Read()
+  {
+    fcntl(m_ends[0], F_SETFL, O_NONBLOCK);
+    std::string text;
+    char buffer[4096];
+    for (ssize_t n = 0; (n = read(m_ends[0], buffer, sizeof(buffer))) > 0;) {
+      text.append(buffer, static_cast<size_t>(n));
+    }
+    return text;
+  }
+
+  int m_ends[2] = {};
+  double m_seconds = 0;
+};
+
+TEST_F(LineSinkTest, KeepsUnimportantLinesWithinTheRate)
+{
+  LineSink sink(m_ends[1], [this] { return m_seconds; });
+  constexpr int kLines = 1000;
+  for (int i = 0; i < kLines; ++i) {
+    sink.Write("x", false);
+  }
+  EXPECT_EQ(Read().size(), 2 * static_cast<size_t>(LineSink::kBurst));
+  EXPECT_EQ(sink.TakeDropped(), kLines - LineSink::kBurst);
+  sink.Write("important", true);
+  EXPECT_EQ(Read(), "important\n");
+}
+
+TEST_F(LineSinkTest, NeverWaitsForAReaderThatDoesNotRead)
+{
+  LineSink sink(m_ends[1], [this] { return m_seconds; });
+  const std::string line(1000, 'y');
+  for (int i = 0; i < 2000; ++i) {
+    sink.Write(line, true);
+  }
+  EXPECT_GT(sink.TakeDropped(), 0U);
+  Read();
+  sink.Write("after", true);
+  EXPECT_FALSE(Read().empty());
+}
+
+} // namespace celeryspread::test
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -253,7 +253,7 @@
   admin @3 (request :AdminRequest) -> (reply :AdminReply);
   claim @4 (request :ClaimRequest, isForwarded :Bool) -> (reply :ClaimReply);
   closeClaim @5 (close :CloseClaim, isForwarded :Bool) -> (isDurable :Bool);
-  join @6 (replica :ReplicaEntry) -> (isAccepted :Bool);
+  join @6 (replica :ReplicaEntry) -> (isAccepted :Bool, isRemoved :Bool);
   # A follower tells the leader which entries follow settings through it.
   reportInstances @7 (instances :List(KnownInstance)) -> ();
   # Answers when there is news for an entry, or after a while without.
--- a/wire/celeryspread.capnp.c++
+++ b/wire/celeryspread.capnp.c++
@@ -3903,7 +3903,7 @@
   1, 1, i_c868db9279c345d4, nullptr, nullptr, { &s_c868db9279c345d4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<36> b_eb36a3f4bfb263f9 = {
+static const ::capnp::_::AlignedData<52> b_eb36a3f4bfb263f9 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     249,  99, 178, 191, 244, 163,  54, 235,
      36,   0,   0,   0,   1,   0,   1,   0,
@@ -3913,7 +3913,7 @@
      21,   0,   0,   0, 138,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  47,  99, 101, 108,
@@ -3923,16 +3923,32 @@
     111, 100, 101,  46, 106, 111, 105, 110,
      36,  82, 101, 115, 117, 108, 116, 115,
       0,   0,   0,   0,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  90,   0,   0,   0,
+     41,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   1,   0,
-     24,   0,   0,   0,   2,   0,   1,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   0,   0,   0,   3,   0,   1,   0,
+     60,   0,   0,   0,   2,   0,   1,   0,
     105, 115,  65,  99,  99, 101, 112, 116,
     101, 100,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 115,  82, 101, 109, 111, 118, 101,
+    100,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -3943,11 +3959,11 @@
 };
 ::capnp::word const* const bp_eb36a3f4bfb263f9 = b_eb36a3f4bfb263f9.words;
 #if !CAPNP_LITE
-static const uint16_t m_eb36a3f4bfb263f9[] = {0};
-static const uint16_t i_eb36a3f4bfb263f9[] = {0};
+static const uint16_t m_eb36a3f4bfb263f9[] = {0, 1};
+static const uint16_t i_eb36a3f4bfb263f9[] = {0, 1};
 const ::capnp::_::RawSchema s_eb36a3f4bfb263f9 = {
-  0xeb36a3f4bfb263f9, b_eb36a3f4bfb263f9.words, 36, nullptr, m_eb36a3f4bfb263f9,
-  0, 1, i_eb36a3f4bfb263f9, nullptr, nullptr, { &s_eb36a3f4bfb263f9, nullptr, nullptr, 0, 0, nullptr }
+  0xeb36a3f4bfb263f9, b_eb36a3f4bfb263f9.words, 52, nullptr, m_eb36a3f4bfb263f9,
+  0, 2, i_eb36a3f4bfb263f9, nullptr, nullptr, { &s_eb36a3f4bfb263f9, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<41> b_a68bfe761b0c4bea = {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -5408,6 +5408,8 @@
 
   inline bool getIsAccepted() const;
 
+  inline bool getIsRemoved() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5439,6 +5441,9 @@
   inline bool getIsAccepted();
   inline void setIsAccepted(bool value);
 
+  inline bool getIsRemoved();
+  inline void setIsRemoved(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10604,6 +10609,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ControlNode::JoinResults::Reader::getIsRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool ControlNode::JoinResults::Builder::getIsRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::JoinResults::Builder::setIsRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ControlNode::ReportInstancesParams::Reader::hasInstances() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
