Prompt reading time learned per model; late calls ranked behind; adapter orders sent once

Cause: 31% of the streams of one model paused over 200 ms at any load while others had none: its prompts are read three times slower, and its engines were given calls by count. Unloads were repeated for one victim, each counted as accepted, so the next order was refused for its sequence.

--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -101,7 +101,7 @@
       { PoolId(TextOf(demand.getPool())),
         { TextOf(demand.getModel()), TextOf(demand.getAdapter()) } },
       demand.getCalls(),
-      demand.getMisses());
+      Duration(static_cast<int64_t>(demand.getWorkMicros())));
   }
   const Revision routes(aRequest.getRouteVersion());
   const uint64_t epoch = aRequest.getEpoch();
--- a/fleet/demand_tracker.cpp
+++ b/fleet/demand_tracker.cpp
@@ -14,15 +14,11 @@
 
 } // namespace
 
-void DemandTracker::Note(const Key& aKey,
-                         uint32_t aCalls,
-                         uint32_t aMisses,
-                         TimePoint aNow)
+void DemandTracker::Note(const Key& aKey, uint32_t aCalls, Duration aWork)
 {
   State& state = m_states[aKey];
   state.m_calls += aCalls;
-  state.m_demand.m_misses += aMisses;
-  state.m_demand.m_lastCall = aNow;
+  state.m_work += aWork;
 }
 
 void DemandTracker::Tick(TimePoint aNow)
@@ -38,48 +34,43 @@
   }
   m_lastTick = aNow;
   const double keep = std::exp(-elapsed / kSmoothingSeconds);
-  m_modelRates.clear();
+  m_modelLoads.clear();
   for (auto it = m_states.begin(); it != m_states.end();) {
     State& state = it->second;
-    const double rate = static_cast<double>(state.m_calls) / elapsed;
+    const double rate = state.m_calls / elapsed;
+    const double load =
+      static_cast<double>(state.m_work.count()) / kMicrosPerSecond / elapsed;
+    state.m_rate = keep * state.m_rate + (1 - keep) * rate;
+    state.m_load = keep * state.m_load + (1 - keep) * load;
     state.m_calls = 0;
-    state.m_demand.m_rate = keep * state.m_demand.m_rate + (1 - keep) * rate;
-    if (state.m_demand.m_rate < kForgottenRate &&
-        state.m_demand.m_misses == 0) {
+    state.m_work = Duration::zero();
+    if (state.m_rate < kForgottenRate) {
       it = m_states.erase(it);
       continue;
     }
-    m_modelRates[{ it->first.m_pool, it->first.m_target.m_model }] +=
-      state.m_demand.m_rate;
+    m_modelLoads[{ it->first.m_pool, it->first.m_target.m_model }] +=
+      state.m_load;
     ++it;
   }
 }
 
-DemandTracker::Demand DemandTracker::Of(const Key& aKey) const
+double DemandTracker::Rate(const Key& aKey) const
 {
   const auto found = m_states.find(aKey);
-  return found == m_states.end() ? Demand{} : found->second.m_demand;
+  return found == m_states.end() ? 0 : found->second.m_rate;
 }
 
-double DemandTracker::ModelRate(const PoolId& aPool,
+double DemandTracker::ModelLoad(const PoolId& aPool,
                                 const std::string& aModel) const
 {
-  const auto found = m_modelRates.find({ aPool, aModel });
-  return found == m_modelRates.end() ? 0 : found->second;
-}
-
-void DemandTracker::TakeMisses(const Key& aKey)
-{
-  const auto found = m_states.find(aKey);
-  if (found != m_states.end()) {
-    found->second.m_demand.m_misses = 0;
-  }
+  const auto found = m_modelLoads.find({ aPool, aModel });
+  return found == m_modelLoads.end() ? 0 : found->second;
 }
 
 void DemandTracker::Clear()
 {
   m_states.clear();
-  m_modelRates.clear();
+  m_modelLoads.clear();
   m_lastTick = TimePoint();
 }
 
--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -176,6 +176,18 @@
          AdapterCount(aEngine) < spec->m_adapterPlaces;
 }
 
+bool EngineOrders::HoldsAlready(const Engine& aEngine, const Item& aItem)
+{
+  const auto model = aEngine.m_held.find(aItem.m_target.m_model);
+  bool isHeld = model != aEngine.m_held.end();
+  if (!aItem.m_target.m_adapter.empty()) {
+    isHeld =
+      isHeld && model->second.m_adapters.contains(aItem.m_target.m_adapter);
+  }
+  isHeld = isHeld || aEngine.m_loadingAdapters.contains(aItem.m_target);
+  return isHeld == (aItem.m_kind == EngineOrderKind::Load);
+}
+
 bool EngineOrders::IsToBeAnnounced(const EngineRecord& aRecord,
                                    const Item& aItem)
 {
@@ -205,7 +217,8 @@
     for (const Item& item : found->second.m_queue) {
       queued += item.m_kind == EngineOrderKind::Load ? 1 : 0;
     }
-    queued += found->second.m_sent ? 1 : 0;
+    const auto& sent = found->second.m_sent;
+    queued += sent && sent->m_kind == EngineOrderKind::Load ? 1 : 0;
     queued += found->second.m_loadingAdapters.size();
   }
   return AdaptersOf(aRecord).size() + queued < spec->m_adapterPlaces;
@@ -246,6 +259,18 @@
       adapters.insert({ name, adapter });
     }
   }
+  if (found != m_engines.end()) {
+    const auto drop = [&](const Item& aItem) {
+      if (aItem.m_kind == EngineOrderKind::Unload) {
+        adapters.erase(aItem.m_target);
+      }
+    };
+    std::for_each(
+      found->second.m_queue.begin(), found->second.m_queue.end(), drop);
+    if (found->second.m_sent) {
+      drop(*found->second.m_sent);
+    }
+  }
   return adapters;
 }
 
@@ -313,6 +338,13 @@
   }
   Item item = std::move(engine.m_queue.front());
   engine.m_queue.pop_front();
+  if (HoldsAlready(engine, item)) {
+    // Another order brought it about since this one was queued. The engine
+    // would not count it, and the sequence known here would be wrong.
+    item.m_done(true);
+    Pump(aId);
+    return;
+  }
   const bool hasRoom = HasRoom(*record, engine, item);
   if (!hasRoom || !MayLoadWeights(*record, item)) {
     m_parts.m_log.Write(EventId::PlacementRefused,
--- a/fleet/engine_orders.h
+++ b/fleet/engine_orders.h
@@ -75,7 +75,8 @@
   /// Tells whether an order for an adapter would be carried out soon.
   /// @pre none.
   [[nodiscard]] bool IsResponsive(const UpstreamId& aEngine) const;
-  /// Returns the adapters that the engine holds as far as known. @pre none.
+  /// Returns the adapters that the engine holds as far as known, without
+  /// those about to be unloaded. @pre none.
   [[nodiscard]] std::set<ModelTarget> AdaptersOf(
     const EngineRecord& aRecord) const;
   /// Returns the megabytes free for a further model. @pre none.
@@ -122,6 +123,8 @@
   void HandleAccepted(const UpstreamId& aId, Engine& aEngine, Item aItem);
   void FinishAdapter(const UpstreamId& aId, Item aItem);
   void CheckChange(const UpstreamId& aId, Engine& aEngine);
+  [[nodiscard]] static bool HoldsAlready(const Engine& aEngine,
+                                         const Item& aItem);
   [[nodiscard]] static bool IsToBeAnnounced(const EngineRecord& aRecord,
                                             const Item& aItem);
   [[nodiscard]] bool MayLoadWeights(const EngineRecord& aRecord,
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -132,9 +132,9 @@
 
 void FleetOwner::NoteDemand(const DemandTracker::Key& aKey,
                             uint32_t aCalls,
-                            uint32_t aMisses)
+                            Duration aWork)
 {
-  m_demand.Note(aKey, aCalls, aMisses, m_parts.m_clock.Now());
+  m_demand.Note(aKey, aCalls, aWork);
 }
 
 void FleetOwner::Plan(TimePoint aNow)
@@ -170,21 +170,20 @@
     }
     engines.push_back(std::move(engine));
   }
-  std::map<std::string, double> rates;
+  std::map<std::string, double> loads;
   for (const auto& [name, spec] : aPool.m_engine->m_models) {
-    rates[name] = m_demand.ModelRate(aPool.m_id, name);
+    loads[name] = m_demand.ModelLoad(aPool.m_id, name);
   }
   PlanLimits limits;
   limits.m_storeLoads = budget.Left(aNow);
   for (const ModelMove& move :
-       ModelPlanner::Plan(*aPool.m_engine, engines, rates, limits)) {
+       ModelPlanner::Plan(*aPool.m_engine, engines, loads, limits)) {
     m_parts.m_log.Write(EventId::PlacementPlanned,
                         "engine=" + move.m_engine.Value() +
                           " model=" + move.m_model +
                           " kind=" + (move.m_isLoad ? "load" : "unload") +
                           " store=" + (move.m_isFromStore ? "yes" : "no") +
-                          " calls_per_s=" +
-                          std::to_string(rates[move.m_model]));
+                          " load=" + std::to_string(loads[move.m_model]));
     m_orders.Submit(move.m_engine,
                     move.m_isLoad ? EngineOrderKind::Load
                                   : EngineOrderKind::Unload,
@@ -247,7 +246,7 @@
 {
   std::vector<std::pair<double, ModelTarget>> victims;
   for (const ModelTarget& adapter : m_orders.AdaptersOf(aRecord)) {
-    victims.emplace_back(m_demand.Of({ aKey.m_pool, adapter }).m_rate, adapter);
+    victims.emplace_back(m_demand.Rate({ aKey.m_pool, adapter }), adapter);
   }
   if (aSkip >= victims.size()) {
     return std::nullopt;
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -54,7 +54,7 @@
   /// Notes what an entry counted. @pre none.
   void NoteDemand(const DemandTracker::Key& aKey,
                   uint32_t aCalls,
-                  uint32_t aMisses);
+                  Duration aWork);
   /// Has an adapter loaded; aDone hears the engine that holds it, empty when
   /// it can't be had now. @pre none; called exactly once.
   /// @pre aPreferred names the engine that suits the asker best, or is empty.
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -113,6 +113,7 @@
     entry.setAdapter(key.m_target.m_adapter);
     entry.setCalls(counts.m_calls);
     entry.setMisses(counts.m_misses);
+    entry.setWorkMicros(static_cast<uint64_t>(counts.m_work.count()));
   }
   m_demand.clear();
   auto answered =
@@ -178,6 +179,7 @@
 
 void DirectoryLink::NoteDemand(const PoolId& aPool,
                                const ModelTarget& aTarget,
+                               Duration aWork,
                                bool aIsMiss)
 {
   if (aTarget.m_model.empty()) {
@@ -185,6 +187,7 @@
   }
   Demand& demand = m_demand[{ aPool, aTarget }];
   ++demand.m_calls;
+  demand.m_work += aWork;
   demand.m_misses += aIsMiss ? 1 : 0;
 }
 
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -55,6 +55,7 @@
                    std::function<void(UpstreamId)> aDone) override;
   void NoteDemand(const PoolId& aPool,
                   const ModelTarget& aTarget,
+                  Duration aWork,
                   bool aIsMiss) override;
 
 private:
@@ -62,6 +63,7 @@
   {
     uint32_t m_calls = 0;
     uint32_t m_misses = 0;
+    Duration m_work{};
   };
   struct DemandKey
   {
--- a/gateway/engine_selector.cpp
+++ b/gateway/engine_selector.cpp
@@ -13,12 +13,12 @@
 /// A full batch slows each token of the others by about this much in total.
 constexpr Duration kFullBatchCost = std::chrono::milliseconds(500);
 /// Time for a full batch to turn over, the wait of a call behind it.
-constexpr Duration kBatchTime = std::chrono::milliseconds(1500);
+constexpr Duration kBatchTime = std::chrono::milliseconds(1000);
 /// Larger than any wait, so that doubtful upstreams come last.
 constexpr Duration kDoubtCost = std::chrono::seconds(30);
 /// Time until an adapter is loaded on request, a round trip to its owner
 /// included, and what its load costs others.
-constexpr Duration kAdapterCost = std::chrono::milliseconds(150);
+constexpr Duration kAdapterCost = std::chrono::milliseconds(400);
 /// Spreads calls over upstreams that look alike.
 constexpr uint64_t kJitterMicros = 10'000;
 
@@ -48,14 +48,24 @@
   return isOwnRegion ? kOtherDomainCost : kOtherRegionCost;
 }
 
-Duration EngineSelector::Cost(const EngineState& aState, TimePoint aNow) const
+Duration EngineSelector::ExpectedWait(const EngineState& aState,
+                                      TimePoint aNow)
 {
   const uint32_t load = aState.EstimatedLoad(aNow);
   const uint32_t slots = std::max<uint32_t>(1, aState.m_record.m_slots);
-  Duration cost = kFullBatchCost * load / slots;
+  Duration wait = aState.m_unreadPrompts;
   if (load >= slots) {
-    cost += kBatchTime * (load - slots + 1) / slots;
+    wait += kBatchTime * (load - slots + 1) / slots;
   }
+  return wait;
+}
+
+Duration EngineSelector::Cost(const EngineState& aState, TimePoint aNow) const
+{
+  const uint32_t load = aState.EstimatedLoad(aNow);
+  const uint32_t slots = std::max<uint32_t>(1, aState.m_record.m_slots);
+  Duration cost = kFullBatchCost * load / slots;
+  cost += ExpectedWait(aState, aNow);
   cost += DistanceCost(aState.m_record.m_domain);
   if (aNow < aState.m_avoidUntil || aState.IsSilent(aNow)) {
     cost += kDoubtCost;
--- a/gateway/engine_selector.h
+++ b/gateway/engine_selector.h
@@ -52,6 +52,10 @@
   const EngineState* ChooseForAdapter(const SelectQuery& aQuery,
                                       const EngineState* aHolder,
                                       TimePoint aNow);
+  /// Returns how long a call is expected to wait there before its own prompt
+  /// is read. @pre none.
+  [[nodiscard]] static Duration ExpectedWait(const EngineState& aState,
+                                             TimePoint aNow);
   /// Returns why the last Choose() failed. @pre it failed.
   [[nodiscard]] SelectError LastError() const { return m_lastError; }
 
--- a/gateway/engine_table.cpp
+++ b/gateway/engine_table.cpp
@@ -88,7 +88,18 @@
   return found == m_byPool.end() ? m_none : found->second;
 }
 
-void EngineTable::NoteStart(const UpstreamId& aId, TimePoint aNow)
+void EngineTable::NotePromptDone(const UpstreamId& aId, Duration aPrompt)
+{
+  EngineState* state = FindMutable(aId);
+  if (state != nullptr) {
+    state->m_unreadPrompts =
+      std::max(Duration::zero(), state->m_unreadPrompts - aPrompt);
+  }
+}
+
+void EngineTable::NoteStart(const UpstreamId& aId,
+                            Duration aPrompt,
+                            TimePoint aNow)
 {
   EngineState* state = FindMutable(aId);
   if (state == nullptr) {
@@ -98,6 +109,7 @@
     state->m_lastHeard = aNow;
   }
   ++state->m_outstanding;
+  state->m_unreadPrompts += aPrompt;
   ++state->m_changesSinceReading;
 }
 
--- a/gateway/engine_table.h
+++ b/gateway/engine_table.h
@@ -31,6 +31,8 @@
   uint32_t m_outstanding = 0;
   LoadReading m_reading;
   TimePoint m_readingAt;
+  /// Expected reading time of own prompts that wait for their first event.
+  Duration m_unreadPrompts{};
   /// Own starts less own ends since the reading.
   int64_t m_changesSinceReading = 0;
   /// Last byte from the upstream, or the first start after being idle.
@@ -59,8 +61,11 @@
   /// Forgets every upstream that aKeep does not name. @pre none.
   void KeepOnly(const std::set<UpstreamId>& aKeep);
 
-  /// Notes that an attempt starts. @pre none; unknown ids are ignored.
-  void NoteStart(const UpstreamId& aId, TimePoint aNow);
+  /// Notes that an attempt starts, and how long its prompt is expected to be
+  /// read. @pre none; unknown ids are ignored.
+  void NoteStart(const UpstreamId& aId, Duration aPrompt, TimePoint aNow);
+  /// Notes that a prompt was read, or is given up. @pre as much was started.
+  void NotePromptDone(const UpstreamId& aId, Duration aPrompt);
   /// Notes bytes from an upstream. @pre none.
   void NoteHeard(const UpstreamId& aId, TimePoint aNow);
   /// Takes the load that an answer told. @pre none.
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -1,5 +1,8 @@
 #include "gateway/gateway_call.h"
 
+#include <algorithm>
+
+#include "gateway/call_urgency.h"
 #include "http/http_status.h"
 
 namespace celeryspread {
@@ -12,6 +15,10 @@
 constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(400);
 /// Time in which a missing model or adapter is usually loaded.
 constexpr Duration kMissingRetryAfter = std::chrono::milliseconds(1200);
+/// Queues that are too long now are usually gone after this.
+constexpr Duration kQueueRetryAfter = std::chrono::milliseconds(1000);
+/// Engines with less than this part of their slots taken queue nothing.
+constexpr uint32_t kShortQueueDivisor = 3;
 /// Bytes that may wait for a slow client before the upstream is paused.
 constexpr size_t kMaxPendingBytes = 65'536;
 /// An attempt with less time left than this can't succeed.
@@ -68,7 +75,7 @@
                                             SelectError::NoUpstream;
   if (m_sends == 0 && !m_hasAskedForAdapter) {
     m_context.m_demand.NoteDemand(
-      m_parts.m_pool, m_parts.m_facts.m_target, isMiss);
+      m_parts.m_pool, m_parts.m_facts.m_target, PromptWork(), isMiss);
   }
   const bool mayAsk =
     !m_hasAskedForAdapter && !m_parts.m_facts.m_target.m_adapter.empty();
@@ -82,6 +89,11 @@
       return;
     }
   }
+  if (state != nullptr && IsHopeless(*state, now)) {
+    Refuse("every engine that holds the target has too long a queue",
+           kQueueRetryAfter);
+    return;
+  }
   if (state != nullptr) {
     Send(*state);
     return;
@@ -130,6 +142,11 @@
   fields.m_upstream = record.m_id;
   fields.m_timeLeft = left;
   fields.m_lastEvent = m_events.LastId();
+  if (m_parts.m_route->m_kind == CallKind::Stream) {
+    fields.m_priority = CallUrgency::RankOf(
+      *m_parts.m_route,
+      { Age(now), EngineSelector::ExpectedWait(aState, now) });
+  }
   UpstreamRequest request;
   request.m_address = record.m_address;
   request.m_method = m_parts.m_caller->Method();
@@ -151,15 +168,59 @@
   m_body.clear();
   ++m_sends;
   NoteAttempt(aState, now);
-  m_context.m_table.NoteStart(m_upstream, now);
+  m_unreadPrompt = PromptWork();
+  m_isTelling =
+    aState.m_record.m_domain == m_context.m_domain &&
+    aState.EstimatedLoad(now) < aState.m_record.m_slots / kShortQueueDivisor;
+  m_context.m_table.NoteStart(m_upstream, m_unreadPrompt, now);
   m_attempt = m_context.m_client.Start(std::move(request), *this);
 }
 
+Duration GatewayCall::PromptWork() const
+{
+  const CallFacts& facts = m_parts.m_facts;
+  return m_context.m_promptCost.Of(facts.m_target.m_model,
+                                   facts.m_promptTokens);
+}
+
+Duration GatewayCall::Age(TimePoint aNow) const
+{
+  // A client that came back has less patience left than its route grants.
+  const Duration patience =
+    m_parts.m_facts.m_patience.value_or(m_parts.m_route->m_timeout);
+  const Duration before =
+    std::max(Duration::zero(), m_parts.m_route->m_timeout - patience);
+  return before + (aNow - m_parts.m_arrivedAt);
+}
+
+bool GatewayCall::IsHopeless(const EngineState& aState, TimePoint aNow) const
+{
+  return m_parts.m_route->m_kind == CallKind::Stream &&
+         CallUrgency::IsHopeless(
+           *m_parts.m_route,
+           { Age(aNow), EngineSelector::ExpectedWait(aState, aNow) });
+}
+
+void GatewayCall::NoteFirstEvent(TimePoint aNow)
+{
+  m_context.m_table.NotePromptDone(m_upstream, m_unreadPrompt);
+  m_unreadPrompt = Duration::zero();
+  const CallFacts& facts = m_parts.m_facts;
+  if (m_isTelling && !facts.m_target.m_model.empty()) {
+    m_context.m_promptCost.Learn(facts.m_target.m_model,
+                                 facts.m_promptTokens,
+                                 aNow - m_attemptStartedAt);
+  }
+  m_isTelling = false;
+}
+
 void GatewayCall::CloseAttempt(AttemptEnd aEnd)
 {
   if (m_upstream.IsEmpty()) {
     return;
   }
+  m_context.m_table.NotePromptDone(m_upstream, m_unreadPrompt);
+  m_unreadPrompt = Duration::zero();
   static constexpr const char* kOutcomes[] = {
     "answered", "rejected", "failed", "cancelled"
   };
@@ -199,6 +260,7 @@
     HandleBrokenAttempt(true, "the answer bears no signature");
     return;
   }
+  NoteFirstEvent(now);
   if (!m_isStreaming) {
     m_isStreaming = true;
     m_parts.m_caller->StartStream(aStatus,
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -64,6 +64,12 @@
   void Send(const EngineState& aState);
   /// Tries again after a failed attempt. @return false when it may not.
   bool TryAgain(bool aHasRun);
+  [[nodiscard]] bool IsHopeless(const EngineState& aState,
+                                TimePoint aNow) const;
+  void NoteFirstEvent(TimePoint aNow);
+  [[nodiscard]] Duration PromptWork() const;
+  /// Time since the client's first attempt, as far as its patience shows.
+  [[nodiscard]] Duration Age(TimePoint aNow) const;
   void CloseAttempt(AttemptEnd aEnd);
   void HandleBrokenAttempt(bool aMayHaveRun, const std::string& aReason);
   void HandleRejection();
@@ -86,6 +92,11 @@
   UpstreamId m_upstream;
   std::set<UpstreamId> m_tried;
   TimePoint m_attemptStartedAt;
+  /// Expected reading time of the prompt, while the attempt's first event is
+  /// waited for.
+  Duration m_unreadPrompt{};
+  /// Whether the attempt's first event tells how fast prompts are read.
+  bool m_isTelling = false;
   uint32_t m_runs = 0;
   uint32_t m_sends = 0;
   bool m_mayHaveRun = false;
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include "core/timers.h"
 #include "gateway/call_facts.h"
 #include "gateway/engine_selector.h"
+#include "gateway/prompt_cost.h"
 #include "gateway/retry_share.h"
 #include "http/upstream_client.h"
 #include "routes/route_config.h"
@@ -34,8 +35,10 @@
   virtual ~DemandSink() = default;
   /// Notes a call for a target, and whether no upstream held it.
   /// @pre none. @thread loop.
+  /// aWork is the time that an engine is expected to spend on its prompt.
   virtual void NoteDemand(const PoolId& aPool,
                           const ModelTarget& aTarget,
+                          Duration aWork,
                           bool aIsMiss) = 0;
 };
 
@@ -49,8 +52,11 @@
   EngineTable& m_table;
   EngineSelector& m_selector;
   RetryShare& m_retries;
+  PromptCost& m_promptCost;
   AdapterLoader& m_adapters;
   DemandSink& m_demand;
+  /// The entry's own failure domain.
+  const FailureDomainId& m_domain;
   Metrics& m_metrics;
   EventLog& m_log;
 };
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -186,6 +186,7 @@
   }
   void NoteDemand(const PoolId& /*aPool*/,
                   const ModelTarget& /*aTarget*/,
+                  Duration /*aWork*/,
                   bool aIsMiss) override
   {
     ++m_calls;
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -209,6 +209,8 @@
   calls @3 :UInt32;
   # Calls refused because no engine held the target.
   misses @4 :UInt32;
+  # Time that engines are expected to spend on the prompts of these calls.
+  workMicros @5 :UInt64;
 }
 
 struct FollowRequest {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -494,7 +494,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f0e77f969d615e7b, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f0e77f969d615e7b, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3773,6 +3773,8 @@
 
   inline  ::uint32_t getMisses() const;
 
+  inline  ::uint64_t getWorkMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3828,6 +3830,9 @@
   inline  ::uint32_t getMisses();
   inline void setMisses( ::uint32_t value);
 
+  inline  ::uint64_t getWorkMicros();
+  inline void setWorkMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9595,6 +9600,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t DemandEntry::Reader::getWorkMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DemandEntry::Builder::getWorkMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void DemandEntry::Builder::setWorkMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowRequest::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
