--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -236,8 +236,24 @@
     return true;
   }
 
+  /// Opens the links before the first election needs them.
+  void OpenLinks()
+  {
+    for (const PeerAddress& peer : m_settings.m_control) {
+      if (peer.m_instance != m_settings.m_instance) {
+        m_peers->To({ peer.m_instance, peer.m_address, peer.m_port });
+      }
+    }
+    for (const auto& [id, address] : m_host->Replica().Replicas().m_voters) {
+      if (address.m_instance != m_settings.m_instance) {
+        m_peers->To(address);
+      }
+    }
+  }
+
   void Serve()
   {
+    OpenLinks();
     m_tick = m_timers.Every(kTickPeriod, [this] {
       m_host->Tick();
       if (m_host->IsFailed()) {
--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -23,8 +23,10 @@
 /// directory and the way to another region.
 constexpr Duration kAnnouncement = std::chrono::milliseconds(200);
 constexpr uint32_t kMaxTries = 4;
-/// A queued order that is older has lost its purpose.
-constexpr Duration kQueueLimit = std::chrono::seconds(4);
+/// Clients that wait for an adapter have left after this.
+constexpr Duration kAdapterQueueLimit = std::chrono::seconds(2);
+/// A load that waits for an unload waits for the runs of the model that goes.
+constexpr Duration kModelQueueLimit = std::chrono::seconds(20);
 
 } // namespace
 
@@ -274,6 +276,38 @@
   return adapters;
 }
 
+std::set<std::string> EngineOrders::ModelsAfterOrders(
+  const EngineRecord& aRecord) const
+{
+  std::set<std::string> models;
+  for (const auto& [name, held] : aRecord.m_models) {
+    models.insert(name);
+  }
+  const auto found = m_engines.find(aRecord.m_id);
+  if (found == m_engines.end()) {
+    return models;
+  }
+  const auto apply = [&](const Item& aItem) {
+    if (!aItem.m_target.m_adapter.empty()) {
+      return;
+    }
+    if (aItem.m_kind == EngineOrderKind::Load) {
+      models.insert(aItem.m_target.m_model);
+    } else {
+      models.erase(aItem.m_target.m_model);
+    }
+  };
+  const Engine& engine = found->second;
+  if (engine.m_change) {
+    apply(engine.m_change->m_item);
+  }
+  if (engine.m_sent) {
+    apply(*engine.m_sent);
+  }
+  std::for_each(engine.m_queue.begin(), engine.m_queue.end(), apply);
+  return models;
+}
+
 int64_t EngineOrders::FreeMegabytes(const EngineRecord& aRecord) const
 {
   const EngineSpec* spec = m_specs(aRecord.m_pool);
@@ -316,8 +350,12 @@
     return;
   }
   Engine& engine = found->second;
-  while (!engine.m_queue.empty() &&
-         now - engine.m_queue.front().m_queuedAt > kQueueLimit) {
+  const auto hasExpired = [&](const Item& aItem) {
+    const bool isAdapter = !aItem.m_target.m_adapter.empty();
+    return now - aItem.m_queuedAt >
+           (isAdapter ? kAdapterQueueLimit : kModelQueueLimit);
+  };
+  while (!engine.m_queue.empty() && hasExpired(engine.m_queue.front())) {
     const Done done = std::move(engine.m_queue.front().m_done);
     engine.m_queue.pop_front();
     done(false);
--- a/fleet/engine_orders.h
+++ b/fleet/engine_orders.h
@@ -79,6 +79,10 @@
   /// those about to be unloaded. @pre none.
   [[nodiscard]] std::set<ModelTarget> AdaptersOf(
     const EngineRecord& aRecord) const;
+  /// Returns the models that the engine will hold once all orders to it are
+  /// carried out. @pre none.
+  [[nodiscard]] std::set<std::string> ModelsAfterOrders(
+    const EngineRecord& aRecord) const;
   /// Returns the megabytes free for a further model. @pre none.
   [[nodiscard]] int64_t FreeMegabytes(const EngineRecord& aRecord) const;
 
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -165,7 +165,8 @@
     engine.m_isLeaving = record.m_isLeaving;
     engine.m_freeMegabytes = m_orders.FreeMegabytes(record);
     engine.m_copies = record.m_weightCopies;
-    for (const auto& [name, held] : record.m_models) {
+    // A copy on its way counts, or each plan would order another one.
+    for (const std::string& name : m_orders.ModelsAfterOrders(record)) {
       engine.m_models.push_back(name);
     }
     engines.push_back(std::move(engine));
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -41,7 +41,7 @@
   /// Loads from the weight store that may begin now.
   size_t m_storeLoads = 0;
   /// Exchanges for balance; models without a copy are placed besides.
-  size_t m_exchanges = 4;
+  size_t m_exchanges = 2;
 };
 
 /// Decides which engines hold which models, so that every model has a copy
@@ -56,10 +56,10 @@
 {
 public:
   /// Most that an exchange may leave of the load it answers.
-  static constexpr double kWorthwhile = 0.8;
+  static constexpr double kWorthwhile = 0.6;
   /// Share of an engine's time below which nothing is moved for balance: at
   /// a fifth, calls seldom meet on an engine.
-  static constexpr double kMinLoad = 0.2;
+  static constexpr double kMinLoad = 0.35;
   /// Load that each copy stands for besides what is measured: before there is
   /// any demand, the copies tell what was asked for earlier.
   static constexpr double kPriorLoad = 0.01;
--- a/tests/fleet/engine_orders_test.cpp
+++ b/tests/fleet/engine_orders_test.cpp
@@ -193,6 +193,18 @@
   EXPECT_EQ(m_control.m_orders.size(), 1U);
 }
 
+TEST_F(EngineOrdersTest, CountsWhatIsOnItsWay)
+{
+  Submit(EngineOrderKind::Unload, { "m1", "" });
+  Submit(EngineOrderKind::Load, { "m2", "" });
+  EXPECT_EQ(m_orders.ModelsAfterOrders(*m_directory.Find(m_engine)),
+            std::set<std::string>{ "m2" });
+  Wait(300);
+  m_control.m_reply(OrderReply::Accepted);
+  EXPECT_EQ(m_orders.ModelsAfterOrders(*m_directory.Find(m_engine)),
+            std::set<std::string>{ "m2" });
+}
+
 TEST_F(EngineOrdersTest, ForgetsAnEngineThatStartedAnew)
 {
   Submit(EngineOrderKind::Load, { "m1", "a1" });
--- a/wire/wire_link.cpp
+++ b/wire/wire_link.cpp
@@ -16,10 +16,12 @@
 
 namespace {
 
-constexpr int64_t kReconnectDelayMicros = 200'000;
+constexpr int64_t kReconnectDelayMicros = 100'000;
 constexpr int64_t kPingPeriodMicros = 1'000'000;
 constexpr Duration kPingDeadline = std::chrono::milliseconds(1500);
-constexpr Duration kEnterDeadline = std::chrono::milliseconds(1500);
+/// Connecting and proving the key take three round trips, of 60 ms between
+/// regions; a first packet that is lost is sent again only after a second.
+constexpr Duration kEnterDeadline = std::chrono::milliseconds(700);
 
 bufferevent* OpenSocket(event_base* aBase, const WireEndpoint& aEndpoint)
 {
