Models are placed by calls in progress

Cause: a model whose prompts cost more than learned filled its two engines to 27 of 32 slots while others ran 10; calls a second and learned prompt times did not show it. Calls in progress grow with the cost of a call and with the queue.

--- a/consensus/raft.cpp
+++ b/consensus/raft.cpp
@@ -50,10 +50,9 @@
     }
     const FollowerProgress* progress = m_progress.Find(id);
     // Nothing was heard before this leadership; silence counts from there.
-    const TimePoint heard =
-      std::max(m_becameLeaderAt,
-               progress == nullptr ? TimePoint()
-                                   : progress->m_acknowledgedSentAt);
+    const TimePoint heard = std::max(
+      m_becameLeaderAt,
+      progress == nullptr ? TimePoint() : progress->m_acknowledgedSentAt);
     const Duration silence = aNow - heard;
     const bool hasAnswered =
       progress != nullptr && progress->m_acknowledgedSentAt != TimePoint();
--- a/control/replica_host.cpp
+++ b/control/replica_host.cpp
@@ -143,8 +143,8 @@
 {
   if (m_raft.ProposeRemoval(aReplica, m_parts.m_clock.Now())) {
     m_parts.m_log.Write(EventId::ReplicaRemoved,
-                        "replica=" + aReplica.Value() + " reason=\"" +
-                          aReason + "\"");
+                        "replica=" + aReplica.Value() + " reason=\"" + aReason +
+                          "\"");
   }
 }
 
@@ -180,14 +180,12 @@
   for (const auto& [id, address] : m_raft.Replicas().m_voters) {
     voters += (voters.empty() ? "" : ",") + id.Value();
   }
-  m_parts.m_log.Write(EventId::ElectionStalled,
-                      "self=" + m_parts.m_store.Identity().Value() +
-                        " term=" +
-                        std::to_string(m_raft.CurrentTerm().Value()) +
-                        " voters=" + voters +
-                        " granted=" + std::to_string(m_raft.VoteCount()) +
-                        " needed=" +
-                        std::to_string(m_raft.Replicas().Quorum()));
+  m_parts.m_log.Write(
+    EventId::ElectionStalled,
+    "self=" + m_parts.m_store.Identity().Value() +
+      " term=" + std::to_string(m_raft.CurrentTerm().Value()) +
+      " voters=" + voters + " granted=" + std::to_string(m_raft.VoteCount()) +
+      " needed=" + std::to_string(m_raft.Replicas().Quorum()));
 }
 
 void ReplicaHost::ScheduleProcess()
--- a/fleet/demand_tracker.cpp
+++ b/fleet/demand_tracker.cpp
@@ -34,22 +34,22 @@
   }
   m_lastTick = aNow;
   const double keep = std::exp(-elapsed / kSmoothingSeconds);
-  m_modelLoads.clear();
+  m_modelCalls.clear();
   for (auto it = m_states.begin(); it != m_states.end();) {
     State& state = it->second;
     const double rate = state.m_calls / elapsed;
-    const double load =
+    const double running =
       static_cast<double>(state.m_work.count()) / kMicrosPerSecond / elapsed;
     state.m_rate = keep * state.m_rate + (1 - keep) * rate;
-    state.m_load = keep * state.m_load + (1 - keep) * load;
+    state.m_running = keep * state.m_running + (1 - keep) * running;
     state.m_calls = 0;
     state.m_work = Duration::zero();
     if (state.m_rate < kForgottenRate) {
       it = m_states.erase(it);
       continue;
     }
-    m_modelLoads[{ it->first.m_pool, it->first.m_target.m_model }] +=
-      state.m_load;
+    m_modelCalls[{ it->first.m_pool, it->first.m_target.m_model }] +=
+      state.m_running;
     ++it;
   }
 }
@@ -60,17 +60,17 @@
   return found == m_states.end() ? 0 : found->second.m_rate;
 }
 
-double DemandTracker::ModelLoad(const PoolId& aPool,
-                                const std::string& aModel) const
+double DemandTracker::ModelCalls(const PoolId& aPool,
+                                 const std::string& aModel) const
 {
-  const auto found = m_modelLoads.find({ aPool, aModel });
-  return found == m_modelLoads.end() ? 0 : found->second;
+  const auto found = m_modelCalls.find({ aPool, aModel });
+  return found == m_modelCalls.end() ? 0 : found->second;
 }
 
 void DemandTracker::Clear()
 {
   m_states.clear();
-  m_modelLoads.clear();
+  m_modelCalls.clear();
   m_lastTick = TimePoint();
 }
 
--- a/fleet/demand_tracker.h
+++ b/fleet/demand_tracker.h
@@ -8,8 +8,9 @@
 
 namespace celeryspread {
 
-/// Demand for each target, smoothed: calls a second, and the share of an
-/// engine's time that their prompts take.
+/// Demand for each target, smoothed: calls a second, and calls in progress.
+/// Calls in progress grow with what a call costs and with the queue before it,
+/// so they show which models need more engines.
 /// @thread loop thread only.
 class DemandTracker
 {
@@ -24,16 +25,15 @@
   };
 
   /// Notes calls that an entry counted since its last report, and the time
-  /// that engines are expected to spend on them. @pre none.
+  /// that calls spent at engines meanwhile. @pre none.
   void Note(const Key& aKey, uint32_t aCalls, Duration aWork);
   /// Folds what was noted into the rates. @pre called about once a second.
   void Tick(TimePoint aNow);
   /// Returns the calls a second for a target. @pre none.
   [[nodiscard]] double Rate(const Key& aKey) const;
-  /// Returns the load of a model with its adapters, in engines' time a time.
-  /// @pre none.
-  [[nodiscard]] double ModelLoad(const PoolId& aPool,
-                                 const std::string& aModel) const;
+  /// Returns the calls in progress for a model with its adapters. @pre none.
+  [[nodiscard]] double ModelCalls(const PoolId& aPool,
+                                  const std::string& aModel) const;
   /// Forgets everything. @pre none.
   void Clear();
 
@@ -43,11 +43,11 @@
     uint32_t m_calls = 0;
     Duration m_work{};
     double m_rate = 0;
-    double m_load = 0;
+    double m_running = 0;
   };
 
   std::map<Key, State> m_states;
-  std::map<std::pair<PoolId, std::string>, double> m_modelLoads;
+  std::map<std::pair<PoolId, std::string>, double> m_modelCalls;
   TimePoint m_lastTick;
 };
 
--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -201,8 +201,7 @@
                                   const Item& aItem) const
 {
   const bool isFromStore =
-    aItem.m_kind == EngineOrderKind::Load &&
-    aItem.m_target.m_adapter.empty() &&
+    aItem.m_kind == EngineOrderKind::Load && aItem.m_target.m_adapter.empty() &&
     !aRecord.m_weightCopies.contains(aItem.m_target.m_model);
   return !isFromStore || m_takeStoreLoad(aRecord.m_pool);
 }
@@ -385,11 +384,10 @@
   }
   const bool hasRoom = HasRoom(*record, engine, item);
   if (!hasRoom || !MayLoadWeights(*record, item)) {
-    m_parts.m_log.Write(EventId::PlacementRefused,
-                        Describe(aId, item) + " reason=\"" +
-                          (hasRoom ? "the weight store's rate is used up"
-                                   : "no room") +
-                          "\"");
+    m_parts.m_log.Write(
+      EventId::PlacementRefused,
+      Describe(aId, item) + " reason=\"" +
+        (hasRoom ? "the weight store's rate is used up" : "no room") + "\"");
     item.m_done(false);
     Pump(aId);
     return;
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -173,7 +173,8 @@
   }
   std::map<std::string, double> loads;
   for (const auto& [name, spec] : aPool.m_engine->m_models) {
-    loads[name] = m_demand.ModelLoad(aPool.m_id, name);
+    loads[name] = m_demand.ModelCalls(aPool.m_id, name) /
+                  std::max<uint32_t>(1, aPool.m_engine->m_slots);
   }
   PlanLimits limits;
   limits.m_storeLoads = budget.Left(aNow);
@@ -267,8 +268,7 @@
     return;
   }
   if (m_orders.HasAdapterPlace(*record)) {
-    m_orders.Submit(
-      aEngine, EngineOrderKind::Load, aKey.m_target, aDone);
+    m_orders.Submit(aEngine, EngineOrderKind::Load, aKey.m_target, aDone);
     return;
   }
   const auto victim =
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -35,8 +35,7 @@
       }
     }
     for (const auto& [model, copies] : m_copies) {
-      m_loads[model] +=
-        ModelPlanner::kPriorLoad * static_cast<double>(copies);
+      m_loads[model] += ModelPlanner::kPriorLoad * static_cast<double>(copies);
     }
   }
 
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -50,22 +50,23 @@
 /// Pattern answered: demand that moves from some models to others while each
 /// engine can hold only a few. The most loaded engine is relieved by one more
 /// copy of its busiest model, in place of a model that others hold as well.
-/// The engine that takes the copy must stay a fifth below the one relieved, so that models with like demand do not trade places.
+/// The engine that takes the copy must stay a fifth below the one relieved, so
+/// that models with like demand do not trade places.
 /// @thread any; no state.
 class ModelPlanner
 {
 public:
   /// Most that an exchange may leave of the load it answers.
-  static constexpr double kWorthwhile = 0.6;
-  /// Share of an engine's time below which nothing is moved for balance: at
-  /// a fifth, calls seldom meet on an engine.
-  static constexpr double kMinLoad = 0.35;
+  static constexpr double kWorthwhile = 0.7;
+  /// Share of an engine's slots in use below which nothing is moved for
+  /// balance: with so few calls, prompts seldom hold up each other's streams.
+  static constexpr double kMinLoad = 0.3;
   /// Load that each copy stands for besides what is measured: before there is
   /// any demand, the copies tell what was asked for earlier.
   static constexpr double kPriorLoad = 0.01;
 
   /// Plans loads and the unloads that make room for them.
-  /// @pre aLoads holds the engines' time a time that each model takes.
+  /// @pre aLoads holds the calls in progress of each model, in engines' slots.
   static std::vector<ModelMove> Plan(
     const EngineSpec& aSpec,
     const std::vector<PlannedEngine>& aEngines,
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -104,21 +104,53 @@
   request.setRouteVersion(m_routeVersion.Value());
   request.setEpoch(m_epoch);
   request.setDirectoryVersion(m_directoryVersion);
-  auto demand = request.initDemand(static_cast<unsigned>(m_demand.size()));
+  WriteDemand(request);
+  auto answered =
+    call.send().then([this](auto&& aResponse) { Apply(aResponse.getReply()); });
+  return link->WithDeadline<void>(kj::mv(answered), kFollowDeadline);
+}
+
+void DirectoryLink::CountWork(Demand& aDemand)
+{
+  const TimePoint now = m_parts.m_clock.Now();
+  aDemand.m_work += (now - aDemand.m_countedAt) * aDemand.m_running;
+  aDemand.m_countedAt = now;
+}
+
+void DirectoryLink::WriteDemand(wire::FollowRequest::Builder aOut)
+{
+  auto list = aOut.initDemand(static_cast<unsigned>(m_demand.size()));
   unsigned at = 0;
-  for (const auto& [key, counts] : m_demand) {
-    auto entry = demand[at++];
+  for (auto& [key, demand] : m_demand) {
+    CountWork(demand);
+    auto entry = list[at++];
     entry.setPool(key.m_pool.Value());
     entry.setModel(key.m_target.m_model);
     entry.setAdapter(key.m_target.m_adapter);
-    entry.setCalls(counts.m_calls);
-    entry.setMisses(counts.m_misses);
-    entry.setWorkMicros(static_cast<uint64_t>(counts.m_work.count()));
+    entry.setCalls(demand.m_calls);
+    entry.setMisses(demand.m_misses);
+    entry.setWorkMicros(static_cast<uint64_t>(demand.m_work.count()));
+    demand.m_calls = 0;
+    demand.m_misses = 0;
+    demand.m_work = Duration::zero();
   }
-  m_demand.clear();
-  auto answered =
-    call.send().then([this](auto&& aResponse) { Apply(aResponse.getReply()); });
-  return link->WithDeadline<void>(kj::mv(answered), kFollowDeadline);
+  std::erase_if(
+    m_demand, [](const auto& aEntry) { return aEntry.second.m_running == 0; });
+}
+
+void DirectoryLink::NoteRunning(const PoolId& aPool,
+                                const ModelTarget& aTarget,
+                                int aChange)
+{
+  if (aTarget.m_model.empty()) {
+    return;
+  }
+  Demand& demand = m_demand[{ aPool, aTarget }];
+  if (demand.m_running == 0) {
+    demand.m_countedAt = m_parts.m_clock.Now();
+  }
+  CountWork(demand);
+  demand.m_running += static_cast<uint32_t>(aChange);
 }
 
 void DirectoryLink::LearnControls(wire::FollowReply::Reader aReply)
@@ -179,7 +211,6 @@
 
 void DirectoryLink::NoteDemand(const PoolId& aPool,
                                const ModelTarget& aTarget,
-                               Duration aWork,
                                bool aIsMiss)
 {
   if (aTarget.m_model.empty()) {
@@ -187,7 +218,6 @@
   }
   Demand& demand = m_demand[{ aPool, aTarget }];
   ++demand.m_calls;
-  demand.m_work += aWork;
   demand.m_misses += aIsMiss ? 1 : 0;
 }
 
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -55,15 +55,20 @@
                    std::function<void(UpstreamId)> aDone) override;
   void NoteDemand(const PoolId& aPool,
                   const ModelTarget& aTarget,
-                  Duration aWork,
                   bool aIsMiss) override;
+  void NoteRunning(const PoolId& aPool,
+                   const ModelTarget& aTarget,
+                   int aChange) override;
 
 private:
   struct Demand
   {
     uint32_t m_calls = 0;
     uint32_t m_misses = 0;
+    uint32_t m_running = 0;
+    /// Time that calls spent at engines, up to m_countedAt.
     Duration m_work{};
+    TimePoint m_countedAt;
   };
   struct DemandKey
   {
@@ -72,6 +77,8 @@
     auto operator<=>(const DemandKey&) const = default;
   };
 
+  void WriteDemand(wire::FollowRequest::Builder aOut);
+  void CountWork(Demand& aDemand);
   WireLink& LinkTo(const std::string& aAddress);
   WireLink* CurrentLink();
   void TryNext();
--- a/gateway/engine_selector.cpp
+++ b/gateway/engine_selector.cpp
@@ -48,8 +48,7 @@
   return isOwnRegion ? kOtherDomainCost : kOtherRegionCost;
 }
 
-Duration EngineSelector::ExpectedWait(const EngineState& aState,
-                                      TimePoint aNow)
+Duration EngineSelector::ExpectedWait(const EngineState& aState, TimePoint aNow)
 {
   const uint32_t load = aState.EstimatedLoad(aNow);
   const uint32_t slots = std::max<uint32_t>(1, aState.m_record.m_slots);
@@ -81,8 +80,7 @@
   query.m_target.m_adapter.clear();
   const EngineState* other = Choose(query, aNow);
   if (other == nullptr || aHolder == nullptr) {
-    m_lastError =
-      other == nullptr ? m_lastError : SelectError::AdapterMissing;
+    m_lastError = other == nullptr ? m_lastError : SelectError::AdapterMissing;
     return other;
   }
   const bool isBetter =
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -75,7 +75,7 @@
                                             SelectError::NoUpstream;
   if (m_sends == 0 && !m_hasAskedForAdapter) {
     m_context.m_demand.NoteDemand(
-      m_parts.m_pool, m_parts.m_facts.m_target, PromptWork(), isMiss);
+      m_parts.m_pool, m_parts.m_facts.m_target, isMiss);
   }
   const bool mayAsk =
     !m_hasAskedForAdapter && !m_parts.m_facts.m_target.m_adapter.empty();
@@ -173,6 +173,7 @@
     aState.m_record.m_domain == m_context.m_domain &&
     aState.EstimatedLoad(now) < aState.m_record.m_slots / kShortQueueDivisor;
   m_context.m_table.NoteStart(m_upstream, m_unreadPrompt, now);
+  m_context.m_demand.NoteRunning(m_parts.m_pool, m_parts.m_facts.m_target, 1);
   m_attempt = m_context.m_client.Start(std::move(request), *this);
 }
 
@@ -207,9 +208,8 @@
   m_unreadPrompt = Duration::zero();
   const CallFacts& facts = m_parts.m_facts;
   if (m_isTelling && !facts.m_target.m_model.empty()) {
-    m_context.m_promptCost.Learn(facts.m_target.m_model,
-                                 facts.m_promptTokens,
-                                 aNow - m_attemptStartedAt);
+    m_context.m_promptCost.Learn(
+      facts.m_target.m_model, facts.m_promptTokens, aNow - m_attemptStartedAt);
   }
   m_isTelling = false;
 }
@@ -220,6 +220,7 @@
     return;
   }
   m_context.m_table.NotePromptDone(m_upstream, m_unreadPrompt);
+  m_context.m_demand.NoteRunning(m_parts.m_pool, m_parts.m_facts.m_target, -1);
   m_unreadPrompt = Duration::zero();
   static constexpr const char* kOutcomes[] = {
     "answered", "rejected", "failed", "cancelled"
@@ -484,8 +485,7 @@
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
     aNow - aState.m_readingAt);
   const bool hasReading = aState.m_readingAt != TimePoint();
-  m_attempts += (m_attempts.empty() ? "" : " ") +
-                aState.m_record.m_id.Value() +
+  m_attempts += (m_attempts.empty() ? "" : " ") + aState.m_record.m_id.Value() +
                 " load:" + std::to_string(aState.EstimatedLoad(aNow)) + "/" +
                 std::to_string(aState.m_record.m_slots) + " reading_ms:" +
                 (hasReading ? std::to_string(age.count()) : "none");
@@ -508,14 +508,13 @@
   m_context.m_log.Write(
     aEvent,
     "request=" + m_parts.m_facts.m_attempt.Value() +
-      " route=" + m_parts.m_route->m_id.Value() + " routes_version=" +
-      std::to_string(m_parts.m_config->Version().Value()) +
+      " route=" + m_parts.m_route->m_id.Value() +
+      " routes_version=" + std::to_string(m_parts.m_config->Version().Value()) +
       " pool=" + m_parts.m_pool.Value() +
       " model=" + m_parts.m_facts.m_target.m_model +
-      " adapter=" + m_parts.m_facts.m_target.m_adapter +
-      " status=" + std::to_string(aStatus) +
-      " age_ms=" + std::to_string(age.count()) + " attempts=\"" + m_attempts +
-      "\" reason=\"" + aReason + "\"");
+      " adapter=" + m_parts.m_facts.m_target.m_adapter + " status=" +
+      std::to_string(aStatus) + " age_ms=" + std::to_string(age.count()) +
+      " attempts=\"" + m_attempts + "\" reason=\"" + aReason + "\"");
 }
 
 void GatewayCall::Finish(int aStatus)
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -35,11 +35,14 @@
   virtual ~DemandSink() = default;
   /// Notes a call for a target, and whether no upstream held it.
   /// @pre none. @thread loop.
-  /// aWork is the time that an engine is expected to spend on its prompt.
   virtual void NoteDemand(const PoolId& aPool,
                           const ModelTarget& aTarget,
-                          Duration aWork,
                           bool aIsMiss) = 0;
+  /// Notes that a call for a target starts (+1) or ends (-1) at an engine.
+  /// @pre as many end as start. @thread loop.
+  virtual void NoteRunning(const PoolId& aPool,
+                           const ModelTarget& aTarget,
+                           int aChange) = 0;
 };
 
 /// What the calls of one gateway work with; all references outlive them.
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -90,10 +90,19 @@
              [this](Revision, const std::string& aDocument) {
                SetDocument(aDocument);
              })
-    , m_context{ m_clock,   m_timers,   m_client,  *m_edges.m_codec,
-                 m_table,   m_selector, m_retries, m_promptCost,
-                 m_link,    m_link,     m_settings.m_domain,
-                 m_metrics, m_log }
+    , m_context{ m_clock,
+                 m_timers,
+                 m_client,
+                 *m_edges.m_codec,
+                 m_table,
+                 m_selector,
+                 m_retries,
+                 m_promptCost,
+                 m_link,
+                 m_link,
+                 m_settings.m_domain,
+                 m_metrics,
+                 m_log }
     , m_gateway(m_context)
     , m_probes(
         m_edges.m_readyPath,
--- a/storage/record_log.h
+++ b/storage/record_log.h
@@ -49,7 +49,8 @@
   /// Appends a record, which Sync() writes. @pre Open() succeeded.
   /// @error false, and every later call fails too.
   bool Append(std::string_view aPayload);
-  /// Writes all appended records at once and makes them durable. @pre Open() succeeded.
+  /// Writes all appended records at once and makes them durable. @pre Open()
+  /// succeeded.
   /// @error false, and every later call fails too.
   bool Sync();
   /// Replaces the whole content durably. @pre Open() succeeded.
--- a/telemetry/event_log.cpp
+++ b/telemetry/event_log.cpp
@@ -78,8 +78,8 @@
       equals != std::string_view::npos && aDetail[equals] == '=';
     if (!isPair) {
       const size_t end = std::min(aDetail.size(), equals);
-      rest += (rest.empty() ? "" : " ") +
-              std::string(aDetail.substr(at, end - at));
+      rest +=
+        (rest.empty() ? "" : " ") + std::string(aDetail.substr(at, end - at));
       at = end;
       continue;
     }
--- a/telemetry/line_sink.cpp
+++ b/telemetry/line_sink.cpp
@@ -25,7 +25,8 @@
 bool LineSink::TakeToken()
 {
   const double now = m_clock();
-  m_tokens = std::min(kBurst, m_tokens + (now - m_refilledAt) * kLinesPerSecond);
+  m_tokens =
+    std::min(kBurst, m_tokens + (now - m_refilledAt) * kLinesPerSecond);
   m_refilledAt = now;
   if (m_tokens < 1) {
     return false;
--- a/tests/fleet/engine_orders_test.cpp
+++ b/tests/fleet/engine_orders_test.cpp
@@ -86,13 +86,11 @@
   bool m_mayOrder = true;
   int m_storeLoads = 1;
   std::vector<bool> m_results;
-  EngineOrders m_orders{
-    { m_clock, m_timers, m_control, m_directory, m_log },
-    InstanceId("owner"),
-    [this](const PoolId&) { return &m_spec; },
-    [this](const PoolId&) { return m_storeLoads-- > 0; },
-    [this] { return m_mayOrder; }
-  };
+  EngineOrders m_orders{ { m_clock, m_timers, m_control, m_directory, m_log },
+                         InstanceId("owner"),
+                         [this](const PoolId&) { return &m_spec; },
+                         [this](const PoolId&) { return m_storeLoads-- > 0; },
+                         [this] { return m_mayOrder; } };
 };
 
 TEST_F(EngineOrdersTest, NamesTheContentsThatTheOrderWasCheckedAgainst)
--- a/tests/fleet/model_planner_test.cpp
+++ b/tests/fleet/model_planner_test.cpp
@@ -110,10 +110,8 @@
   const std::vector<PlannedEngine> engines = {
     MakeEngine("a", { "m0", "m1" }), MakeEngine("b", { "m0", "m1" })
   };
-  EXPECT_TRUE(ModelPlanner::Plan(spec,
-                                 engines,
-                                 { { "m0", 0.6 }, { "m1", 0.66 } },
-                                 StoreLoads(5))
+  EXPECT_TRUE(ModelPlanner::Plan(
+                spec, engines, { { "m0", 0.6 }, { "m1", 0.66 } }, StoreLoads(5))
                 .empty());
 }
 
@@ -148,9 +146,9 @@
   const EngineSpec spec = MakeSpec(4);
   std::vector<PlannedEngine> engines;
   for (int i = 0; i < 8; ++i) {
-    engines.push_back(MakeEngine(std::to_string(i),
-                                 { "m" + std::to_string(i % 4),
-                                   "m" + std::to_string((i + 1) % 4) }));
+    engines.push_back(MakeEngine(
+      std::to_string(i),
+      { "m" + std::to_string(i % 4), "m" + std::to_string((i + 1) % 4) }));
   }
   const std::map<std::string, double> rates = {
     { "m0", 2.1 }, { "m1", 0.9 }, { "m2", 0.12 }, { "m3", 0.03 }
--- a/tests/gateway/engine_selector_test.cpp
+++ b/tests/gateway/engine_selector_test.cpp
@@ -14,8 +14,8 @@
   std::string Choose(const ModelTarget& aTarget,
                      std::set<UpstreamId> aTried = {})
   {
-    const EngineState* state = m_selector.Choose(
-      { PoolId("pool"), aTarget, std::move(aTried) }, m_now);
+    const EngineState* state =
+      m_selector.Choose({ PoolId("pool"), aTarget, std::move(aTried) }, m_now);
     return state == nullptr ? "" : state->m_record.m_id.Value();
   }
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -87,9 +87,9 @@
   RecordingEventLog m_log;
   PromptCost m_promptCost;
   const FailureDomainId m_domain{ "here" };
-  GatewayContext m_context{ m_clock,   m_timers,   m_client,  m_codec,
-                            m_table,   m_selector, m_retries, m_promptCost,
-                            m_fleet,   m_fleet,    m_domain,  m_metrics,
+  GatewayContext m_context{ m_clock, m_timers,   m_client,  m_codec,
+                            m_table, m_selector, m_retries, m_promptCost,
+                            m_fleet, m_fleet,    m_domain,  m_metrics,
                             m_log };
   Gateway m_gateway{ m_context };
   CallerRecord m_caller;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -90,9 +90,8 @@
             "non_idempotent");
   EXPECT_EQ(ReasonFor(kDocument, "\"TimeoutMs\":12000", "\"TimeoutMs\":0"),
             "route \"r\": the timeout must be above 0");
-  EXPECT_EQ(
-    ReasonFor(kDocument, "\"Service\":\"t\"", "\"Service\":\"gone\""),
-    "route \"r\": pool \"gone\" is not declared");
+  EXPECT_EQ(ReasonFor(kDocument, "\"Service\":\"t\"", "\"Service\":\"gone\""),
+            "route \"r\": pool \"gone\" is not declared");
 }
 
 TEST(RouteDocumentTest, RefusesEveryDocumentThatIsCutShort)
@@ -134,8 +133,10 @@
   CallerRecord record;
   const HttpHeader id{ "Attempt-Id", "1" };
   EXPECT_FALSE(codec.ReadCall(MakeCall(record, {})));
-  EXPECT_FALSE(codec.ReadCall(MakeCall(record, { id, { "Deadline-Ms", "x" } })));
-  EXPECT_FALSE(codec.ReadCall(MakeCall(record, { id, { "Token-Usage", "1" } })));
+  EXPECT_FALSE(
+    codec.ReadCall(MakeCall(record, { id, { "Deadline-Ms", "x" } })));
+  EXPECT_FALSE(
+    codec.ReadCall(MakeCall(record, { id, { "Token-Usage", "1" } })));
   EXPECT_FALSE(
     codec.ReadCall(MakeCall(record, { id, { "Prompt-Prefix", ":1" } })));
 }
@@ -177,11 +178,11 @@
   EXPECT_TRUE(codec.ReadAnswer(503, { { "not-executed", "1" } }).m_isNotRun);
   EXPECT_TRUE(codec.ReadAnswer(421, {}).m_isMisdirected);
   EXPECT_FALSE(codec.ReadAnswer(503, {}).m_isNotRun);
-  const auto answer = codec.ReadAnswer(
-    200,
-    { { "Server-Stamp", "s" },
-      { "Instance-Load", "3,1,8,250" },
-      { "Keep-Alive", "timeout=4, max=9" } });
+  const auto answer =
+    codec.ReadAnswer(200,
+                     { { "Server-Stamp", "s" },
+                       { "Instance-Load", "3,1,8,250" },
+                       { "Keep-Alive", "timeout=4, max=9" } });
   EXPECT_TRUE(answer.m_isSigned);
   EXPECT_EQ(answer.m_load->m_slownessPercent, 250U);
   EXPECT_EQ(answer.m_keepAlive, std::chrono::seconds(4));
@@ -227,11 +228,9 @@
 
 TEST(EngineClientTest, WritesAnOrder)
 {
-  const EngineOrder order{ EngineOrderKind::Unload,
-                           { "m", "a1" },
-                           InstanceId("c1"),
-                           FencingToken(4),
-                           9 };
+  const EngineOrder order{
+    EngineOrderKind::Unload, { "m", "a1" }, InstanceId("c1"), FencingToken(4), 9
+  };
   EXPECT_EQ(FormatOrder(order),
             R"({"Adapter":"a1","Expect":9,"Fence":4,"Holder":"c1",)"
             R"("Model":"m","Op":"unload"})");
--- a/tests/routes/route_config_test.cpp
+++ b/tests/routes/route_config_test.cpp
@@ -29,7 +29,8 @@
 std::string ReasonFor(Route aRoute)
 {
   std::string reason;
-  const auto config = RouteConfig::Make(MakeData({ std::move(aRoute) }), reason);
+  const auto config =
+    RouteConfig::Make(MakeData({ std::move(aRoute) }), reason);
   return config == nullptr ? reason : "accepted";
 }
 
@@ -52,7 +53,8 @@
 {
   Route unknownPool = MakeRoute("r1", "/a/");
   unknownPool.m_pools = { { PoolId("gone"), 1 } };
-  EXPECT_EQ(ReasonFor(unknownPool), "route \"r1\": pool \"gone\" is not declared");
+  EXPECT_EQ(ReasonFor(unknownPool),
+            "route \"r1\": pool \"gone\" is not declared");
   Route noWeight = MakeRoute("r1", "/a/");
   noWeight.m_pools = { { PoolId("p"), 0 } };
   EXPECT_EQ(ReasonFor(noWeight), "route \"r1\": the weights add up to 0");
@@ -66,10 +68,10 @@
 TEST(RouteConfigTest, RefusesTwoRoutesAtOnePlace)
 {
   std::string reason;
-  EXPECT_EQ(RouteConfig::Make(
-              MakeData({ MakeRoute("r1", "/a/"), MakeRoute("r2", "/a/") }),
-              reason),
-            nullptr);
+  EXPECT_EQ(
+    RouteConfig::Make(
+      MakeData({ MakeRoute("r1", "/a/"), MakeRoute("r2", "/a/") }), reason),
+    nullptr);
   EXPECT_NE(reason.find("r2"), std::string::npos);
 }
 
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -129,8 +129,7 @@
   std::optional<CallFacts> ReadCall(const CallerCall& aCall) override
   {
     CallFacts facts;
-    facts.m_attempt =
-      AttemptId(std::string(aCall.Header("id").value_or("")));
+    facts.m_attempt = AttemptId(std::string(aCall.Header("id").value_or("")));
     facts.m_target.m_model = aCall.Header("model").value_or("");
     facts.m_target.m_adapter = aCall.Header("adapter").value_or("");
     return facts.m_attempt.IsEmpty() ? std::nullopt
@@ -186,17 +185,23 @@
   }
   void NoteDemand(const PoolId& /*aPool*/,
                   const ModelTarget& /*aTarget*/,
-                  Duration /*aWork*/,
                   bool aIsMiss) override
   {
     ++m_calls;
     m_misses += aIsMiss ? 1 : 0;
   }
+  void NoteRunning(const PoolId& /*aPool*/,
+                   const ModelTarget& /*aTarget*/,
+                   int aChange) override
+  {
+    m_running += aChange;
+  }
 
   std::vector<ModelTarget> m_asked;
   std::function<void(UpstreamId)> m_done;
   int m_calls = 0;
   int m_misses = 0;
+  int m_running = 0;
 };
 
 /// Makes a record of an engine in a domain that holds one model.
--- a/tests/telemetry/event_log_test.cpp
+++ b/tests/telemetry/event_log_test.cpp
@@ -11,11 +11,11 @@
 
 TEST(FormatEventTest, MakesOneObjectOfPairs)
 {
-  const auto line = nlohmann::json::parse(
-    FormatEvent(EventId::CallRefused,
-                "e1",
-                "now",
-                "request=9c41 status=503 tried= reason=\"no engine holds it\""));
+  const auto line = nlohmann::json::parse(FormatEvent(
+    EventId::CallRefused,
+    "e1",
+    "now",
+    "request=9c41 status=503 tried= reason=\"no engine holds it\""));
   EXPECT_EQ(line["event"], "E402");
   EXPECT_EQ(line["request"], "9c41");
   EXPECT_EQ(line["status"], 503);
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -209,7 +209,7 @@
   calls @3 :UInt32;
   # Calls refused because no engine held the target.
   misses @4 :UInt32;
-  # Time that engines are expected to spend on the prompts of these calls.
+  # Time that calls for the target spent at engines.
   workMicros @5 :UInt64;
 }
 
