--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -66,6 +66,7 @@
     , m_files(m_settings.m_dataFolder)
     , m_store(m_files)
     , m_server(m_base.get(), m_clock, CallerServerLimits{}, *this)
+    , m_metricsServer(m_base.get(), m_clock, CallerServerLimits{}, *this)
   {
   }
 
@@ -229,6 +230,13 @@
         !m_server.Listen(m_settings.m_address, m_settings.m_httpPort)) {
       return false;
     }
+    // Calls are served without a metrics page as well.
+    const uint16_t metricsPort = m_settings.m_metricsPort;
+    if (metricsPort != 0 &&
+        !m_metricsServer.Listen(m_settings.m_address, metricsPort)) {
+      m_log.Write(EventId::ListenFailed,
+                  "metrics_port=" + std::to_string(metricsPort));
+    }
     m_log.Write(EventId::Listening,
                 "wire_port=" + std::to_string(m_wire->Port()) +
                   " http_port=" + std::to_string(m_server.Port()));
@@ -406,6 +414,7 @@
   std::unique_ptr<Timer> m_fleetTimer;
   std::unique_ptr<WireServer> m_wire;
   CallerServer m_server;
+  CallerServer m_metricsServer;
   std::unique_ptr<Timer> m_tick;
   std::unique_ptr<Timer> m_joinTimer;
   TimePoint m_leaderSeenAt;
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -37,9 +37,11 @@
 public:
   ProbeHandler(std::string aReadyPath,
                std::function<bool()> aIsReady,
+               std::function<void()> aUpdateGauges,
                const Metrics& aMetrics)
     : m_readyPath(std::move(aReadyPath))
     , m_isReady(std::move(aIsReady))
+    , m_updateGauges(std::move(aUpdateGauges))
     , m_metrics(aMetrics)
   {
   }
@@ -52,6 +54,7 @@
       return;
     }
     if (aCall->Path() == "/metrics") {
+      m_updateGauges();
       aCall->Reply(HttpStatus::kOk,
                    { { "Content-Type", "text/plain" } },
                    m_metrics.PrometheusText());
@@ -63,6 +66,7 @@
 private:
   std::string m_readyPath;
   std::function<bool()> m_isReady;
+  std::function<void()> m_updateGauges;
   const Metrics& m_metrics;
 };
 
@@ -107,9 +111,11 @@
     , m_probes(
         m_edges.m_readyPath,
         [this] { return IsReady(); },
+        [this] { UpdateGauges(); },
         m_metrics)
     , m_callServer(m_base.get(), m_clock, Limits(), m_gateway)
     , m_probeServer(m_base.get(), m_clock, CallerServerLimits{}, m_probes)
+    , m_metricsServer(m_base.get(), m_clock, CallerServerLimits{}, m_probes)
   {
   }
 
@@ -122,6 +128,10 @@
         !Listen(m_probeServer, m_settings.m_probeAddress)) {
       return ExitCode::CannotListen;
     }
+    // Calls are served without a metrics page as well.
+    if (!m_settings.m_metricsAddress.m_address.empty()) {
+      Listen(m_metricsServer, m_settings.m_metricsAddress);
+    }
     struct Row
     {
       int m_signal;
@@ -172,6 +182,22 @@
            m_link.HasDirectory();
   }
 
+  void UpdateGauges()
+  {
+    m_metrics.SetGauge("celeryspread_gateway_calls",
+                       static_cast<double>(m_gateway.CallCount()));
+    m_metrics.SetGauge("celeryspread_gateway_engines",
+                       static_cast<double>(m_table.Size()));
+    m_metrics.SetGauge("celeryspread_gateway_connections",
+                       static_cast<double>(m_callServer.ConnectionCount()));
+    m_metrics.SetGauge("celeryspread_gateway_idle_upstream_connections",
+                       static_cast<double>(m_client.IdleCount()));
+    const auto& config = m_gateway.Config();
+    m_metrics.SetGauge(
+      "celeryspread_gateway_routes_version",
+      config == nullptr ? 0 : static_cast<double>(config->Version().Value()));
+  }
+
   void SetDocument(const std::string& aDocument)
   {
     std::string reason;
@@ -244,6 +270,7 @@
   ProbeHandler m_probes;
   CallerServer m_callServer;
   CallerServer m_probeServer;
+  CallerServer m_metricsServer;
   std::unique_ptr<Timer> m_drainTimer;
   std::unique_ptr<Timer> m_endTimer;
   bool m_isDraining = false;
--- a/settings/instance_settings.h
+++ b/settings/instance_settings.h
@@ -29,6 +29,8 @@
   uint32_t m_toleratedLosses = 0;
   /// HTTP port; 0 takes an ephemeral one.
   uint16_t m_httpPort = 0;
+  /// Port of a metrics page of its own; 0 for none.
+  uint16_t m_metricsPort = 0;
   /// Port of the inner protocol; control instances only.
   uint16_t m_wirePort = 0;
   std::vector<PeerAddress> m_control;
--- a/settings/node_settings.cpp
+++ b/settings/node_settings.cpp
@@ -111,6 +111,7 @@
   settings.m_callAddress = fields.Address("call_address");
   settings.m_probeAddress = fields.Address("probe_address");
   settings.m_operatorAddress = fields.Address("operator_address");
+  settings.m_metricsAddress = fields.Address("metrics_address");
   settings.m_listAddress = fields.Address("engine_list_address");
   settings.m_isBootstrap = reader.Boolean("bootstrap", false);
   settings.m_dataFolder = reader.Text("data_folder");
--- a/settings/node_settings.h
+++ b/settings/node_settings.h
@@ -30,6 +30,8 @@
   UpstreamAddress m_probeAddress;
   /// Control: where operators come in.
   UpstreamAddress m_operatorAddress;
+  /// Where the metrics page is served; empty for none.
+  UpstreamAddress m_metricsAddress;
   /// Addresses of some control instances; stale ones are allowed.
   std::vector<UpstreamAddress> m_seeds;
   /// True only while the whole system starts for the first time.
