--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -92,7 +92,7 @@
 
 kj::Promise<void> FleetService::Follow(
   wire::FollowRequest::Reader aRequest,
-  std::function<wire::FollowReply::Builder()> aReply)
+  const std::function<wire::FollowReply::Builder()>& aReply)
 {
   const TimePoint now = m_parts.m_clock.Now();
   m_entries[InstanceId(TextOf(aRequest.getInstance()))] = now;
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -35,8 +35,9 @@
   void Tick();
   /// Answers a follow call, at once with news, else after a while.
   /// @pre the reply is valid until the promise is done.
-  kj::Promise<void> Follow(wire::FollowRequest::Reader aRequest,
-                           std::function<wire::FollowReply::Builder()> aReply);
+  kj::Promise<void> Follow(
+    wire::FollowRequest::Reader aRequest,
+    const std::function<wire::FollowReply::Builder()>& aReply);
   /// Answers an adapter request. @pre none.
   kj::Promise<std::string> LoadAdapter(wire::AdapterRequest::Reader aRequest);
 
--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -597,14 +597,14 @@
       // Keeps the timer alive until its own action has run.
       const auto keep = std::move(*timer);
       if (*generation == at) {
-        FinishAdapter(aId, std::move(*item));
+        FinishAdapter(aId, *item);
       } else {
         item->m_done(false);
       }
     });
 }
 
-void EngineOrders::FinishAdapter(const UpstreamId& aId, Item aItem)
+void EngineOrders::FinishAdapter(const UpstreamId& aId, const Item& aItem)
 {
   const auto found = m_engines.find(aId);
   if (found == m_engines.end()) {
--- a/fleet/engine_orders.h
+++ b/fleet/engine_orders.h
@@ -125,7 +125,7 @@
                     const std::optional<EngineReport>& aReport);
   void HandleReply(const UpstreamId& aId, OrderReply aReply);
   void HandleAccepted(const UpstreamId& aId, Engine& aEngine, Item aItem);
-  void FinishAdapter(const UpstreamId& aId, Item aItem);
+  void FinishAdapter(const UpstreamId& aId, const Item& aItem);
   void CheckChange(const UpstreamId& aId, Engine& aEngine);
   [[nodiscard]] static bool HoldsAlready(const Engine& aEngine,
                                          const Item& aItem);
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -170,9 +170,8 @@
   }
   if (!aReply.getIsLeader()) {
     const std::string leader = TextOf(aReply.getLeader().getAddress());
-    if (leader.empty() || leader == m_current) {
-      KJ_FAIL_REQUIRE("no leader is known there");
-    }
+    KJ_REQUIRE(!leader.empty() && leader != m_current,
+               "no leader is known there");
     LinkTo(leader);
     m_current = leader;
     // The link may need a moment to come up, else another one is tried.
