--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -11,6 +11,7 @@
 #include "control/placement_runner.h"
 #include "core/system_clock.h"
 #include "http/caller_server.h"
+#include "http/event_base.h"
 #include "http/event_timers.h"
 #include "http/evhttp_upstream_client.h"
 #include "main/exit_code.h"
@@ -22,11 +23,6 @@
 
 namespace {
 
-struct EventBaseDeleter
-{
-  void operator()(event_base* aBase) const { event_base_free(aBase); }
-};
-
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
 /// How often leadership, routes and engines are looked after.
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(50);
@@ -390,7 +386,7 @@
   InstanceSettings m_settings;
   ControlStart m_start;
   std::optional<FleetEdges> m_edges;
-  std::unique_ptr<event_base, EventBaseDeleter> m_base;
+  EventBasePointer m_base;
   LoopPort m_port;
   SystemClock m_clock;
   SeededRandomSource m_random;
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -10,6 +10,7 @@
 #include "entry/control_link.h"
 #include "entry/entry_app.h"
 #include "entry/no_claim_service.h"
+#include "http/event_base.h"
 #include "http/event_timers.h"
 #include "http/evhttp_upstream_client.h"
 #include "main/exit_code.h"
@@ -21,11 +22,6 @@
 
 namespace {
 
-struct EventBaseDeleter
-{
-  void operator()(event_base* aBase) const { event_base_free(aBase); }
-};
-
 constexpr size_t kMinClusterKeyBytes = 16;
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 constexpr Duration kPlatformPeriod = std::chrono::seconds(1);
@@ -221,7 +217,7 @@
   }
 
   InstanceSettings m_settings;
-  std::unique_ptr<event_base, EventBaseDeleter> m_base;
+  EventBasePointer m_base;
   LoopPort m_port;
   SystemClock m_clock;
   SeededRandomSource m_random;
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -9,6 +9,10 @@
 /// The list itself lags by most of a second; reading it more often than this
 /// brings little.
 constexpr Duration kListPeriod = std::chrono::milliseconds(700);
+/// Entries of one page of the list, and the share of the calls a second that
+/// are meant for all instances.
+constexpr double kListPageEntries = 50;
+constexpr double kListRateShare = 0.5;
 constexpr Duration kPlanPeriod = std::chrono::milliseconds(500);
 /// Added to the lease of the owner before, for the time that its last order
 /// is on its way.
@@ -103,6 +107,16 @@
   }
 }
 
+Duration FleetOwner::ListPeriod(size_t aEngines) const
+{
+  constexpr double kMicrosPerSecond = 1e6;
+  const double calls = 1 + static_cast<double>(aEngines) / kListPageEntries;
+  const double least =
+    calls / (kListRateShare * std::max(1.0, m_limits.m_listCallsPerSecond));
+  return std::max(kListPeriod,
+                  Duration(static_cast<int64_t>(least * kMicrosPerSecond)));
+}
+
 void FleetOwner::ReadList()
 {
   m_isReadingList = true;
@@ -117,6 +131,7 @@
       m_parts.m_log.Write(EventId::PlatformListLost, "");
       return;
     }
+    m_listDue = m_parts.m_clock.Now() + ListPeriod(aList->size());
     const auto news =
       m_directory.ApplyList(std::move(*aList), m_parts.m_clock.Now());
     for (const UpstreamId& id : news.m_appeared) {
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -76,6 +76,8 @@
   };
 
   [[nodiscard]] const EngineSpec* SpecOf(const PoolId& aPool) const;
+  /// Time between two readings of a list of so many engines.
+  [[nodiscard]] Duration ListPeriod(size_t aEngines) const;
   void ReadList();
   void Plan(TimePoint aNow);
   void PlanPool(const Pool& aPool, TimePoint aNow);
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -128,10 +128,8 @@
     entry.setModel(key.m_target.m_model);
     entry.setAdapter(key.m_target.m_adapter);
     entry.setCalls(demand.m_calls);
-    entry.setMisses(demand.m_misses);
     entry.setWorkMicros(static_cast<uint64_t>(demand.m_work.count()));
     demand.m_calls = 0;
-    demand.m_misses = 0;
     demand.m_work = Duration::zero();
   }
   std::erase_if(
@@ -208,16 +206,12 @@
   m_hasDirectory = true;
 }
 
-void DirectoryLink::NoteDemand(const PoolId& aPool,
-                               const ModelTarget& aTarget,
-                               bool aIsMiss)
+void DirectoryLink::NoteDemand(const PoolId& aPool, const ModelTarget& aTarget)
 {
   if (aTarget.m_model.empty()) {
     return;
   }
-  Demand& demand = m_demand[{ aPool, aTarget }];
-  ++demand.m_calls;
-  demand.m_misses += aIsMiss ? 1 : 0;
+  ++m_demand[{ aPool, aTarget }].m_calls;
 }
 
 void DirectoryLink::LoadAdapter(const PoolId& aPool,
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -53,9 +53,7 @@
                    const ModelTarget& aTarget,
                    const UpstreamId& aPreferred,
                    std::function<void(UpstreamId)> aDone) override;
-  void NoteDemand(const PoolId& aPool,
-                  const ModelTarget& aTarget,
-                  bool aIsMiss) override;
+  void NoteDemand(const PoolId& aPool, const ModelTarget& aTarget) override;
   void NoteRunning(const PoolId& aPool,
                    const ModelTarget& aTarget,
                    int aChange) override;
@@ -64,7 +62,6 @@
   struct Demand
   {
     uint32_t m_calls = 0;
-    uint32_t m_misses = 0;
     uint32_t m_running = 0;
     /// Time that calls spent at engines, up to m_countedAt.
     Duration m_work{};
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -74,8 +74,10 @@
   const bool isMiss = state == nullptr && m_context.m_selector.LastError() !=
                                             SelectError::NoUpstream;
   if (m_sends == 0 && !m_hasAskedForAdapter) {
-    m_context.m_demand.NoteDemand(
-      m_parts.m_pool, m_parts.m_facts.m_target, isMiss);
+    m_context.m_demand.NoteDemand(m_parts.m_pool, m_parts.m_facts.m_target);
+    if (isMiss) {
+      m_context.m_metrics.Count("celeryspread_gateway_misses_total");
+    }
   }
   const bool mayAsk =
     !m_hasAskedForAdapter && !m_parts.m_facts.m_target.m_adapter.empty();
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -33,11 +33,8 @@
 {
 public:
   virtual ~DemandSink() = default;
-  /// Notes a call for a target, and whether no upstream held it.
-  /// @pre none. @thread loop.
-  virtual void NoteDemand(const PoolId& aPool,
-                          const ModelTarget& aTarget,
-                          bool aIsMiss) = 0;
+  /// Notes a call for a target. @pre none. @thread loop.
+  virtual void NoteDemand(const PoolId& aPool, const ModelTarget& aTarget) = 0;
   /// Notes that a call for a target starts (+1) or ends (-1) at an engine.
   /// @pre as many end as start. @thread loop.
   virtual void NoteRunning(const PoolId& aPool,
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -8,6 +8,7 @@
 #include "core/system_clock.h"
 #include "gateway/directory_link.h"
 #include "gateway/gateway.h"
+#include "http/event_base.h"
 #include "http/event_timers.h"
 #include "http/evhttp_upstream_client.h"
 #include "http/http_status.h"
@@ -17,14 +18,6 @@
 
 namespace {
 
-struct EventBaseDeleter
-{
-  void operator()(event_base* aBase) const { event_base_free(aBase); }
-};
-
-/// Keeps strangers' links out by mistake, not by intent: the platform hands
-/// out no secret. See docs/design/platform.md.
-constexpr const char* kLinkKey = "celeryspread inner protocol";
 /// The balancer probes once a second and takes an instance out after two
 /// misses; connections that it opened before then may still bring calls.
 constexpr Duration kDrainLag = std::chrono::milliseconds(3000);
@@ -89,7 +82,7 @@
                              m_settings.m_retrySlack,
                              m_settings.m_retryWindow })
     , m_link({ m_port, m_clock, m_log, m_table, m_retries },
-             ClusterKey(kLinkKey),
+             ClusterKey(kDeploymentKey),
              m_settings,
              [this](Revision, const std::string& aDocument) {
                SetDocument(aDocument);
@@ -252,7 +245,7 @@
 
   NodeSettings m_settings;
   GatewayEdges m_edges;
-  std::unique_ptr<event_base, EventBaseDeleter> m_base;
+  EventBasePointer m_base;
   LoopPort m_port;
   SystemClock m_clock;
   SeededRandomSource m_random;
--- /dev/null
+++ b/http/event_base.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <memory>
+
+#include <event2/event.h>
+
+namespace celeryspread {
+
+/// Frees a libevent loop. @thread any.
+struct EventBaseDeleter
+{
+  void operator()(event_base* aBase) const { event_base_free(aBase); }
+};
+
+/// Owns a libevent loop.
+using EventBasePointer = std::unique_ptr<event_base, EventBaseDeleter>;
+
+} // namespace celeryspread
--- a/settings/node_settings.cpp
+++ b/settings/node_settings.cpp
@@ -123,13 +123,10 @@
     reader.Integer("retry_slack", 0, kMaxCount, settings.m_retrySlack));
   settings.m_retryWindow =
     fields.Time("retry_window_ms", settings.m_retryWindow);
-  settings.m_grace = fields.Time("grace_ms", settings.m_grace);
   settings.m_ownerLease = fields.Time("owner_lease_ms", settings.m_ownerLease);
   settings.m_isFenced = reader.Boolean("engines_check_fencing", false);
   settings.m_storeWindow =
     fields.Time("store_window_ms", settings.m_storeWindow);
-  settings.m_storeOverage =
-    fields.Number("store_overage", settings.m_storeOverage);
   for (const std::string& seed : reader.TextList("seeds")) {
     const auto address = ParseAddress(seed);
     if (!address) {
--- a/settings/node_settings.h
+++ b/settings/node_settings.h
@@ -47,16 +47,12 @@
   double m_retryRatio = 0.2;
   uint32_t m_retrySlack = 50;
   Duration m_retryWindow = std::chrono::seconds(10);
-  /// Longest time from the request to end to the kill.
-  Duration m_grace = std::chrono::seconds(8);
   /// Time in which two owners of one engine may not take turns.
   Duration m_ownerLease = std::chrono::seconds(3);
   /// Engines refuse orders with an old fencing token.
   bool m_isFenced = false;
-  /// Window and share by which loads from the weight store may exceed its
-  /// rate.
+  /// Window in which loads from the weight store are kept to its rate.
   Duration m_storeWindow = std::chrono::seconds(5);
-  double m_storeOverage = 1.1;
 };
 
 /// Reads the settings of a process from JSON text.
--- a/telemetry/event_catalog.cpp
+++ b/telemetry/event_catalog.cpp
@@ -179,6 +179,19 @@
 
 } // namespace
 
+const char* LevelWord(EventLevel aLevel)
+{
+  switch (aLevel) {
+    case EventLevel::Info:
+      return "info";
+    case EventLevel::Warning:
+      return "warning";
+    case EventLevel::Error:
+      break;
+  }
+  return "error";
+}
+
 std::span<const EventSpec> AllEventSpecs()
 {
   return kSpecs;
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -70,6 +70,9 @@
   std::string_view m_description;
 };
 
+/// Returns the word for a level. @pre none. @thread any.
+const char* LevelWord(EventLevel aLevel);
+
 /// Returns every event in order of number. @pre none. @thread any.
 std::span<const EventSpec> AllEventSpecs();
 
--- a/telemetry/event_log.cpp
+++ b/telemetry/event_log.cpp
@@ -97,19 +97,6 @@
   }
 }
 
-const char* LevelName(EventLevel aLevel)
-{
-  switch (aLevel) {
-    case EventLevel::Info:
-      return "info";
-    case EventLevel::Warning:
-      return "warning";
-    case EventLevel::Error:
-      return "error";
-  }
-  return "error";
-}
-
 } // namespace
 
 std::string FormatEvent(EventId aId,
@@ -120,7 +107,7 @@
   const EventSpec& spec = SpecOf(aId);
   nlohmann::ordered_json line = {
     { "time", std::string(aTime) },
-    { "level", LevelName(spec.m_level) },
+    { "level", LevelWord(spec.m_level) },
     { "event", "E" + std::to_string(static_cast<unsigned>(aId)) },
     { "name", std::string(spec.m_name) },
     { "instance", std::string(aInstance) }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -273,7 +273,9 @@
 {
   Call("/chat/1", { { "model", "unknown" } });
   EXPECT_EQ(m_caller.m_status, 503);
-  EXPECT_EQ(m_fleet.m_misses, 1);
+  EXPECT_EQ(m_fleet.m_calls, 1);
+  EXPECT_NE(m_metrics.PrometheusText().find("misses_total 1"),
+            std::string::npos);
 }
 
 } // namespace celeryspread::test
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -184,11 +184,9 @@
     m_done = std::move(aDone);
   }
   void NoteDemand(const PoolId& /*aPool*/,
-                  const ModelTarget& /*aTarget*/,
-                  bool aIsMiss) override
+                  const ModelTarget& /*aTarget*/) override
   {
     ++m_calls;
-    m_misses += aIsMiss ? 1 : 0;
   }
   void NoteRunning(const PoolId& /*aPool*/,
                    const ModelTarget& /*aTarget*/,
@@ -200,7 +198,6 @@
   std::vector<ModelTarget> m_asked;
   std::function<void(UpstreamId)> m_done;
   int m_calls = 0;
-  int m_misses = 0;
   int m_running = 0;
 };
 
--- a/tools/reference_pages.cpp
+++ b/tools/reference_pages.cpp
@@ -7,19 +7,6 @@
 
 namespace {
 
-const char* LevelWord(EventLevel aLevel)
-{
-  switch (aLevel) {
-    case EventLevel::Info:
-      return "info";
-    case EventLevel::Warning:
-      return "warning";
-    case EventLevel::Error:
-      break;
-  }
-  return "error";
-}
-
 std::string ValueText(const SettingSpec& aSpec, int64_t aValue)
 {
   if (aSpec.m_type == SettingType::Boolean) {
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -207,10 +207,8 @@
   model @1 :Text;
   adapter @2 :Text;
   calls @3 :UInt32;
-  # Calls refused because no engine held the target.
-  misses @4 :UInt32;
   # Time that calls for the target spent at engines.
-  workMicros @5 :UInt64;
+  workMicros @4 :UInt64;
 }
 
 struct FollowRequest {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -3771,8 +3771,6 @@
 
   inline  ::uint32_t getCalls() const;
 
-  inline  ::uint32_t getMisses() const;
-
   inline  ::uint64_t getWorkMicros() const;
 
 private:
@@ -3827,9 +3825,6 @@
   inline  ::uint32_t getCalls();
   inline void setCalls( ::uint32_t value);
 
-  inline  ::uint32_t getMisses();
-  inline void setMisses( ::uint32_t value);
-
   inline  ::uint64_t getWorkMicros();
   inline void setWorkMicros( ::uint64_t value);
 
@@ -9586,20 +9581,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t DemandEntry::Reader::getMisses() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t DemandEntry::Builder::getMisses() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void DemandEntry::Builder::setMisses( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t DemandEntry::Reader::getWorkMicros() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
--- a/wire/cluster_key.h
+++ b/wire/cluster_key.h
@@ -5,6 +5,10 @@
 
 namespace celeryspread {
 
+/// Key of a deployment whose platform hands out no secret. It keeps links of
+/// other clusters out by mistake, not by intent; see docs/design/platform.md.
+constexpr const char* kDeploymentKey = "celeryspread inner protocol";
+
 /// Secret shared by all processes of one cluster.
 /// @thread immutable, safe to share.
 class ClusterKey
