A rejection of another call proves nothing

Cause, found by reading: an answer that says "not run" was believed before its attempt id was compared, so a late rejection on a reused connection could have sent work on that must not repeat. A plain service that answers for another instance counts as failed.

--- a/control/replica_host.h
+++ b/control/replica_host.h
@@ -14,12 +14,12 @@
 
 namespace celeryspread {
 
-/// Answer to a replica's wish to join.
+/// Answer to a replica that asks to join.
 enum class JoinVerdict
 {
   /// This replica does not lead.
   NotLeader,
-  /// The wish is being fulfilled, step by step with each call.
+  /// It is taken in, one step with each call.
   Accepted,
   /// The replica was removed; its identity is never used again.
   Removed
@@ -67,8 +67,8 @@
   /// known whether it was committed. @pre none.
   /// @error false when this replica does not lead; aDone is not called.
   bool Propose(Command aCommand, Done aDone);
-  /// Handles a replica's wish to join: the lost replica of the same instance
-  /// goes first, then it becomes a learner, then a voter. @pre none.
+  /// Takes in a replica that asks to join: the lost replica of the same
+  /// instance goes first, then it becomes a learner, then a voter. @pre none.
   JoinVerdict Join(const ReplicaId& aReplica, const ReplicaAddress& aAddress);
   /// Sets how many instances may be lost at one time: a silent voter is
   /// removed once twice as many and one other voters answer. 0 keeps silent
--- a/fleet/engine_orders.h
+++ b/fleet/engine_orders.h
@@ -32,7 +32,7 @@
   /// Finds what the engines of a pool have in common; null for none.
   using SpecFinder = std::function<const EngineSpec*(const PoolId&)>;
 
-  /// What the desk works with; all references outlive it.
+  /// What the orders need; all references outlive it.
   struct Parts
   {
     const Clock& m_clock;
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -243,14 +243,17 @@
   if (m_answer.m_load) {
     m_context.m_table.NoteLoad(m_upstream, *m_answer.m_load, now);
   }
-  m_isRejected = m_answer.m_isNotRun;
+  const AttemptId& own = m_parts.m_facts.m_attempt;
+  const bool isOthers =
+    !m_answer.m_attempt.IsEmpty() && m_answer.m_attempt != own;
+  m_isRejected = m_answer.m_isNotRun && !isOthers;
   if (m_isRejected) {
     return;
   }
   m_mayHaveRun = true;
-  const bool isOwnAnswer = m_answer.m_attempt == m_parts.m_facts.m_attempt;
-  if (!isOwnAnswer) {
-    // Another call's answer on this connection; ours may still run there.
+  if (m_answer.m_attempt != own) {
+    // Another call's answer on this connection, be it a rejection; ours may
+    // still run there.
     HandleBrokenAttempt(true, "the answer belongs to another call");
     return;
   }
@@ -347,10 +350,13 @@
 void GatewayCall::HandleRejection()
 {
   const bool isMisdirected = m_answer.m_isMisdirected;
+  const bool isPlain = m_parts.m_facts.m_target.m_model.empty();
   if (isMisdirected) {
     m_context.m_table.NoteMissing(m_upstream, m_parts.m_facts.m_target);
   }
-  CloseAttempt(AttemptEnd::Rejected);
+  // A plain service that is not at its address any more is gone.
+  CloseAttempt(isMisdirected && isPlain ? AttemptEnd::Failed
+                                        : AttemptEnd::Rejected);
   if (m_isStreaming) {
     if (!TryAgain(false)) {
       Break("no other upstream took the rest of the stream");
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -178,6 +178,15 @@
   EXPECT_EQ(m_caller.m_status, 502);
 }
 
+TEST_F(GatewayTest, RejectionOfAnotherCallProvesNothing)
+{
+  Call("/pay/1");
+  Answer(0, 503, { { "id", "other" }, { "not-run", "1" } });
+  EXPECT_EQ(m_client.m_sent.size(), 1U);
+  EXPECT_TRUE(Attempt(0).m_isCancelled);
+  EXPECT_EQ(m_caller.m_status, 502);
+}
+
 TEST_F(GatewayTest, DropsASuccessWithoutSignature)
 {
   Call("/pay/1");
