A stream that has begun is cut, never answered a second time

Cause, found by reading: a resumable stream that broke and whose adapter could not be loaded elsewhere was refused with a second answer on the same connection. The test fails before.

--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -460,6 +460,11 @@
 
 void GatewayCall::Refuse(const std::string& aReason, Duration aRetryAfter)
 {
+  if (m_isStreaming) {
+    // The answer has begun; it can only be cut.
+    Break(aReason);
+    return;
+  }
   if (m_mayHaveRun) {
     Fail(HttpStatus::kBadGateway, aReason);
     return;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -262,6 +262,21 @@
   EXPECT_EQ(m_codec.m_lastFields.m_upstream, UpstreamId("e2"));
 }
 
+TEST_F(GatewayTest, BreaksAStreamWhoseAdapterCantBeHadElsewhere)
+{
+  EngineRecord holder = MakeEngine("e1", "here", "m");
+  holder.m_models["m"].m_adapters.insert("a1");
+  m_table.Update(holder);
+  Call("/report/1", { { "model", "m" }, { "adapter", "a1" } });
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+  Lose(0);
+  ASSERT_EQ(m_fleet.m_asked.size(), 1U);
+  m_fleet.m_done(UpstreamId());
+  EXPECT_TRUE(m_caller.m_isAborted);
+  EXPECT_EQ(m_caller.m_status, 200);
+}
+
 TEST_F(GatewayTest, RefusesWhenTheAdapterCantBeHad)
 {
   Call("/chat/1", { { "model", "m" }, { "adapter", "a1" } });
