The check of real processes waits for the new replica of a lost disk

The check now waits until the lost replica is out and a new one counts; before a disk is taken all voters must be there.

--- a/scripts/check_runs.py
+++ b/scripts/check_runs.py
@@ -142,11 +142,13 @@
 
     def lose_disk(self):
         control = self.random.choice(self.deployment.controls)
+        self.deployment.wait_for_voters()
+        lost = [id for id, name in self.deployment.voters().items() if name == control.name]
         control.kill()
         shutil.rmtree(self.deployment.data_folder(control))
         time.sleep(self.random.uniform(0.1, 0.5))
         control.restart()
-        self.deployment.wait_for_voters()
+        self.deployment.wait_for_voters(lost)
 
     def stop_control(self):
         control = self.random.choice(self.deployment.controls)
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -157,16 +157,23 @@
     def data_folder(self, control):
         return os.path.join(self.folder, "data-" + control.name)
 
-    def wait_for_voters(self):
-        """Waits until each control instance has exactly one voting replica."""
+    def voters(self):
+        """Returns the instance of each voting replica, empty when unknown."""
+        answer = self.admin_anywhere("GET", "/admin/status")
+        if answer.status != 200:
+            return {}
+        return {id: v["instance"] for id, v in answer.json()["voters"].items()}
+
+    def wait_for_voters(self, lost=()):
+        """Waits until each control instance has exactly one voting replica,
+        none of them among those that are lost: until the leader has heard of a
+        lost disk, its replica still counts as a voter."""
 
         def settled():
-            answer = self.admin_anywhere("GET", "/admin/status")
-            if answer.status != 200:
+            voters = self.voters()
+            if any(replica in voters for replica in lost):
                 return False
-            status = answer.json()
-            names = sorted(v["instance"] for v in status["voters"].values())
-            return names == sorted(self.control_peers)
+            return sorted(voters.values()) == sorted(self.control_peers)
 
         wait_until(settled, what="a full set of voters")
 
--- a/telemetry/event_log.cpp
+++ b/telemetry/event_log.cpp
@@ -21,7 +21,7 @@
 constexpr const char* kDefaultDispatchName = "DefaultLogDispatchCallback";
 
 /// Where the lines of the one log of this process go.
-LineSink* g_sink = nullptr;
+LineSink* gSink = nullptr;
 
 /// Hands easylogging's lines to the sink.
 class SinkDispatch : public el::LogDispatchCallback
@@ -30,9 +30,9 @@
   // NOLINTNEXTLINE(readability-identifier-naming): easylogging names it.
   void handle(const el::LogDispatchData* aData) override
   {
-    if (g_sink != nullptr) {
-      g_sink->Write(aData->logMessage()->message(),
-                    aData->logMessage()->level() != el::Level::Info);
+    if (gSink != nullptr) {
+      gSink->Write(aData->logMessage()->message(),
+                   aData->logMessage()->level() != el::Level::Info);
     }
   }
 };
@@ -128,7 +128,7 @@
   : m_instance(std::move(aInstance))
   , m_sink(std::make_unique<Sink>(STDOUT_FILENO, SteadySeconds))
 {
-  g_sink = m_sink.get();
+  gSink = m_sink.get();
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -143,7 +143,7 @@
 EasyEventLog::~EasyEventLog()
 {
   el::Helpers::uninstallLogDispatchCallback<SinkDispatch>(kDispatchName);
-  g_sink = nullptr;
+  gSink = nullptr;
 }
 
 void EasyEventLog::Write(EventId aId, std::string_view aDetail)
