--- a/control/replica_host.cpp
+++ b/control/replica_host.cpp
@@ -99,7 +99,12 @@
   if (!index) {
     return false;
   }
+  // An entry of an earlier term that was replaced has no other answer.
+  auto replaced = m_pending.extract(*index);
   m_pending[*index] = { m_raft.CurrentTerm(), std::move(aDone), now };
+  if (!replaced.empty()) {
+    replaced.mapped().m_done(std::nullopt);
+  }
   ScheduleProcess();
   return true;
 }
@@ -112,7 +117,11 @@
   }
   const ReplicaSet& replicas = m_raft.Replicas();
   if (replicas.m_removed.contains(aReplica)) {
-    return JoinVerdict::Removed;
+    // The asker gives up its disk on this word, so a removal that another
+    // leader may still undo is not told.
+    return m_appliedReplicas.m_removed.contains(aReplica)
+             ? JoinVerdict::Removed
+             : JoinVerdict::Accepted;
   }
   const TimePoint now = m_parts.m_clock.Now();
   // The instance has a new disk, so its earlier replica is gone for good. It
--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -87,4 +87,26 @@
             JoinVerdict::Removed);
 }
 
+TEST(MembershipTest, RemovalThatIsNotCommittedIsNotTold)
+{
+  ControlCluster cluster(3, 13);
+  cluster.RunFor(kSettled);
+  const std::string leader = cluster.Leader();
+  ASSERT_NE(leader, "");
+  std::string other;
+  for (const std::string& name : cluster.Names()) {
+    other = name == leader ? other : name;
+  }
+  // The leader hears of a new disk of another instance and is cut off before
+  // anyone else learns of the removal; another leader may never see it.
+  cluster.SetGroups({ { leader } });
+  const ReplicaId lost(other + ".1");
+  ReplicaHost& host = cluster.Host(leader);
+  EXPECT_EQ(host.Join(ReplicaId(other + ".9"), { InstanceId(other), other, 1 }),
+            JoinVerdict::Accepted);
+  ASSERT_TRUE(host.Replica().Replicas().m_removed.contains(lost));
+  EXPECT_EQ(host.Join(lost, { InstanceId(other), other, 1 }),
+            JoinVerdict::Accepted);
+}
+
 } // namespace celeryspread::test
