--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -1,5 +1,7 @@
 #include "http/evhttp_upstream_call.h"
 
+#include <charconv>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -52,6 +54,41 @@
   return headers;
 }
 
+/// Part of a server's stated idle limit that is left unused, for the time that
+/// a request is on its way while the server closes.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
+
+const char* HeaderOf(evhttp_request* aRequest, const char* aName)
+{
+  return evhttp_find_header(evhttp_request_get_input_headers(aRequest), aName);
+}
+
+/// Tells whether the answer says itself where it ends. One that ends with its
+/// connection leaves nothing to reuse.
+bool HasLength(evhttp_request* aRequest)
+{
+  const char* encoding = HeaderOf(aRequest, "Transfer-Encoding");
+  const bool isChunked =
+    encoding != nullptr && evutil_ascii_strcasecmp(encoding, "chunked") == 0;
+  return isChunked || HeaderOf(aRequest, "Content-Length") != nullptr;
+}
+
+/// Returns how long the server keeps the connection, as far as it says so.
+Duration IdleLimit(evhttp_request* aRequest)
+{
+  constexpr std::string_view kParameter = "timeout=";
+  const char* value = HeaderOf(aRequest, "Keep-Alive");
+  const std::string_view text = value == nullptr ? "" : value;
+  const size_t at = text.find(kParameter);
+  int64_t seconds = 0;
+  if (at == std::string_view::npos) {
+    return Duration::max();
+  }
+  const std::string_view digits = text.substr(at + kParameter.size());
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::chrono::seconds(seconds) - kIdleMargin;
+}
+
 bool AsksToClose(evhttp_request* aRequest)
 {
   const char* value = evhttp_find_header(
@@ -218,10 +255,13 @@
   }
   Detach();
   m_isOver = true;
-  if (AsksToClose(aRequest)) {
+  // Bytes behind an answer belong to no request that is to come.
+  bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
+  const bool hasMore = evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+  if (AsksToClose(aRequest) || !HasLength(aRequest) || hasMore) {
     m_client.FreeLater(m_connection, std::move(m_link));
   } else {
-    m_client.Keep(m_request.m_address, m_connection);
+    m_client.Keep(m_request.m_address, m_connection, IdleLimit(aRequest));
   }
   m_observer.OnUpstreamEnd();
 }
--- a/http/evhttp_upstream_client.cpp
+++ b/http/evhttp_upstream_client.cpp
@@ -72,6 +72,11 @@
   if (found == m_idle.end()) {
     return nullptr;
   }
+  CloseExpired(found->second);
+  if (found->second.empty()) {
+    m_idle.erase(found);
+    return nullptr;
+  }
   // The most recently used connection is the least likely to be stale.
   evhttp_connection* connection = found->second.back().m_connection;
   found->second.pop_back();
@@ -83,7 +88,8 @@
 }
 
 void EvhttpUpstreamClient::Keep(const UpstreamAddress& aAddress,
-                                evhttp_connection* aConnection)
+                                evhttp_connection* aConnection,
+                                Duration aIdleLimit)
 {
   std::deque<IdleConnection>& idle = m_idle[aAddress];
   if (idle.size() >= kMaxIdlePerUpstream) {
@@ -91,7 +97,8 @@
     return;
   }
   evhttp_connection_set_closecb(aConnection, OnIdleClosed, this);
-  idle.push_back({ aConnection, m_clock.Now() });
+  idle.push_back(
+    { aConnection, m_clock.Now() + std::min(aIdleLimit, kMaxIdleTime) });
 }
 
 void EvhttpUpstreamClient::OnIdleClosed(evhttp_connection* aConnection,
@@ -137,19 +144,26 @@
                                           short /*aWhat*/,
                                           void* aSelf)
 {
-  static_cast<EvhttpUpstreamClient*>(aSelf)->CloseExpired();
+  static_cast<EvhttpUpstreamClient*>(aSelf)->CloseAllExpired();
 }
 
-void EvhttpUpstreamClient::CloseExpired()
+void EvhttpUpstreamClient::CloseExpired(std::deque<IdleConnection>& aIdle)
 {
-  const TimePoint oldest = m_clock.Now() - kMaxIdleTime;
-  for (auto it = m_idle.begin(); it != m_idle.end();) {
-    auto& idle = it->second;
-    while (!idle.empty() && idle.front().m_since < oldest) {
-      FreeLater(idle.front().m_connection);
-      idle.pop_front();
+  const TimePoint now = m_clock.Now();
+  std::erase_if(aIdle, [&](const IdleConnection& aEntry) {
+    const bool isExpired = aEntry.m_until <= now;
+    if (isExpired) {
+      FreeLater(aEntry.m_connection);
     }
-    it = idle.empty() ? m_idle.erase(it) : std::next(it);
+    return isExpired;
+  });
+}
+
+void EvhttpUpstreamClient::CloseAllExpired()
+{
+  for (auto it = m_idle.begin(); it != m_idle.end();) {
+    CloseExpired(it->second);
+    it = it->second.empty() ? m_idle.erase(it) : std::next(it);
   }
 }
 
--- a/http/evhttp_upstream_client.h
+++ b/http/evhttp_upstream_client.h
@@ -36,7 +36,7 @@
   struct IdleConnection
   {
     evhttp_connection* m_connection;
-    TimePoint m_since;
+    TimePoint m_until;
   };
 
   struct DoomedConnection
@@ -49,13 +49,17 @@
   static void OnHousekeeping(int aFd, short aWhat, void* aSelf);
   evhttp_connection* TakeIdle(const UpstreamAddress& aAddress);
   evhttp_connection* Connect(const UpstreamAddress& aAddress);
-  /// Keeps a connection whose answer ended cleanly. @pre it has no call.
-  void Keep(const UpstreamAddress& aAddress, evhttp_connection* aConnection);
+  /// Keeps a connection whose answer ended cleanly, for at most aIdleLimit.
+  /// @pre it has no call.
+  void Keep(const UpstreamAddress& aAddress,
+            evhttp_connection* aConnection,
+            Duration aIdleLimit);
   /// Frees a connection once evhttp is no longer inside its callback.
   /// aArgument is kept for its callbacks until then.
   void FreeLater(evhttp_connection* aConnection,
                  std::shared_ptr<void> aArgument = nullptr);
-  void CloseExpired();
+  void CloseExpired(std::deque<IdleConnection>& aIdle);
+  void CloseAllExpired();
   void FreeDoomed();
 
   event_base* m_base;
