--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -10,6 +10,8 @@
 /// A follow call without news is answered after this time; entries tell their
 /// demand as often.
 constexpr int64_t kFollowMicros = 700'000;
+/// Time in which every entry that can reach a new leader follows it.
+constexpr Duration kCountingTime = std::chrono::milliseconds(2000);
 /// An entry that has not followed for this long is not counted any more.
 constexpr Duration kEntryLife = std::chrono::seconds(6);
 
@@ -45,6 +47,7 @@
   const bool isOwner = m_parts.m_owner.Term().has_value();
   if (hasLease && m_parts.m_owner.Term() != term) {
     m_parts.m_owner.Begin(term);
+    m_ownerSince = m_parts.m_clock.Now();
   } else if (isOwner && !m_parts.m_host.Replica().IsLeader()) {
     m_parts.m_owner.End();
   }
@@ -122,6 +125,10 @@
 
 uint32_t FleetService::EntryCount(TimePoint aNow)
 {
+  if (aNow < m_ownerSince + kCountingTime) {
+    // The first entries to follow a new leader are not all there are.
+    return 0;
+  }
   std::erase_if(m_entries, [&](const auto& aEntry) {
     return aEntry.second + kEntryLife < aNow;
   });
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -68,6 +68,7 @@
 
   Parts m_parts;
   Revision m_takenRoutes;
+  TimePoint m_ownerSince;
   std::map<InstanceId, TimePoint> m_entries;
   std::list<Waiter> m_waiting;
 };
--- a/fleet/engine_directory.cpp
+++ b/fleet/engine_directory.cpp
@@ -81,7 +81,7 @@
     }
     // Leaving is never taken back within one start; the list may go back.
     record.m_isLeaving =
-      record.m_isLeaving || (!isNew && entry.m_record.m_isLeaving);
+      record.m_isLeaving || (!isRestarted && entry.m_record.m_isLeaving);
     ApplyOwnNews(record, aNow);
     if (isNew || record != entry.m_record) {
       entry.m_record = std::move(record);
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -176,6 +176,9 @@
     KJ_REQUIRE(LinkTo(leader).IsUp(), "the leader's link is not up");
     return;
   }
+  // A leader of an earlier term does not know yet that it was replaced.
+  KJ_REQUIRE(!aReply.getHasDirectory() || aReply.getEpoch() >= m_epoch,
+             "the leader was replaced");
   m_parts.m_retries.SetEntryCount(aReply.getEntryCount());
   if (aReply.getHasDirectory()) {
     ApplyEngines(aReply);
--- a/gateway/retry_share.cpp
+++ b/gateway/retry_share.cpp
@@ -20,7 +20,9 @@
 
 void RetryShare::SetEntryCount(uint32_t aCount)
 {
-  m_entryCount = aCount;
+  if (aCount != 0) {
+    m_entryCount = aCount;
+  }
 }
 
 void RetryShare::Forget(Events& aEvents, TimePoint aNow) const
--- a/gateway/retry_share.h
+++ b/gateway/retry_share.h
@@ -29,7 +29,8 @@
   /// Sets the bounds. @pre the window is above 0.
   explicit RetryShare(RetryBounds aBounds);
 
-  /// Sets how many entries share the budget. @pre none; 0 counts as unknown.
+  /// Sets how many entries share the budget. @pre none; 0 means not known now
+  /// and leaves the count as it was.
   void SetEntryCount(uint32_t aCount);
   /// Notes a call of a client. @pre none.
   void NoteCall(const PoolId& aPool, TimePoint aNow);
--- a/tests/gateway/engine_selector_test.cpp
+++ b/tests/gateway/engine_selector_test.cpp
@@ -132,6 +132,16 @@
   EXPECT_TRUE(share.TryTake(pool, now + std::chrono::seconds(11)));
 }
 
+TEST(RetryShareTest, KeepsItsCountWhileANewLeaderDoesNotKnowIt)
+{
+  const TimePoint now(std::chrono::seconds(5));
+  RetryShare share({ 0.2, 40, std::chrono::seconds(10) });
+  share.SetEntryCount(40);
+  share.SetEntryCount(0);
+  EXPECT_TRUE(share.TryTake(PoolId("pool"), now));
+  EXPECT_FALSE(share.TryTake(PoolId("pool"), now));
+}
+
 TEST(RetryShareTest, EarnsFurtherArrivalsByCalls)
 {
   const TimePoint now(std::chrono::seconds(5));
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -232,7 +232,8 @@
   # The list is whole and replaces what the entry knows.
   isWhole @6 :Bool;
   engines @7 :List(EngineEntry);
-  # Entries that follow the leader, to share budgets among them.
+  # Entries that follow the leader, to share budgets among them; 0 while a new
+  # leader does not know them all.
   entryCount @8 :UInt32;
   hasDirectory @9 :Bool;
 }
