--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -106,7 +106,7 @@
         [this] { return IsReady(); },
         [this] { UpdateGauges(); },
         m_metrics)
-    , m_callServer(m_base.get(), m_clock, Limits(), m_gateway)
+    , m_callServer(m_base.get(), m_clock, Limits(ClientLimits{}), m_gateway)
     , m_probeServer(m_base.get(), m_clock, CallerServerLimits{}, m_probes)
     , m_metricsServer(m_base.get(), m_clock, CallerServerLimits{}, m_probes)
   {
@@ -148,14 +148,13 @@
   }
 
 private:
-  static CallerServerLimits Limits()
+  static CallerServerLimits Limits(const ClientLimits& aClients)
   {
     CallerServerLimits limits;
     limits.m_maxConnections = kMaxConnections;
-    const ClientLimits clients;
-    limits.m_maxHeaderBytes = clients.m_maxHeaderBytes;
-    limits.m_maxBodyBytes = clients.m_maxBodyBytes;
-    limits.m_idleTimeout = clients.m_idleTimeout;
+    limits.m_maxHeaderBytes = aClients.m_maxHeaderBytes;
+    limits.m_maxBodyBytes = aClients.m_maxBodyBytes;
+    limits.m_idleTimeout = aClients.m_idleTimeout;
     return limits;
   }
 
@@ -199,6 +198,7 @@
       m_log.Write(EventId::RoutesRefused, "reason=\"" + reason + "\"");
       return;
     }
+    m_callServer.SetLimits(Limits(config->Limits()));
     m_gateway.SetConfig(std::move(config));
   }
 
--- a/http/caller_server.cpp
+++ b/http/caller_server.cpp
@@ -57,10 +57,7 @@
 {
   evhttp_set_gencb(m_http, OnRequest, this);
   evhttp_set_bevcb(m_http, OnNewConnection, this);
-  evhttp_set_max_headers_size(
-    m_http, static_cast<ev_ssize_t>(aLimits.m_maxHeaderBytes));
-  evhttp_set_max_body_size(m_http,
-                           static_cast<ev_ssize_t>(aLimits.m_maxBodyBytes));
+  SetLimits(aLimits);
   constexpr int kAllMethods =
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
@@ -72,6 +69,15 @@
   event_add(m_sweepTimer, &kSweepPeriod);
 }
 
+void CallerServer::SetLimits(const CallerServerLimits& aLimits)
+{
+  m_limits = aLimits;
+  evhttp_set_max_headers_size(
+    m_http, static_cast<ev_ssize_t>(aLimits.m_maxHeaderBytes));
+  evhttp_set_max_body_size(m_http,
+                           static_cast<ev_ssize_t>(aLimits.m_maxBodyBytes));
+}
+
 CallerServer::~CallerServer()
 {
   event_free(m_sweepTimer);
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -66,6 +66,9 @@
   bool Listen(const std::string& aAddress, uint16_t aPort);
   /// Returns the bound port. @pre Listen() succeeded.
   [[nodiscard]] uint16_t Port() const { return m_port; }
+  /// Takes limits that changed; sizes hold for connections opened later.
+  /// @pre none.
+  void SetLimits(const CallerServerLimits& aLimits);
   /// Tells callers to open no further request on their connections; answers
   /// close them. New connections are still accepted. @pre none.
   void AnnounceDrain() { m_isAnnouncing = true; }
