--- a/fleet/engine_control.h
+++ b/fleet/engine_control.h
@@ -57,11 +57,7 @@
   /// Adapters on their way; they take places already.
   std::set<ModelTarget> m_loadingAdapters;
   bool m_isBusy = false;
-  bool m_isLeaving = false;
   uint64_t m_sequence = 0;
-  uint32_t m_waiting = 0;
-  uint32_t m_running = 0;
-  int64_t m_startedAt = 0;
 };
 
 /// Calls to engines and to the platform's list of them.
--- a/gateway/call_facts.h
+++ b/gateway/call_facts.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -12,13 +11,6 @@
 
 namespace celeryspread {
 
-/// One part of a prompt; calls that share leading parts share cache.
-struct PromptPart
-{
-  std::string m_id;
-  uint32_t m_tokens = 0;
-};
-
 /// What a client's request says of itself.
 struct CallFacts
 {
@@ -28,10 +20,6 @@
   /// Empty model for calls to plain services.
   ModelTarget m_target;
   uint32_t m_promptTokens = 0;
-  uint32_t m_maxOutputTokens = 0;
-  /// The client's estimate of the output; 0 for none.
-  uint32_t m_expectedOutputTokens = 0;
-  std::vector<PromptPart> m_prompt;
 };
 
 /// Load of an upstream as told by one of its answers.
@@ -55,8 +43,6 @@
   /// The answer is the upstream's own work and bears its signature.
   bool m_isSigned = false;
   std::optional<LoadReading> m_load;
-  /// How long the upstream keeps the idle connection; empty when not told.
-  std::optional<Duration> m_keepAlive;
 };
 
 /// What an attempt adds to the client's request.
--- a/telemetry/event_log.cpp
+++ b/telemetry/event_log.cpp
@@ -31,8 +31,7 @@
   void handle(const el::LogDispatchData* aData) override
   {
     if (gSink != nullptr) {
-      gSink->Write(aData->logMessage()->message(),
-                   aData->logMessage()->level() != el::Level::Info);
+      gSink->Write(aData->logMessage()->message());
     }
   }
 };
@@ -148,6 +147,10 @@
 
 void EasyEventLog::Write(EventId aId, std::string_view aDetail)
 {
+  // A line that is left out is not worth formatting either.
+  if (SpecOf(aId).m_level == EventLevel::Info && !m_sink->TryAdmit()) {
+    return;
+  }
   const uint64_t dropped = m_sink->TakeDropped();
   if (dropped > 0) {
     LOG(WARNING) << FormatEvent(EventId::LogLinesDropped,
--- a/telemetry/line_sink.cpp
+++ b/telemetry/line_sink.cpp
@@ -22,29 +22,28 @@
   }
 }
 
-bool LineSink::TakeToken()
+bool LineSink::TryAdmit()
 {
   const double now = m_clock();
   m_tokens =
     std::min(kBurst, m_tokens + (now - m_refilledAt) * kLinesPerSecond);
   m_refilledAt = now;
   if (m_tokens < 1) {
+    ++m_dropped;
     return false;
   }
   m_tokens -= 1;
   return true;
 }
 
-void LineSink::Write(std::string_view aLine, bool aIsImportant)
+void LineSink::Write(std::string_view aLine)
 {
-  const bool isFull = m_pending.size() + aLine.size() > kMaxPendingBytes;
-  if (isFull || (!aIsImportant && !TakeToken())) {
+  if (m_pending.size() + aLine.size() > kMaxPendingBytes) {
     ++m_dropped;
-    Flush();
-    return;
+  } else {
+    m_pending += aLine;
+    m_pending += '\n';
   }
-  m_pending += aLine;
-  m_pending += '\n';
   Flush();
 }
 
--- a/telemetry/line_sink.h
+++ b/telemetry/line_sink.h
@@ -27,14 +27,17 @@
   /// @pre aFd stays open.
   LineSink(int aFd, SecondsClock aClock);
 
+  /// Takes a place for a line of low importance, before it is formatted.
+  /// @pre none. @error false when the rate is used up; the line is counted as
+  /// dropped.
+  bool TryAdmit();
   /// Writes a line. @pre aLine has no line break. @error the line is dropped
-  /// and counted when the rate is used up or too much waits.
-  void Write(std::string_view aLine, bool aIsImportant);
+  /// and counted when too much waits.
+  void Write(std::string_view aLine);
   /// Returns the lines dropped since the last call. @pre none.
   uint64_t TakeDropped();
 
 private:
-  bool TakeToken();
   void Flush();
 
   int m_fd;
