--- a/fleet/demand_tracker.cpp
+++ b/fleet/demand_tracker.cpp
@@ -60,6 +60,12 @@
   return found == m_states.end() ? 0 : found->second.m_rate;
 }
 
+double DemandTracker::Calls(const Key& aKey) const
+{
+  const auto found = m_states.find(aKey);
+  return found == m_states.end() ? 0 : found->second.m_running;
+}
+
 double DemandTracker::ModelCalls(const PoolId& aPool,
                                  const std::string& aModel) const
 {
--- a/fleet/demand_tracker.h
+++ b/fleet/demand_tracker.h
@@ -31,6 +31,8 @@
   void Tick(TimePoint aNow);
   /// Returns the calls a second for a target. @pre none.
   [[nodiscard]] double Rate(const Key& aKey) const;
+  /// Returns the calls in progress for a target. @pre none.
+  [[nodiscard]] double Calls(const Key& aKey) const;
   /// Returns the calls in progress for a model with its adapters. @pre none.
   [[nodiscard]] double ModelCalls(const PoolId& aPool,
                                   const std::string& aModel) const;
--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -16,15 +16,16 @@
 constexpr Duration kChangePeriod = std::chrono::milliseconds(500);
 /// An unload waits for its runs; the longest stream ends within this.
 constexpr Duration kChangeLimit = std::chrono::seconds(25);
-/// An engine that left an order unanswered is not asked for adapters so long,
-/// when others can be.
+/// An engine that left an order unanswered, or carries one out that waits for
+/// calls, is not asked for adapters so long, when others can be.
 constexpr Duration kSilence = std::chrono::seconds(3);
 /// Time until every entry knows that a model is about to go: a tick of the
 /// directory and the way to another region.
 constexpr Duration kAnnouncement = std::chrono::milliseconds(200);
 constexpr uint32_t kMaxTries = 4;
-/// Clients that wait for an adapter have left after this.
-constexpr Duration kAdapterQueueLimit = std::chrono::seconds(2);
+/// A client that waits for an adapter longer is late; another engine may have
+/// it sooner.
+constexpr Duration kAdapterQueueLimit = std::chrono::milliseconds(500);
 /// A load that waits for an unload waits for the runs of the model that goes.
 constexpr Duration kModelQueueLimit = std::chrono::seconds(20);
 
@@ -111,43 +112,17 @@
   Pump(aEngine);
 }
 
-size_t EngineOrders::AdapterCount(const Engine& aEngine)
+std::string EngineOrders::ChangingModel(const Engine& aEngine)
 {
-  size_t count = aEngine.m_loadingAdapters.size();
-  for (const auto& [name, held] : aEngine.m_held) {
-    count += held.m_adapters.size();
-  }
-  return count;
+  return aEngine.m_change ? aEngine.m_change->m_item.m_target.m_model : "";
 }
 
-uint64_t EngineOrders::TakenMegabytes(const EngineSpec& aSpec,
-                                      const Engine& aEngine)
+EngineContents EngineOrders::ContentsOf(const EngineRecord& aRecord) const
 {
-  uint64_t taken = 0;
-  std::set<std::string> counted;
-  const auto addModel = [&](const std::string& aName) {
-    const auto spec = aSpec.m_models.find(aName);
-    if (spec != aSpec.m_models.end() && counted.insert(aName).second) {
-      taken += spec->second.m_megabytes;
-    }
-  };
-  const auto addAdapters = [&](const std::string& aModel, size_t aCount) {
-    const auto spec = aSpec.m_models.find(aModel);
-    if (spec != aSpec.m_models.end()) {
-      taken += spec->second.m_adapterMegabytes * aCount;
-    }
-  };
-  for (const auto& [name, held] : aEngine.m_held) {
-    addModel(name);
-    addAdapters(name, held.m_adapters.size());
-  }
-  for (const ModelTarget& adapter : aEngine.m_loadingAdapters) {
-    addAdapters(adapter.m_model, 1);
-  }
-  if (aEngine.m_change) {
-    addModel(aEngine.m_change->m_item.m_target.m_model);
-  }
-  return taken;
+  const auto found = m_engines.find(aRecord.m_id);
+  const bool isRead =
+    found != m_engines.end() && found->second.m_sequence.has_value();
+  return isRead ? found->second.m_contents : EngineContents(aRecord.m_models);
 }
 
 bool EngineOrders::HasRoom(const EngineRecord& aRecord,
@@ -158,36 +133,8 @@
     return true;
   }
   const EngineSpec* spec = m_specs(aRecord.m_pool);
-  if (spec == nullptr) {
-    return false;
-  }
-  const auto model = spec->m_models.find(aItem.m_target.m_model);
-  if (model == spec->m_models.end()) {
-    return false;
-  }
-  const bool isAdapter = !aItem.m_target.m_adapter.empty();
-  const uint64_t needed =
-    isAdapter ? model->second.m_adapterMegabytes : model->second.m_megabytes;
-  if (TakenMegabytes(*spec, aEngine) + needed > spec->m_weightMegabytes) {
-    return false;
-  }
-  if (!isAdapter) {
-    return true;
-  }
-  return aEngine.m_held.contains(aItem.m_target.m_model) &&
-         AdapterCount(aEngine) < spec->m_adapterPlaces;
-}
-
-bool EngineOrders::HoldsAlready(const Engine& aEngine, const Item& aItem)
-{
-  const auto model = aEngine.m_held.find(aItem.m_target.m_model);
-  bool isHeld = model != aEngine.m_held.end();
-  if (!aItem.m_target.m_adapter.empty()) {
-    isHeld =
-      isHeld && model->second.m_adapters.contains(aItem.m_target.m_adapter);
-  }
-  isHeld = isHeld || aEngine.m_loadingAdapters.contains(aItem.m_target);
-  return isHeld == (aItem.m_kind == EngineOrderKind::Load);
+  return spec != nullptr &&
+         aEngine.m_contents.Fits(*spec, aItem.m_target, ChangingModel(aEngine));
 }
 
 bool EngineOrders::IsToBeAnnounced(const EngineRecord& aRecord,
@@ -220,7 +167,7 @@
     }
     const auto& sent = found->second.m_sent;
     queued += sent && sent->m_kind == EngineOrderKind::Load ? 1 : 0;
-    queued += found->second.m_loadingAdapters.size();
+    queued += found->second.m_contents.LoadingCount();
   }
   return AdaptersOf(aRecord).size() + queued < spec->m_adapterPlaces;
 }
@@ -250,16 +197,8 @@
 std::set<ModelTarget> EngineOrders::AdaptersOf(
   const EngineRecord& aRecord) const
 {
+  std::set<ModelTarget> adapters = ContentsOf(aRecord).Adapters();
   const auto found = m_engines.find(aRecord.m_id);
-  const bool isRead =
-    found != m_engines.end() && found->second.m_sequence.has_value();
-  const auto& models = isRead ? found->second.m_held : aRecord.m_models;
-  std::set<ModelTarget> adapters;
-  for (const auto& [name, held] : models) {
-    for (const std::string& adapter : held.m_adapters) {
-      adapters.insert({ name, adapter });
-    }
-  }
   if (found != m_engines.end()) {
     const auto drop = [&](const Item& aItem) {
       if (aItem.m_kind == EngineOrderKind::Unload) {
@@ -314,13 +253,10 @@
     return 0;
   }
   const auto found = m_engines.find(aRecord.m_id);
-  const bool isRead =
-    found != m_engines.end() && found->second.m_sequence.has_value();
-  Engine fromDirectory;
-  fromDirectory.m_held = aRecord.m_models;
-  const Engine& engine = isRead ? found->second : fromDirectory;
+  const std::string changing =
+    found == m_engines.end() ? "" : ChangingModel(found->second);
   return static_cast<int64_t>(spec->m_weightMegabytes) -
-         static_cast<int64_t>(TakenMegabytes(*spec, engine));
+         static_cast<int64_t>(ContentsOf(aRecord).Megabytes(*spec, changing));
 }
 
 void EngineOrders::Tick()
@@ -354,10 +290,13 @@
     return now - aItem.m_queuedAt >
            (isAdapter ? kAdapterQueueLimit : kModelQueueLimit);
   };
-  while (!engine.m_queue.empty() && hasExpired(engine.m_queue.front())) {
+  if (!engine.m_queue.empty() && hasExpired(engine.m_queue.front())) {
     const Done done = std::move(engine.m_queue.front().m_done);
     engine.m_queue.pop_front();
+    // It may queue another order or end with the engine forgotten.
     done(false);
+    Pump(aId);
+    return;
   }
   const bool mayOrder =
     now >= m_quietUntil && now >= engine.m_announcedUntil && m_mayOrder();
@@ -375,7 +314,8 @@
   }
   Item item = std::move(engine.m_queue.front());
   engine.m_queue.pop_front();
-  if (HoldsAlready(engine, item)) {
+  const bool isLoad = item.m_kind == EngineOrderKind::Load;
+  if (engine.m_contents.Has(item.m_target) == isLoad) {
     // Another order brought it about since this one was queued. The engine
     // would not count it, and the sequence known here would be wrong.
     item.m_done(true);
@@ -452,12 +392,12 @@
     return;
   }
   engine.m_sequence = aReport->m_sequence;
-  engine.m_held = aReport->m_models;
-  engine.m_loadingAdapters = aReport->m_loadingAdapters;
+  engine.m_contents =
+    EngineContents(aReport->m_models, aReport->m_loadingAdapters);
   m_parts.m_directory.ApplyModels(aId, aReport->m_models, now);
   if (engine.m_change) {
     const Item& item = engine.m_change->m_item;
-    const bool isHeld = engine.m_held.contains(item.m_target.m_model);
+    const bool isHeld = engine.m_contents.Has(item.m_target);
     const bool isWanted = item.m_kind == EngineOrderKind::Load;
     if (isHeld == isWanted && !aReport->m_isBusy) {
       Item done = std::move(engine.m_change->m_item);
@@ -511,10 +451,7 @@
       item.m_kind == EngineOrderKind::Unload) {
     // An adapter that nothing uses goes at once, which counts as an order.
     ++*engine.m_sequence;
-    auto model = engine.m_held.find(item.m_target.m_model);
-    if (model != engine.m_held.end()) {
-      model->second.m_adapters.erase(item.m_target.m_adapter);
-    }
+    engine.m_contents.DropAdapter(item.m_target);
     m_parts.m_directory.NoteHeld(aId, item.m_target, false, now);
     item.m_done(true);
     Pump(aId);
@@ -581,14 +518,16 @@
     return;
   }
   if (!isLoad) {
-    // Still in use; the place is free once a report says so.
+    // Still in use: the place is free, and the engine takes other orders,
+    // only once its calls have ended.
+    aEngine.m_silentUntil = now + kSilence;
     m_parts.m_directory.NoteHeld(aId, aItem.m_target, false, now);
     aEngine.m_sequence.reset();
     aEngine.m_readAt = now + kReportLag;
     aItem.m_done(true);
     return;
   }
-  aEngine.m_loadingAdapters.insert(aItem.m_target);
+  aEngine.m_contents.BeginAdapter(aItem.m_target);
   auto item = std::make_shared<Item>(std::move(aItem));
   auto timer = std::make_shared<std::unique_ptr<Timer>>();
   *timer = m_parts.m_timers.After(
@@ -611,12 +550,7 @@
     aItem.m_done(false);
     return;
   }
-  Engine& engine = found->second;
-  engine.m_loadingAdapters.erase(aItem.m_target);
-  const auto model = engine.m_held.find(aItem.m_target.m_model);
-  if (model != engine.m_held.end()) {
-    model->second.m_adapters.insert(aItem.m_target.m_adapter);
-  }
+  found->second.m_contents.EndAdapter(aItem.m_target);
   m_parts.m_directory.NoteHeld(
     aId, aItem.m_target, true, m_parts.m_clock.Now());
   aItem.m_done(true);
--- a/fleet/engine_orders.h
+++ b/fleet/engine_orders.h
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "core/timers.h"
+#include "fleet/engine_contents.h"
 #include "fleet/engine_control.h"
 #include "fleet/engine_directory.h"
 #include "routes/route_config.h"
@@ -106,8 +107,8 @@
   {
     /// Orders accepted so far; empty until a report told.
     std::optional<uint64_t> m_sequence;
-    std::map<std::string, HeldModel, std::less<>> m_held;
-    std::set<ModelTarget> m_loadingAdapters;
+    /// As of the sequence; what the directory says until there is one.
+    EngineContents m_contents;
     std::deque<Item> m_queue;
     std::optional<Item> m_sent;
     std::optional<ModelChange> m_change;
@@ -127,8 +128,6 @@
   void HandleAccepted(const UpstreamId& aId, Engine& aEngine, Item aItem);
   void FinishAdapter(const UpstreamId& aId, const Item& aItem);
   void CheckChange(const UpstreamId& aId, Engine& aEngine);
-  [[nodiscard]] static bool HoldsAlready(const Engine& aEngine,
-                                         const Item& aItem);
   [[nodiscard]] static bool IsToBeAnnounced(const EngineRecord& aRecord,
                                             const Item& aItem);
   [[nodiscard]] bool MayLoadWeights(const EngineRecord& aRecord,
@@ -136,9 +135,8 @@
   [[nodiscard]] bool HasRoom(const EngineRecord& aRecord,
                              const Engine& aEngine,
                              const Item& aItem) const;
-  [[nodiscard]] static size_t AdapterCount(const Engine& aEngine);
-  [[nodiscard]] static uint64_t TakenMegabytes(const EngineSpec& aSpec,
-                                               const Engine& aEngine);
+  [[nodiscard]] EngineContents ContentsOf(const EngineRecord& aRecord) const;
+  [[nodiscard]] static std::string ChangingModel(const Engine& aEngine);
   void FailAll(Engine& aEngine);
   [[nodiscard]] static std::string Describe(const UpstreamId& aId,
                                             const Item& aItem);
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -261,15 +261,23 @@
   const EngineRecord& aRecord,
   uint32_t aSkip) const
 {
-  std::vector<std::pair<double, ModelTarget>> victims;
+  struct Victim
+  {
+    double m_calls;
+    double m_rate;
+    ModelTarget m_target;
+    auto operator<=>(const Victim&) const = default;
+  };
+  std::vector<Victim> victims;
   for (const ModelTarget& adapter : m_orders.AdaptersOf(aRecord)) {
-    victims.emplace_back(m_demand.Rate({ aKey.m_pool, adapter }), adapter);
+    const DemandTracker::Key key{ aKey.m_pool, adapter };
+    victims.push_back({ m_demand.Calls(key), m_demand.Rate(key), adapter });
   }
   if (aSkip >= victims.size()) {
     return std::nullopt;
   }
   std::sort(victims.begin(), victims.end());
-  return victims[aSkip].second;
+  return victims[aSkip].m_target;
 }
 
 void FleetOwner::LoadInto(const DemandTracker::Key& aKey,
@@ -298,6 +306,10 @@
                   EngineOrderKind::Unload,
                   *victim,
                   [this, aKey, aEngine, aDropsLeft, aDone](bool /*aIsDone*/) {
+                    if (!m_orders.IsResponsive(aEngine)) {
+                      aDone(false);
+                      return;
+                    }
                     LoadInto(aKey, aEngine, aDropsLeft - 1, aDone);
                   });
 }
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -87,8 +87,8 @@
     const DemandTracker::Key& aKey,
     const FailureDomainId& aDomain,
     const UpstreamId& aNotThis) const;
-  /// Loads an adapter once there is a place for it, dropping others that
-  /// nothing uses, the least asked for first.
+  /// Loads an adapter once there is a place for it, dropping others, those
+  /// with the fewest calls in progress first and then the least asked for.
   void LoadInto(const DemandTracker::Key& aKey,
                 const UpstreamId& aEngine,
                 uint32_t aDropsLeft,
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -169,7 +169,7 @@
   m_isRejected = false;
   m_body.clear();
   ++m_sends;
-  NoteAttempt(aState, now);
+  m_trail.Begin(aState, now);
   m_unreadPrompt = PromptWork();
   m_isTelling =
     aState.m_record.m_domain == m_context.m_domain &&
@@ -224,11 +224,9 @@
   m_context.m_table.NotePromptDone(m_upstream, m_unreadPrompt);
   m_context.m_demand.NoteRunning(m_parts.m_pool, m_parts.m_facts.m_target, -1);
   m_unreadPrompt = Duration::zero();
-  static constexpr const char* kOutcomes[] = {
-    "answered", "rejected", "failed", "cancelled"
-  };
-  NoteOutcome(kOutcomes[static_cast<size_t>(aEnd)]);
-  m_context.m_table.NoteEnd(m_upstream, aEnd, m_context.m_clock.Now());
+  const TimePoint now = m_context.m_clock.Now();
+  m_trail.End(aEnd, now);
+  m_context.m_table.NoteEnd(m_upstream, aEnd, now);
   m_upstream = UpstreamId();
   m_attempt.reset();
 }
@@ -493,25 +491,6 @@
   Finish(m_status);
 }
 
-void GatewayCall::NoteAttempt(const EngineState& aState, TimePoint aNow)
-{
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aNow - aState.m_readingAt);
-  const bool hasReading = aState.m_readingAt != TimePoint();
-  m_attempts += (m_attempts.empty() ? "" : " ") + aState.m_record.m_id.Value() +
-                " load:" + std::to_string(aState.EstimatedLoad(aNow)) + "/" +
-                std::to_string(aState.m_record.m_slots) + " reading_ms:" +
-                (hasReading ? std::to_string(age.count()) : "none");
-}
-
-void GatewayCall::NoteOutcome(const char* aOutcome)
-{
-  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-    m_context.m_clock.Now() - m_attemptStartedAt);
-  m_attempts +=
-    " " + std::string(aOutcome) + ":" + std::to_string(took.count()) + "ms;";
-}
-
 void GatewayCall::LogEnd(EventId aEvent,
                          int aStatus,
                          const std::string& aReason)
@@ -527,7 +506,7 @@
       " model=" + m_parts.m_facts.m_target.m_model +
       " adapter=" + m_parts.m_facts.m_target.m_adapter + " status=" +
       std::to_string(aStatus) + " age_ms=" + std::to_string(age.count()) +
-      " attempts=\"" + m_attempts + "\" reason=\"" + aReason + "\"");
+      " attempts=\"" + m_trail.Text() + "\" reason=\"" + aReason + "\"");
 }
 
 void GatewayCall::Finish(int aStatus)
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/attempt_trail.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_context.h"
 
@@ -82,8 +83,6 @@
   void Finish(int aStatus);
   /// Writes one line with the attempts and what decided them.
   void LogEnd(EventId aEvent, int aStatus, const std::string& aReason);
-  void NoteAttempt(const EngineState& aState, TimePoint aNow);
-  void NoteOutcome(const char* aOutcome);
 
   GatewayContext& m_context;
   Parts m_parts;
@@ -105,9 +104,7 @@
   bool m_isRejected = false;
   bool m_isFinished = false;
   int m_status = 0;
-  /// Attempts so far for the log: engine, estimated load, age of the reading
-  /// that the estimate rests on, and outcome.
-  std::string m_attempts;
+  AttemptTrail m_trail;
   HttpHeaders m_headers;
   AnswerFacts m_answer;
   std::string m_body;
--- /dev/null
+++ b/tests/fleet/engine_contents_test.cpp
@@ -0,0 +1,54 @@
+#include <gtest/gtest.h>
+
+#include "fleet/engine_contents.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+EngineSpec MakeSpec()
+{
+  EngineSpec spec;
+  spec.m_weightMegabytes = 210;
+  spec.m_adapterPlaces = 2;
+  for (const char* name : { "m1", "m2", "m3" }) {
+    ModelSpec model;
+    model.m_name = name;
+    model.m_megabytes = 100;
+    model.m_adapterMegabytes = 4;
+    spec.m_models[name] = model;
+  }
+  return spec;
+}
+
+} // namespace
+
+TEST(EngineContentsTest, CountsModelsAdaptersAndTheModelThatChanges)
+{
+  EngineContents contents({ { "m1", HeldModel{ 1, { "a1" } } } },
+                          { { "m1", "a2" } });
+  EXPECT_EQ(contents.Megabytes(MakeSpec(), ""), 108U);
+  EXPECT_EQ(contents.Megabytes(MakeSpec(), "m2"), 208U);
+  // A held model that is being unloaded is counted once.
+  EXPECT_EQ(contents.Megabytes(MakeSpec(), "m1"), 108U);
+  EXPECT_FALSE(contents.Fits(MakeSpec(), { "m3", "" }, "m2"));
+  EXPECT_TRUE(contents.Fits(MakeSpec(), { "m3", "" }, ""));
+}
+
+TEST(EngineContentsTest, AdaptersOnTheirWayTakePlaces)
+{
+  EngineContents contents({ { "m1", HeldModel{ 1, {} } } });
+  EXPECT_TRUE(contents.Fits(MakeSpec(), { "m1", "a1" }, ""));
+  EXPECT_FALSE(contents.Fits(MakeSpec(), { "m2", "a1" }, ""));
+  contents.BeginAdapter({ "m1", "a1" });
+  contents.BeginAdapter({ "m1", "a2" });
+  EXPECT_TRUE(contents.Has({ "m1", "a1" }));
+  EXPECT_FALSE(contents.Fits(MakeSpec(), { "m1", "a3" }, ""));
+  contents.EndAdapter({ "m1", "a1" });
+  EXPECT_FALSE(contents.Fits(MakeSpec(), { "m1", "a3" }, ""));
+  contents.DropAdapter({ "m1", "a1" });
+  EXPECT_FALSE(contents.Has({ "m1", "a1" }));
+  EXPECT_TRUE(contents.Fits(MakeSpec(), { "m1", "a3" }, ""));
+}
+
+} // namespace celeryspread::test
--- a/tests/fleet/engine_orders_test.cpp
+++ b/tests/fleet/engine_orders_test.cpp
@@ -182,6 +182,22 @@
   EXPECT_EQ(m_control.m_orders.size(), 1U);
 }
 
+TEST_F(EngineOrdersTest, UnloadThatWaitsForCallsMakesTheEngineUnresponsive)
+{
+  m_control.m_report.m_models["m1"].m_adapters = { "a1" };
+  m_directory.NoteHeld(m_engine, { "m1", "a1" }, true, m_world.Now());
+  Submit(EngineOrderKind::Unload, { "m1", "a1" });
+  ASSERT_EQ(m_control.m_orders.size(), 1U);
+  EXPECT_TRUE(m_orders.IsResponsive(m_engine));
+  m_control.m_reply(OrderReply::Accepted);
+  EXPECT_FALSE(m_orders.IsResponsive(m_engine));
+  // An adapter that is asked for there is given up before its client is late.
+  m_control.m_report.m_isBusy = true;
+  Submit(EngineOrderKind::Load, { "m1", "a2" });
+  Wait(600);
+  EXPECT_EQ(m_results, (std::vector<bool>{ true, false }));
+}
+
 TEST_F(EngineOrdersTest, AnnouncesAnUnloadBeforeItSendsIt)
 {
   Submit(EngineOrderKind::Unload, { "m1", "" });
@@ -241,6 +257,9 @@
   record.m_isLeaving = false;
   directory.ApplyList({ record }, now);
   EXPECT_TRUE(directory.Find(UpstreamId("e"))->m_isLeaving);
+  directory.ApplyList({}, now);
+  directory.ApplyList({ record }, now);
+  EXPECT_TRUE(directory.Find(UpstreamId("e"))->m_isLeaving);
   record.m_startedAt = 5;
   const auto news = directory.ApplyList({ record }, now);
   EXPECT_FALSE(directory.Find(UpstreamId("e"))->m_isLeaving);
