--- a/tests/entry/connections_test.cpp
+++ b/tests/entry/connections_test.cpp
@@ -77,4 +77,23 @@
   EXPECT_TRUE(busy.Has("t39 "));
 }
 
+TEST_F(ConnectionTest, AnnouncedDrainClosesAConnectionBehindItsStream)
+{
+  RawClient client(m_loop, m_server->Port());
+  client.Send(Chat("tokens=20 interval_ms=5", true));
+  ASSERT_TRUE(m_loop.RunUntil([&] { return client.Has("data:"); }));
+  // The headers went out before; they could not tell the caller.
+  m_server->AnnounceDrain();
+  ASSERT_TRUE(m_loop.RunUntil([&] { return client.Has("[DONE]"); }));
+  client.Send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_TRUE(m_loop.RunUntil([&] { return client.IsClosed(); }));
+  const std::string& received = client.Received();
+  EXPECT_EQ(received.find("HTTP/1.1 200"), received.rfind("HTTP/1.1 200"));
+  // New connections are still served.
+  RawClient late(m_loop, m_server->Port());
+  late.Send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_TRUE(m_loop.RunUntil([&] { return IsWhole(late); }));
+  EXPECT_EQ(late.Status(), 200);
+}
+
 } // namespace celeryspread::test
