--- a/bench/state.py
+++ b/bench/state.py
@@ -28,6 +28,13 @@
     )
 
 
+def accepted_revision(answer):
+    """Revision that an accepted change made; a refusal ends the benchmark."""
+    if answer.status != 200:
+        raise RuntimeError(f"the change was refused: {answer.status} {answer.body!r}")
+    return answer.json()["revision"]
+
+
 def wire_bytes(entry):
     page = ask(entry.port, "GET", "/metrics").body.decode()
     for line in page.splitlines():
@@ -66,7 +73,7 @@
         answer = change(deployment, revision, i)
         latencies.append(time.monotonic() - sent)
         report.promise("every change was accepted", answer.status == 200)
-        revision = answer.json()["revision"]
+        revision = accepted_revision(answer)
         if i % 10 == 0:
             deployment.wait_for_revision(revision)
             spread.append(time.monotonic() - sent)
@@ -116,7 +123,8 @@
     index = 0
     while time.monotonic() - start < seconds:
         if changes_per_second > 0 and (time.monotonic() - start) * changes_per_second > index:
-            revision = change(deployment, revision, 100_000 + revision).json()["revision"]
+            answer = change(deployment, revision, 100_000 + revision)
+            revision = accepted_revision(answer)
             index += 1
         time.sleep(0.05)
     passed = time.monotonic() - start
