--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -1,10 +1,12 @@
 #include "ctl/commands.h"
 
+#include <fstream>
 #include <iostream>
 #include <random>
 
 #include "core/json_text.h"
 #include "core/key_hash.h"
+#include "ctl/request_trace.h"
 #include "http/http_status.h"
 #include "main/exit_code.h"
 #include "settings/instance_settings.h"
@@ -71,6 +73,10 @@
     { "hash-key",
       "hash-key: read a key from standard input, print its hash",
       &CtlCommands::HashKeyCommand },
+    { "trace-request",
+      "trace-request ID LOG...: show what the logs of several instances say "
+      "of one request",
+      &CtlCommands::TraceRequest },
   };
   return kRows;
 }
@@ -381,4 +387,32 @@
   return ExitCode::Success;
 }
 
+int CtlCommands::TraceRequest()
+{
+  constexpr size_t kFirstLog = 2;
+  if (Word(1).empty() || Word(kFirstLog).empty()) {
+    return Fail(ExitCode::BadUsage, "trace-request needs an id and log files");
+  }
+  RequestTrace trace(Word(1));
+  for (size_t i = kFirstLog; i < m_arguments.m_words.size(); ++i) {
+    std::ifstream log(Word(i));
+    if (!log) {
+      return Fail(ExitCode::BadUsage, Word(i) + " is not readable");
+    }
+    trace.Read(log);
+  }
+  if (trace.Skipped() > 0) {
+    m_errors << "celeryspreadctl: " << trace.Skipped()
+             << " lines are no log lines and were skipped\n";
+  }
+  const auto lines = trace.Lines();
+  if (lines.empty()) {
+    return Fail(ExitCode::Failure, "no line names request " + Word(1));
+  }
+  for (const auto& line : lines) {
+    m_out << line.dump() << "\n";
+  }
+  return ExitCode::Success;
+}
+
 } // namespace celeryspread
--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -61,6 +61,7 @@
   int Claims();
   int Settle();
   int HashKeyCommand();
+  int TraceRequest();
   std::optional<nlohmann::json> Fetch(const std::string& aPath);
   std::optional<nlohmann::json> ReadPatch();
   int SendChange(const nlohmann::json& aPatch);
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -285,6 +285,9 @@
     Break("the resumed stream began at another event");
     return;
   }
+  if (!events.empty()) {
+    m_trail.NoteEvents(m_context.m_clock.Now());
+  }
   m_parts.m_caller->SendChunk(events);
   if (m_attempt != nullptr &&
       m_parts.m_caller->PendingBytes() > kMaxPendingBytes) {
