--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -291,10 +291,13 @@
            (isAdapter ? kAdapterQueueLimit : kModelQueueLimit);
   };
   if (!engine.m_queue.empty() && hasExpired(engine.m_queue.front())) {
-    const Done done = std::move(engine.m_queue.front().m_done);
+    const Item expired = std::move(engine.m_queue.front());
     engine.m_queue.pop_front();
+    m_parts.m_log.Write(EventId::PlacementRefused,
+                        Describe(aId, expired) +
+                          " reason=\"waited too long for the engine\"");
     // It may queue another order or end with the engine forgotten.
-    done(false);
+    expired.m_done(false);
     Pump(aId);
     return;
   }
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -4,16 +4,26 @@
 #include <limits>
 #include <optional>
 
+#include "fleet/model_shares.h"
+
 namespace celeryspread {
 
 namespace {
 
 /// A load from the store takes seconds, one from a disk a fraction of one.
-constexpr double kStorePenalty = 1.08;
+constexpr double kStoreFactor = 0.9;
 /// A second copy in a domain saves no call the way to another one.
-constexpr double kSameDomainPenalty = 1.04;
+constexpr double kSameDomainFactor = 0.95;
+/// An unload takes some time, and the copy may be missed later.
+constexpr double kIdleVictimFactor = 0.9;
+/// It waits for the calls in progress, about as long as a load takes.
+constexpr double kBusyVictimFactor = 0.5;
+/// Load of a copy above which it surely has calls in progress.
+constexpr double kBusyVictimShare = 0.03;
+/// Models looked at for another copy, those with the most to gain first.
+constexpr size_t kModelsTried = 12;
 
-/// Working copy of the engines while a plan is made.
+/// Working copy of the placement while a plan is made.
 class Draft
 {
 public:
@@ -21,86 +31,86 @@
         std::vector<PlannedEngine> aEngines,
         const std::map<std::string, double>& aLoads,
         PlanLimits aLimits)
-    : m_spec(aSpec)
-    , m_engines(std::move(aEngines))
-    , m_loads(aLoads)
+    : m_engines(std::move(aEngines))
     , m_limits(aLimits)
+    , m_shares(aSpec.m_models.size(), m_engines.size())
   {
-    std::erase_if(m_engines, [](const PlannedEngine& aEngine) {
-      return aEngine.m_isLeaving;
-    });
-    for (const PlannedEngine& engine : m_engines) {
-      for (const std::string& model : engine.m_models) {
-        ++m_copies[model];
+    for (const auto& [name, spec] : aSpec.m_models) {
+      m_models.push_back({ name, static_cast<int64_t>(spec.m_megabytes) });
+    }
+    std::map<std::string, size_t> indexes;
+    for (size_t i = 0; i < m_models.size(); ++i) {
+      indexes[m_models[i].m_name] = i;
+    }
+    m_held.resize(m_engines.size());
+    for (size_t engine = 0; engine < m_engines.size(); ++engine) {
+      for (const std::string& name : m_engines[engine].m_models) {
+        const auto found = indexes.find(name);
+        if (found != indexes.end() && !m_engines[engine].m_isLeaving) {
+          m_held[engine].push_back(found->second);
+          m_shares.AddCopy(found->second, engine);
+        }
       }
     }
-    for (const auto& [model, copies] : m_copies) {
-      m_loads[model] += ModelPlanner::kPriorLoad * static_cast<double>(copies);
+    for (size_t i = 0; i < m_models.size(); ++i) {
+      const auto load = aLoads.find(m_models[i].m_name);
+      m_shares.SetLoad(i,
+                       ModelPlanner::kPriorLoad *
+                           static_cast<double>(m_shares.Copies(i)) +
+                         (load == aLoads.end() ? 0 : load->second));
     }
-  }
-
-  [[nodiscard]] double Demand(const std::string& aModel) const
-  {
-    const auto found = m_loads.find(aModel);
-    return found == m_loads.end() ? 0 : found->second;
+    m_shares.Settle();
   }
 
   /// Places every model that no engine holds, the busiest first.
   void PlaceMissing()
   {
-    std::vector<std::string> missing;
-    for (const auto& [name, spec] : m_spec.m_models) {
-      if (Copies(name) == 0) {
-        missing.push_back(name);
+    std::vector<size_t> missing;
+    for (size_t i = 0; i < m_models.size(); ++i) {
+      if (m_shares.Copies(i) == 0) {
+        missing.push_back(i);
       }
     }
-    std::stable_sort(missing.begin(),
-                     missing.end(),
-                     [&](const std::string& aLeft, const std::string& aRight) {
-                       return Demand(aLeft) > Demand(aRight);
-                     });
-    for (const std::string& model : missing) {
-      const auto choice = BestPlace(model);
-      if (choice) {
-        Commit(*choice, model);
+    std::stable_sort(
+      missing.begin(), missing.end(), [&](size_t aLeft, size_t aRight) {
+        return m_shares.Load(aLeft) > m_shares.Load(aRight);
+      });
+    for (const size_t model : missing) {
+      if (const auto choice = BestPlace(model)) {
+        Commit(*choice);
       }
     }
   }
 
-  /// Relieves the most loaded engine. @return false when nothing helps.
+  /// Adds the copy that helps most. @return false when none is worth it.
   bool Balance()
   {
-    std::vector<PlannedEngine*> byLoad;
-    for (PlannedEngine& engine : m_engines) {
-      byLoad.push_back(&engine);
+    std::vector<size_t> models;
+    for (size_t i = 0; i < m_models.size(); ++i) {
+      if (m_shares.Copies(i) > 0 &&
+          m_shares.Level(i) >= ModelPlanner::kMinLoad) {
+        models.push_back(i);
+      }
     }
-    std::sort(byLoad.begin(), byLoad.end(), [&](auto* aLeft, auto* aRight) {
-      return Load(*aLeft) > Load(*aRight);
+    const auto pressure = [&](size_t aModel) {
+      return m_shares.Level(aModel) * std::min(1.0, m_shares.Load(aModel));
+    };
+    std::sort(models.begin(), models.end(), [&](size_t aLeft, size_t aRight) {
+      return pressure(aLeft) > pressure(aRight);
     });
-    // The most loaded engines may hold nothing that can be shared further.
-    constexpr size_t kEnginesTried = 4;
-    for (size_t i = 0; i < std::min(kEnginesTried, byLoad.size()); ++i) {
-      const double load = Load(*byLoad[i]);
-      if (load < ModelPlanner::kMinLoad) {
-        return false;
-      }
-      const auto model = std::max_element(
-        byLoad[i]->m_models.begin(),
-        byLoad[i]->m_models.end(),
-        [&](const std::string& aLeft, const std::string& aRight) {
-          return Share(aLeft) < Share(aRight);
-        });
-      if (model == byLoad[i]->m_models.end()) {
-        continue;
-      }
-      const std::string name = *model;
-      const auto choice = BestPlace(name);
-      if (choice && choice->m_load < load * ModelPlanner::kWorthwhile) {
-        Commit(*choice, name);
-        return true;
+    models.resize(std::min(models.size(), kModelsTried));
+    std::optional<Choice> best;
+    for (const size_t model : models) {
+      const auto choice = BestPlace(model);
+      if (choice && (!best || choice->m_gain > best->m_gain)) {
+        best = choice;
       }
     }
-    return false;
+    if (!best || best->m_gain < ModelPlanner::kMinGain) {
+      return false;
+    }
+    Commit(*best);
+    return true;
   }
 
   [[nodiscard]] std::vector<ModelMove> TakeMoves()
@@ -109,144 +119,148 @@
   }
 
 private:
+  struct Model
+  {
+    std::string m_name;
+    int64_t m_megabytes;
+  };
   struct Choice
   {
-    PlannedEngine* m_engine = nullptr;
-    std::string m_victim;
-    /// Largest load of an engine that the exchange touches.
-    double m_load = std::numeric_limits<double>::infinity();
+    size_t m_model = 0;
+    size_t m_engine = 0;
+    std::optional<size_t> m_victim;
+    double m_gain = -std::numeric_limits<double>::infinity();
     bool m_isFromStore = false;
   };
 
-  [[nodiscard]] size_t Copies(const std::string& aModel) const
-  {
-    const auto found = m_copies.find(aModel);
-    return found == m_copies.end() ? 0 : found->second;
-  }
-
-  /// Load at each copy of a model.
-  [[nodiscard]] double Share(const std::string& aModel) const
-  {
-    return Demand(aModel) /
-           static_cast<double>(std::max<size_t>(1, Copies(aModel)));
-  }
-
-  [[nodiscard]] double Load(const PlannedEngine& aEngine) const
+  /// Failure domains in which a model is held.
+  [[nodiscard]] std::set<FailureDomainId> DomainsOf(size_t aModel) const
   {
-    double load = 0;
-    for (const std::string& model : aEngine.m_models) {
-      load += Share(model);
+    std::set<FailureDomainId> domains;
+    for (size_t i = 0; i < m_engines.size(); ++i) {
+      if (Holds(i, aModel)) {
+        domains.insert(m_engines[i].m_domain);
+      }
     }
-    return load;
-  }
-
-  [[nodiscard]] static bool Holds(const PlannedEngine& aEngine,
-                                  const std::string& aModel)
-  {
-    const auto& models = aEngine.m_models;
-    return std::find(models.begin(), models.end(), aModel) != models.end();
+    return domains;
   }
 
-  [[nodiscard]] bool IsInDomain(const std::string& aModel,
-                                const FailureDomainId& aDomain) const
+  [[nodiscard]] bool Holds(size_t aEngine, size_t aModel) const
   {
-    return std::any_of(
-      m_engines.begin(), m_engines.end(), [&](const PlannedEngine& aEngine) {
-        return aEngine.m_domain == aDomain && Holds(aEngine, aModel);
-      });
+    const auto& held = m_held[aEngine];
+    return std::find(held.begin(), held.end(), aModel) != held.end();
   }
 
-  /// Load of the busiest remaining holder of a model that loses one copy.
-  [[nodiscard]] double LoadWithout(const std::string& aModel,
-                                   const PlannedEngine& aLoser) const
+  /// Change of the sum of squared engine loads, by which one overloaded engine
+  /// counts for more than several that are half full.
+  [[nodiscard]] double Gain(const Choice& aChoice) const
   {
-    const double more =
-      Demand(aModel) / static_cast<double>(Copies(aModel) - 1) - Share(aModel);
-    double load = 0;
-    for (const PlannedEngine& engine : m_engines) {
-      if (&engine != &aLoser && Holds(engine, aModel)) {
-        load = std::max(load, Load(engine) + more);
-      }
+    double load = m_shares.EngineLoad(aChoice.m_engine);
+    double gain = 0;
+    if (aChoice.m_victim) {
+      const size_t victim = *aChoice.m_victim;
+      const double share = m_shares.Share(victim, aChoice.m_engine);
+      const double others =
+        static_cast<double>(std::max<size_t>(2, m_shares.Copies(victim)) - 1);
+      const double rest = load - share;
+      gain += load * load - rest * rest;
+      gain -= 2 * share * m_shares.LeastElsewhere(victim, aChoice.m_engine) +
+              share * share / others;
+      load = rest;
     }
-    return load;
+    const size_t copies = m_shares.UsedCopies(aChoice.m_model);
+    const double whole = m_shares.Load(aChoice.m_model);
+    if (copies == 0) {
+      return gain - 2 * load * whole - whole * whole;
+    }
+    const double level = m_shares.Level(aChoice.m_model);
+    const auto used = static_cast<double>(copies);
+    const double moved =
+      std::clamp((level - load) * used / (used + 1), 0.0, whole);
+    return gain + 2 * moved * (level - load) - moved * moved / used -
+           moved * moved;
   }
 
-  void Consider(PlannedEngine& aEngine,
-                const std::string& aVictim,
-                const std::string& aModel,
-                Choice& aBest) const
+  void Consider(Choice aChoice,
+                const std::set<FailureDomainId>& aDomains,
+                std::optional<Choice>& aBest) const
   {
-    const bool isFromStore = !aEngine.m_copies.contains(aModel);
-    if (isFromStore && m_limits.m_storeLoads == 0) {
+    const PlannedEngine& engine = m_engines[aChoice.m_engine];
+    aChoice.m_isFromStore =
+      !engine.m_copies.contains(m_models[aChoice.m_model].m_name);
+    if (aChoice.m_isFromStore && m_limits.m_storeLoads == 0) {
       return;
     }
-    const double gained =
-      Demand(aModel) / static_cast<double>(Copies(aModel) + 1);
-    double load = Load(aEngine) + gained;
-    if (!aVictim.empty()) {
-      load -= Share(aVictim);
-      load = std::max(load, LoadWithout(aVictim, aEngine));
+    double factor = aChoice.m_isFromStore ? kStoreFactor : 1;
+    if (aChoice.m_victim) {
+      const bool isBusy =
+        m_shares.Share(*aChoice.m_victim, aChoice.m_engine) > kBusyVictimShare;
+      factor *= isBusy ? kBusyVictimFactor : kIdleVictimFactor;
     }
-    load *= isFromStore ? kStorePenalty : 1;
-    load *= IsInDomain(aModel, aEngine.m_domain) ? kSameDomainPenalty : 1;
-    if (load < aBest.m_load) {
-      aBest = { &aEngine, aVictim, load, isFromStore };
+    factor *= aDomains.contains(engine.m_domain) ? kSameDomainFactor : 1;
+    const double gain = Gain(aChoice);
+    aChoice.m_gain = gain > 0 ? gain * factor : gain / factor;
+    if (!aBest || aChoice.m_gain > aBest->m_gain) {
+      aBest = aChoice;
     }
   }
 
-  std::optional<Choice> BestPlace(const std::string& aModel)
+  std::optional<Choice> BestPlace(size_t aModel) const
   {
-    const auto spec = m_spec.m_models.find(aModel);
-    if (spec == m_spec.m_models.end()) {
-      return std::nullopt;
-    }
-    const auto needed = static_cast<int64_t>(spec->second.m_megabytes);
-    Choice best;
-    for (PlannedEngine& engine : m_engines) {
-      if (engine.m_isBusy || Holds(engine, aModel)) {
+    std::optional<Choice> best;
+    const std::set<FailureDomainId> domains = DomainsOf(aModel);
+    for (size_t i = 0; i < m_engines.size(); ++i) {
+      const PlannedEngine& engine = m_engines[i];
+      if (engine.m_isBusy || engine.m_isLeaving || Holds(i, aModel)) {
         continue;
       }
+      Choice choice;
+      choice.m_model = aModel;
+      choice.m_engine = i;
+      const int64_t needed = m_models[aModel].m_megabytes;
       if (engine.m_freeMegabytes >= needed) {
-        Consider(engine, "", aModel, best);
+        Consider(choice, domains, best);
         continue;
       }
-      for (const std::string& victim : engine.m_models) {
-        const auto victimSpec = m_spec.m_models.find(victim);
-        const int64_t freed =
-          victimSpec == m_spec.m_models.end()
-            ? 0
-            : static_cast<int64_t>(victimSpec->second.m_megabytes);
-        const bool isEnough = engine.m_freeMegabytes + freed >= needed;
-        if (Copies(victim) >= 2 && isEnough) {
-          Consider(engine, victim, aModel, best);
+      for (const size_t victim : m_held[i]) {
+        const int64_t room =
+          engine.m_freeMegabytes + m_models[victim].m_megabytes;
+        if (m_shares.Copies(victim) >= 2 && room >= needed) {
+          choice.m_victim = victim;
+          Consider(choice, domains, best);
         }
       }
     }
-    return best.m_engine == nullptr ? std::nullopt
-                                    : std::optional<Choice>(best);
+    return best;
   }
 
-  void Commit(const Choice& aChoice, const std::string& aModel)
+  void Commit(const Choice& aChoice)
   {
-    PlannedEngine& engine = *aChoice.m_engine;
-    if (!aChoice.m_victim.empty()) {
-      m_moves.push_back({ engine.m_id, aChoice.m_victim, false, false });
-      --m_copies[aChoice.m_victim];
-      std::erase(engine.m_models, aChoice.m_victim);
+    PlannedEngine& engine = m_engines[aChoice.m_engine];
+    if (aChoice.m_victim) {
+      m_moves.push_back(
+        { engine.m_id, m_models[*aChoice.m_victim].m_name, false, false });
+      m_shares.DropCopy(*aChoice.m_victim, aChoice.m_engine);
+      std::erase(m_held[aChoice.m_engine], *aChoice.m_victim);
     }
-    m_moves.push_back({ engine.m_id, aModel, true, aChoice.m_isFromStore });
+    m_moves.push_back({ engine.m_id,
+                        m_models[aChoice.m_model].m_name,
+                        true,
+                        aChoice.m_isFromStore });
     m_limits.m_storeLoads -= aChoice.m_isFromStore ? 1 : 0;
-    ++m_copies[aModel];
-    engine.m_models.push_back(aModel);
+    m_shares.AddCopy(aChoice.m_model, aChoice.m_engine);
+    m_held[aChoice.m_engine].push_back(aChoice.m_model);
+    m_shares.Settle();
     // An engine carries out one exchange at a time.
     engine.m_isBusy = true;
   }
 
-  const EngineSpec& m_spec;
   std::vector<PlannedEngine> m_engines;
-  std::map<std::string, double> m_loads;
   PlanLimits m_limits;
-  std::map<std::string, size_t> m_copies;
+  ModelShares m_shares;
+  std::vector<Model> m_models;
+  /// Models that each engine holds.
+  std::vector<std::vector<size_t>> m_held;
   std::vector<ModelMove> m_moves;
 };
 
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -41,23 +41,25 @@
   /// Loads from the weight store that may begin now.
   size_t m_storeLoads = 0;
   /// Exchanges for balance; models without a copy are placed besides.
-  size_t m_exchanges = 2;
+  size_t m_exchanges = 3;
 };
 
 /// Decides which engines hold which models, so that every model has a copy
 /// and no engine gets much more of the calls than others.
 ///
 /// Pattern answered: demand that moves from some models to others while each
-/// engine can hold only a few. The most loaded engine is relieved by one more
-/// copy of its busiest model, in place of a model that others hold as well.
-/// The engine that takes the copy must stay a fifth below the one relieved, so
-/// that models with like demand do not trade places.
+/// engine can hold only a few. Of all copies that could be added, in free room
+/// or in place of a model that others hold as well, the one is taken that
+/// lowers the sum of squared engine loads most; loads are spread over the
+/// holders as entries do it (ModelShares). What gains little is left, so that
+/// models with like demand do not trade places.
 /// @thread any; no state.
 class ModelPlanner
 {
 public:
-  /// Most that an exchange may leave of the load it answers.
-  static constexpr double kWorthwhile = 0.7;
+  /// Least worth of an exchange, in squared engine loads: about two models
+  /// whose holders differ by a quarter of an engine.
+  static constexpr double kMinGain = 0.03;
   /// Share of an engine's slots in use below which nothing is moved for
   /// balance: with so few calls, prompts seldom hold up each other's streams.
   static constexpr double kMinLoad = 0.3;
--- a/tests/fleet/engine_orders_test.cpp
+++ b/tests/fleet/engine_orders_test.cpp
@@ -175,10 +175,12 @@
   Submit(EngineOrderKind::Load, { "m1", "a1" });
   EXPECT_TRUE(m_control.m_orders.empty());
   m_mayOrder = true;
-  m_orders.Begin(FencingToken(5), m_world.Now() + std::chrono::seconds(1));
+  m_orders.Begin(FencingToken(5),
+                 m_world.Now() + std::chrono::milliseconds(300));
   Submit(EngineOrderKind::Load, { "m1", "a1" });
+  Wait(250);
   EXPECT_TRUE(m_control.m_orders.empty());
-  Wait(1100);
+  Wait(100);
   EXPECT_EQ(m_control.m_orders.size(), 1U);
 }
 
--- a/tests/fleet/model_planner_test.cpp
+++ b/tests/fleet/model_planner_test.cpp
@@ -162,6 +162,37 @@
   EXPECT_EQ(lastMoves, 0U);
 }
 
+TEST(ModelPlannerTest, AddsACopyWhereAllHoldersAreFairlyLoaded)
+{
+  // Each of five holders is relieved by a sixth; none of them by 30 in 100.
+  const EngineSpec spec = MakeSpec(2);
+  std::vector<PlannedEngine> engines;
+  for (int i = 0; i < 5; ++i) {
+    engines.push_back(MakeEngine(std::to_string(i), { "m0" }));
+  }
+  engines.push_back(MakeEngine("idle", { "m1" }));
+  const auto moves = ModelPlanner::Plan(
+    spec, engines, { { "m0", 5 * 0.9 }, { "m1", 0.1 } }, StoreLoads(5));
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(moves[0].m_engine, UpstreamId("idle"));
+  EXPECT_EQ(moves[0].m_model, "m0");
+}
+
+TEST(ModelPlannerTest, PrefersFreeRoomToAnUnloadThatWaits)
+{
+  const EngineSpec spec = MakeSpec(3);
+  const std::vector<PlannedEngine> engines = {
+    MakeEngine("a", { "m0" }),
+    MakeEngine("b", { "m1", "m2" }),
+    MakeEngine("c", { "m1", "m2" }),
+    MakeEngine("free", { "m1" }),
+  };
+  const auto moves = ModelPlanner::Plan(
+    spec, engines, { { "m0", 1.2 }, { "m1", 0.6 } }, StoreLoads(1));
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(moves[0].m_engine, UpstreamId("free"));
+}
+
 TEST(StoreBudgetTest, KeepsEveryWindowWithinTheRate)
 {
   StoreBudget budget;
