--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -11,8 +11,10 @@
 
 /// Deadlines are kept this exactly; clients allow half a second.
 constexpr Duration kDeadlinePeriod = std::chrono::milliseconds(50);
-/// A fresh instance has its configuration after about this time.
-constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(300);
+/// When everything was restarted, a leader is there and entries follow it after
+/// about this time (docs/design/heavy-days.md). A client that came back sooner
+/// would be refused again, and is late in either case.
+constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(1200);
 
 } // namespace
 
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -15,8 +15,10 @@
 constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(400);
 /// Time in which a missing model or adapter is usually loaded.
 constexpr Duration kMissingRetryAfter = std::chrono::milliseconds(1200);
-/// Queues that are too long now are usually gone after this.
-constexpr Duration kQueueRetryAfter = std::chrono::milliseconds(1000);
+/// Queues that are too long now last until another copy of the model is loaded,
+/// which takes about three seconds; clients cut longer times to a third of what
+/// they have left.
+constexpr Duration kQueueRetryAfter = std::chrono::milliseconds(2500);
 /// Engines with less than this part of their slots taken queue nothing.
 constexpr uint32_t kShortQueueDivisor = 3;
 /// Bytes that may wait for a slow client before the upstream is paused.
