--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -124,6 +124,7 @@
       return aLeft->m_millis < aRight->m_millis;
     });
   std::vector<ordered_json> lines;
+  lines.reserve(chosen.size());
   for (const Line* line : chosen) {
     lines.push_back(line->m_json);
   }
