--- a/gateway/engine_selector.cpp
+++ b/gateway/engine_selector.cpp
@@ -14,6 +14,10 @@
 constexpr Duration kFullBatchCost = std::chrono::milliseconds(500);
 /// Time for a full batch to turn over, the wait of a call behind it.
 constexpr Duration kBatchTime = std::chrono::milliseconds(1000);
+/// A prompt more pauses every stream of an engine that reads others already;
+/// weights from trials, see docs/design/heavy-days.md.
+constexpr int64_t kGapWeight = 4;
+constexpr int64_t kUnreadWeight = 2;
 /// Larger than any wait, so that doubtful upstreams come last.
 constexpr Duration kDoubtCost = std::chrono::seconds(30);
 /// Time until an adapter is loaded on request, a round trip to its owner
@@ -65,6 +69,8 @@
   const uint32_t slots = std::max<uint32_t>(1, aState.m_record.m_slots);
   Duration cost = kFullBatchCost * load / slots;
   cost += ExpectedWait(aState, aNow);
+  cost += kGapWeight * aState.EventGap(aNow);
+  cost += kUnreadWeight * aState.m_unreadPrompts;
   cost += DistanceCost(aState.m_record.m_domain);
   if (aNow < aState.m_avoidUntil || aState.IsSilent(aNow)) {
     cost += kDoubtCost;
--- a/gateway/engine_selector.h
+++ b/gateway/engine_selector.h
@@ -33,7 +33,13 @@
   std::set<UpstreamId> m_tried;
 };
 
-/// Chooses the upstream where a call is expected to start first.
+/// Chooses the upstream where a call is expected to start first and to hold up
+/// others least.
+///
+/// Pattern answered: prompts of several entries that meet at one engine pause
+/// all its streams. What other entries send shows in the time between events
+/// of own streams, so an engine whose events slow down is left alone for a
+/// moment.
 /// @thread loop thread only.
 class EngineSelector
 {
--- a/gateway/engine_table.cpp
+++ b/gateway/engine_table.cpp
@@ -1,6 +1,7 @@
 #include "gateway/engine_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace celeryspread {
 
@@ -10,6 +11,10 @@
 constexpr Duration kReadingLife = std::chrono::seconds(2);
 /// Busy engines emit tokens every few tens of milliseconds.
 constexpr Duration kSilence = std::chrono::milliseconds(700);
+/// A burst of prompts is read within this, and its gaps say no more then.
+constexpr Duration kGapMemory = std::chrono::milliseconds(400);
+/// Each event counts for a quarter, so that a burst shows after few events.
+constexpr int64_t kGapSmoothing = 4;
 /// Failures in a row after which an upstream is avoided.
 constexpr uint32_t kFailuresToAvoid = 3;
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
@@ -27,6 +32,17 @@
   return static_cast<uint32_t>(std::max<int64_t>(corrected, m_outstanding));
 }
 
+Duration EngineState::EventGap(TimePoint aNow) const
+{
+  const auto age = static_cast<double>((aNow - m_eventGapAt).count());
+  const double left = std::exp(-age / static_cast<double>(kGapMemory.count()));
+  const Duration gap(
+    static_cast<int64_t>(left * static_cast<double>(m_eventGap.count())));
+  const Duration silence =
+    m_outstanding > 0 ? aNow - m_lastHeard : Duration::zero();
+  return std::max(gap, silence);
+}
+
 bool EngineState::IsSilent(TimePoint aNow) const
 {
   return m_outstanding > 0 && aNow - m_lastHeard > kSilence;
@@ -121,6 +137,17 @@
   }
 }
 
+void EngineTable::NoteEventGap(const UpstreamId& aId,
+                               Duration aGap,
+                               TimePoint aNow)
+{
+  EngineState* state = FindMutable(aId);
+  if (state != nullptr) {
+    state->m_eventGap += (aGap - state->m_eventGap) / kGapSmoothing;
+    state->m_eventGapAt = aNow;
+  }
+}
+
 void EngineTable::NoteLoad(const UpstreamId& aId,
                            const LoadReading& aReading,
                            TimePoint aNow)
--- a/gateway/engine_table.h
+++ b/gateway/engine_table.h
@@ -40,6 +40,14 @@
   uint32_t m_consecutiveFailures = 0;
   TimePoint m_avoidUntil;
 
+  /// Smoothed time between events of own streams, as of m_eventGapAt.
+  Duration m_eventGap{};
+  TimePoint m_eventGapAt;
+
+  /// Estimates the time between events of streams there now. Prompts of all
+  /// entries stretch it, also those that this entry can't know of. @pre none.
+  /// @thread loop.
+  [[nodiscard]] Duration EventGap(TimePoint aNow) const;
   /// Estimates calls that run or wait there now. @pre none. @thread loop.
   [[nodiscard]] uint32_t EstimatedLoad(TimePoint aNow) const;
   /// Tells whether calls are in progress and nothing is heard of any.
@@ -68,6 +76,8 @@
   void NotePromptDone(const UpstreamId& aId, Duration aPrompt);
   /// Notes bytes from an upstream. @pre none.
   void NoteHeard(const UpstreamId& aId, TimePoint aNow);
+  /// Notes the time between two events of a stream. @pre none.
+  void NoteEventGap(const UpstreamId& aId, Duration aGap, TimePoint aNow);
   /// Takes the load that an answer told. @pre none.
   void NoteLoad(const UpstreamId& aId,
                 const LoadReading& aReading,
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -171,6 +171,7 @@
   m_isRejected = false;
   m_body.clear();
   ++m_sends;
+  m_lastEventAt.reset();
   m_trail.Begin(aState, now);
   m_unreadPrompt = PromptWork();
   m_isTelling =
@@ -218,6 +219,16 @@
   m_isTelling = false;
 }
 
+void GatewayCall::NoteEvents()
+{
+  const TimePoint now = m_context.m_clock.Now();
+  if (m_lastEventAt) {
+    m_context.m_table.NoteEventGap(m_upstream, now - *m_lastEventAt, now);
+  }
+  m_lastEventAt = now;
+  m_trail.NoteEvents(now);
+}
+
 void GatewayCall::CloseAttempt(AttemptEnd aEnd)
 {
   if (m_upstream.IsEmpty()) {
@@ -288,7 +299,7 @@
     return;
   }
   if (!events.empty()) {
-    m_trail.NoteEvents(m_context.m_clock.Now());
+    NoteEvents();
   }
   m_parts.m_caller->SendChunk(events);
   if (m_attempt != nullptr &&
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -68,6 +68,7 @@
   [[nodiscard]] bool IsHopeless(const EngineState& aState,
                                 TimePoint aNow) const;
   void NoteFirstEvent(TimePoint aNow);
+  void NoteEvents();
   [[nodiscard]] Duration PromptWork() const;
   /// Time since the client's first attempt, as far as its patience shows.
   [[nodiscard]] Duration Age(TimePoint aNow) const;
@@ -104,6 +105,8 @@
   bool m_isRejected = false;
   bool m_isFinished = false;
   int m_status = 0;
+  /// Last events of the attempt's stream.
+  std::optional<TimePoint> m_lastEventAt;
   AttemptTrail m_trail;
   HttpHeaders m_headers;
   AnswerFacts m_answer;
--- a/tests/gateway/engine_selector_test.cpp
+++ b/tests/gateway/engine_selector_test.cpp
@@ -38,6 +38,35 @@
   EXPECT_EQ(Choose({ "m", "" }), "remote");
 }
 
+TEST_F(EngineSelectorTest, LeavesAnEngineAloneWhileItsEventsAreSlow)
+{
+  const UpstreamId near("near");
+  m_table.Update(MakeEngine("near", "here", "m"));
+  m_table.Update(MakeEngine("remote", "far", "m"));
+  for (int i = 0; i < 8; ++i) {
+    m_table.NoteEventGap(near, std::chrono::milliseconds(20), m_now);
+  }
+  EXPECT_EQ(Choose({ "m", "" }), "near");
+  // Prompts of other entries, which no count here tells of.
+  for (int i = 0; i < 3; ++i) {
+    m_table.NoteEventGap(near, std::chrono::milliseconds(250), m_now);
+  }
+  EXPECT_EQ(Choose({ "m", "" }), "remote");
+  m_now += std::chrono::seconds(2);
+  EXPECT_EQ(Choose({ "m", "" }), "near");
+}
+
+TEST_F(EngineSelectorTest, SpreadsPromptsThatAreNotReadYet)
+{
+  const Duration prompt = std::chrono::milliseconds(40);
+  for (const char* name : { "reading", "generating" }) {
+    m_table.Update(MakeEngine(name, "here", "m"));
+    m_table.NoteStart(UpstreamId(name), prompt, m_now);
+  }
+  m_table.NotePromptDone(UpstreamId("generating"), prompt);
+  EXPECT_EQ(Choose({ "m", "" }), "generating");
+}
+
 TEST_F(EngineSelectorTest, LeavesOutUpstreamsThatLeaveOrWereTried)
 {
   EngineRecord leaving = MakeEngine("leaving", "here", "m");
