--- a/control/placement_runner.cpp
+++ b/control/placement_runner.cpp
@@ -1,8 +1,10 @@
 #include "control/placement_runner.h"
-#include "http/http_status.h"
 
 #include <nlohmann/json.hpp>
 
+#include "http/http_status.h"
+#include "placement/problem_lines.h"
+
 namespace celeryspread {
 
 namespace {
@@ -80,7 +82,7 @@
   void OnUpstreamFailed(const UpstreamFailure& aFailure) override
   {
     // Without an answer the order may still take effect in its life.
-    LogFailure("reason=" + aFailure.m_reason);
+    LogFailure("reason=\"" + aFailure.m_reason + "\"");
     m_isOver = true;
   }
   [[nodiscard]] bool IsOver() const { return m_isOver; }
@@ -90,7 +92,7 @@
   {
     m_runner.m_parts.m_log.Write(EventId::OrderFailed,
                                  "engine=" + m_order.m_engine.Value() +
-                                   " name=" + m_order.m_name + " " + aDetail);
+                                   " target=" + m_order.m_name + " " + aDetail);
   }
 
   PlacementRunner& m_runner;
@@ -180,7 +182,7 @@
   m_parts.m_log.Write(EventId::OrderSent,
                       std::string("order=") + VerbOf(aOrder.m_kind) +
                         " engine=" + aOrder.m_engine.Value() +
-                        " name=" + aOrder.m_name);
+                        " target=" + aOrder.m_name);
   auto call = std::make_unique<OrderCall>(*this, aOrder);
   call->Start({ engine.m_address, engine.m_port });
   m_calls[aOrder.m_id] = std::move(call);
@@ -192,10 +194,8 @@
     return;
   }
   m_loggedProblems = m_owner.Problems();
-  for (const PlacementProblem& problem : m_loggedProblems) {
-    m_parts.m_log.Write(EventId::PlacementRefused,
-                        "name=" + problem.m_name +
-                          " reason=" + problem.m_reason);
+  for (const std::string& line : ProblemLines(m_loggedProblems)) {
+    m_parts.m_log.Write(EventId::PlacementRefused, line);
   }
 }
 
--- a/placement/placement_owner.cpp
+++ b/placement/placement_owner.cpp
@@ -268,7 +268,8 @@
 {
   for (auto& [id, engine] : m_engines) {
     const MemoryLedger& ledger = engine.m_ledger;
-    if (!ledger.IsKnown() || ledger.Contents().contains(aItem.m_name)) {
+    if (!ledger.IsKnown() || ledger.Contents().contains(aItem.m_name) ||
+        m_exhausted.contains(id)) {
       continue;
     }
     for (const auto& [name, residency] : ledger.Contents()) {
@@ -280,6 +281,7 @@
         return true;
       }
     }
+    m_exhausted.insert(id);
   }
   return false;
 }
@@ -329,6 +331,7 @@
 {
   std::vector<PlacementOrder> orders;
   m_problems.clear();
+  m_exhausted.clear();
   if (!m_isOwner || m_goal == nullptr || aNow < m_quietUntil) {
     return orders;
   }
--- a/placement/placement_owner.h
+++ b/placement/placement_owner.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,9 @@
   std::map<UpstreamId, Engine> m_engines;
   LoadBudget m_budget;
   std::vector<PlacementProblem> m_problems;
+  /// Engines found to have nothing to evict in the decision being made. What
+  /// is placed meanwhile only adds to what must stay.
+  std::set<UpstreamId> m_exhausted;
   FencingToken m_token;
   OrderId m_nextOrder;
   TimePoint m_quietUntil;
