--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -183,6 +183,9 @@
     // A copy on its way counts, or each plan would order another one.
     for (const std::string& name : m_orders.ModelsAfterOrders(record)) {
       engine.m_models.push_back(name);
+      if (record.m_models.contains(name)) {
+        engine.m_served.insert(name);
+      }
     }
     engines.push_back(std::move(engine));
   }
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -34,6 +34,7 @@
     : m_engines(std::move(aEngines))
     , m_limits(aLimits)
     , m_shares(aSpec.m_models.size(), m_engines.size())
+    , m_servedCopies(aSpec.m_models.size())
   {
     for (const auto& [name, spec] : aSpec.m_models) {
       m_models.push_back({ name, static_cast<int64_t>(spec.m_megabytes) });
@@ -49,6 +50,8 @@
         if (found != indexes.end() && !m_engines[engine].m_isLeaving) {
           m_held[engine].push_back(found->second);
           m_shares.AddCopy(found->second, engine);
+          m_servedCopies[found->second] +=
+            Serves(engine, found->second) ? 1 : 0;
         }
       }
     }
@@ -145,6 +148,18 @@
     return domains;
   }
 
+  [[nodiscard]] bool Serves(size_t aEngine, size_t aModel) const
+  {
+    return m_engines[aEngine].m_served.contains(m_models[aModel].m_name);
+  }
+
+  /// Tells whether another engine serves a model now and keeps it.
+  [[nodiscard]] bool IsServedElsewhere(size_t aModel, size_t aEngine) const
+  {
+    const size_t own = Serves(aEngine, aModel) ? 1 : 0;
+    return m_servedCopies[aModel] > own;
+  }
+
   [[nodiscard]] bool Holds(size_t aEngine, size_t aModel) const
   {
     const auto& held = m_held[aEngine];
@@ -225,7 +240,7 @@
       for (const size_t victim : m_held[i]) {
         const int64_t room =
           engine.m_freeMegabytes + m_models[victim].m_megabytes;
-        if (m_shares.Copies(victim) >= 2 && room >= needed) {
+        if (IsServedElsewhere(victim, i) && room >= needed) {
           choice.m_victim = victim;
           Consider(choice, domains, best);
         }
@@ -240,6 +255,8 @@
     if (aChoice.m_victim) {
       m_moves.push_back(
         { engine.m_id, m_models[*aChoice.m_victim].m_name, false, false });
+      m_servedCopies[*aChoice.m_victim] -=
+        Serves(aChoice.m_engine, *aChoice.m_victim) ? 1 : 0;
       m_shares.DropCopy(*aChoice.m_victim, aChoice.m_engine);
       std::erase(m_held[aChoice.m_engine], *aChoice.m_victim);
     }
@@ -259,6 +276,8 @@
   PlanLimits m_limits;
   ModelShares m_shares;
   std::vector<Model> m_models;
+  /// Engines that serve each model now and keep it.
+  std::vector<size_t> m_servedCopies;
   /// Models that each engine holds.
   std::vector<std::vector<size_t>> m_held;
   std::vector<ModelMove> m_moves;
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -16,7 +16,10 @@
 {
   UpstreamId m_id;
   FailureDomainId m_domain;
+  /// Models that it holds once all orders are carried out.
   std::vector<std::string> m_models;
+  /// Those of them that it serves already.
+  std::set<std::string> m_served;
   /// Models whose weights it loads from its own memory or disk.
   std::set<std::string> m_copies;
   int64_t m_freeMegabytes = 0;
--- a/fleet/model_shares.h
+++ b/fleet/model_shares.h
@@ -7,8 +7,8 @@
 
 /// Predicts how the load of models spreads over the engines that hold them.
 ///
-/// Entries send a call to the least loaded holder, so the load of a model fills
-/// its holders up to a common level, like water. Loads are in engines' slots.
+/// Entries send a call to the least loaded holder, so the load of a model
+/// raises its holders to a common level. Loads are in engines' slots.
 /// @thread any; no shared state.
 class ModelShares
 {
--- a/tests/fleet/model_planner_test.cpp
+++ b/tests/fleet/model_planner_test.cpp
@@ -29,6 +29,7 @@
   engine.m_id = UpstreamId(aId);
   engine.m_domain = FailureDomainId("d" + aId);
   engine.m_freeMegabytes = 200 - 100 * static_cast<int64_t>(aModels.size());
+  engine.m_served = { aModels.begin(), aModels.end() };
   engine.m_models = std::move(aModels);
   return engine;
 }
@@ -53,8 +54,10 @@
       }
       if (move.m_isLoad) {
         engine.m_models.push_back(move.m_model);
+        engine.m_served.insert(move.m_model);
       } else {
         std::erase(engine.m_models, move.m_model);
+        engine.m_served.erase(move.m_model);
       }
     }
     engine.m_freeMegabytes =
@@ -141,6 +144,25 @@
   }
 }
 
+TEST(ModelPlannerTest, KeepsTheOnlyCopyThatServesWhileAnotherIsOnItsWay)
+{
+  const EngineSpec spec = MakeSpec(3);
+  std::vector<PlannedEngine> engines = { MakeEngine("a", { "m0" }),
+                                         MakeEngine("b", { "m1", "m2" }),
+                                         MakeEngine("c", { "m1", "m2" }) };
+  engines[0].m_freeMegabytes = 0;
+  engines[1].m_isBusy = true;
+  engines[1].m_served.clear();
+  EXPECT_TRUE(
+    ModelPlanner::Plan(spec, engines, { { "m0", 1.2 } }, StoreLoads(5))
+      .empty());
+  engines[1].m_served.insert("m2");
+  const auto moves =
+    ModelPlanner::Plan(spec, engines, { { "m0", 1.2 } }, StoreLoads(5));
+  ASSERT_EQ(moves.size(), 2U);
+  EXPECT_EQ(moves[0].m_model, "m2");
+}
+
 TEST(ModelPlannerTest, SettlesUnderSteadyDemand)
 {
   const EngineSpec spec = MakeSpec(4);
