Settings: bounds of the platform may have fractions

Every entry ended at once with code 3. The window in milliseconds was made by appending "000" to the platform's seconds, which breaks for 2.5 as well, and a decimal number was accepted with a tail ("0.5x").

Change: ObjectReader reads numbers with or without a fraction; windows are set in seconds. Decimal text must be a whole finite number.

Result: a test renders both templates with fractions in every bound; it and the one for tails failed before.

--- a/settings/node_settings.cpp
+++ b/settings/node_settings.cpp
@@ -1,6 +1,7 @@
 #include "settings/node_settings.h"
 
 #include <charconv>
+#include <cmath>
 
 #include "core/json_text.h"
 #include "settings/object_reader.h"
@@ -10,18 +11,15 @@
 namespace {
 
 constexpr int64_t kMaxPort = 65'535;
-constexpr int64_t kMaxMilliseconds = 3'600'000;
-constexpr int64_t kMaxCount = 1'000'000;
+constexpr double kMaxSeconds = 3600;
+constexpr double kMillisecondsPerSecond = 1000;
+constexpr double kMicrosPerSecond = 1e6;
+constexpr double kMaxCount = 1e6;
 constexpr int64_t kMaxToleratedLosses = 10;
 
-Duration Milliseconds(int64_t aCount)
-{
-  return std::chrono::milliseconds(aCount);
-}
-
 /// Reads the kinds of fields that ObjectReader doesn't have: addresses,
-/// durations in milliseconds, and decimal numbers, which are written as
-/// strings.
+/// durations, and decimal numbers that are written as strings. The platform's
+/// numbers may have a fraction even where whole numbers are usual.
 class FieldReader
 {
 public:
@@ -53,7 +51,9 @@
     double value = 0;
     const auto result =
       std::from_chars(text.data(), text.data() + text.size(), value);
-    if (result.ec != std::errc() || value < 0) {
+    const bool isWhole = result.ptr == text.data() + text.size();
+    if (result.ec != std::errc() || !isWhole ||
+        !(value >= 0 && std::isfinite(value))) {
       m_errors.push_back(
         { "/" + std::string(aKey), text, "a number of 0 or more, as text" });
       return aDefault;
@@ -63,12 +63,28 @@
 
   Duration DurationFromMs(std::string_view aKey, Duration aDefault)
   {
-    constexpr int64_t kMicrosPerMillisecond = 1000;
-    return Milliseconds(m_reader.Integer(
-      aKey, 0, kMaxMilliseconds, aDefault.count() / kMicrosPerMillisecond));
+    return ReadDuration(aKey, kMillisecondsPerSecond, aDefault);
+  }
+
+  Duration DurationFromSeconds(std::string_view aKey, Duration aDefault)
+  {
+    return ReadDuration(aKey, 1, aDefault);
   }
 
 private:
+  Duration ReadDuration(std::string_view aKey,
+                        double aUnitsPerSecond,
+                        Duration aDefault)
+  {
+    const double microsPerUnit = kMicrosPerSecond / aUnitsPerSecond;
+    const double units =
+      m_reader.Number(aKey,
+                      0,
+                      kMaxSeconds * aUnitsPerSecond,
+                      static_cast<double>(aDefault.count()) / microsPerUnit);
+    return Duration(std::llround(units * microsPerUnit));
+  }
+
   ObjectReader& m_reader;
   std::vector<SettingsError>& m_errors;
 };
@@ -125,15 +141,15 @@
   settings.m_retryRatio =
     fields.DecimalNumber("retry_ratio", settings.m_retryRatio);
   settings.m_retrySlack = static_cast<uint32_t>(
-    reader.Integer("retry_slack", 0, kMaxCount, settings.m_retrySlack));
+    reader.Number("retry_slack", 0, kMaxCount, settings.m_retrySlack));
   settings.m_retryWindow =
-    fields.DurationFromMs("retry_window_ms", settings.m_retryWindow);
+    fields.DurationFromSeconds("retry_window_s", settings.m_retryWindow);
   settings.m_ownerLease =
     fields.DurationFromMs("owner_lease_ms", settings.m_ownerLease);
   settings.m_enginesCheckFencing =
     reader.Boolean("engines_check_fencing", false);
   settings.m_storeWindow =
-    fields.DurationFromMs("store_window_ms", settings.m_storeWindow);
+    fields.DurationFromSeconds("store_window_s", settings.m_storeWindow);
   for (const std::string& seed : reader.StringList("seeds")) {
     const auto address = ParseAddress(seed);
     if (!address) {
--- a/settings/object_reader.cpp
+++ b/settings/object_reader.cpp
@@ -112,6 +112,27 @@
   return value->get<int64_t>();
 }
 
+double ObjectReader::Number(std::string_view aKey,
+                            double aMinimum,
+                            double aMaximum,
+                            double aDefault)
+{
+  const nlohmann::json* value = FindField(aKey);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  const bool isValid = value->is_number() && value->get<double>() >= aMinimum &&
+                       value->get<double>() <= aMaximum;
+  if (!isValid) {
+    AddError(aKey,
+             *value,
+             "a number from " + nlohmann::json(aMinimum).dump() + " to " +
+               nlohmann::json(aMaximum).dump());
+    return aDefault;
+  }
+  return value->get<double>();
+}
+
 bool ObjectReader::Boolean(std::string_view aKey, bool aDefault)
 {
   const nlohmann::json* value = FindField(aKey);
--- a/settings/object_reader.h
+++ b/settings/object_reader.h
@@ -39,6 +39,12 @@
                   int64_t aMinimum,
                   int64_t aMaximum,
                   int64_t aDefault);
+  /// Reads a number with or without a fraction. @pre aMinimum <= aMaximum.
+  /// @return aDefault when absent, of another type or out of range.
+  double Number(std::string_view aKey,
+                double aMinimum,
+                double aMaximum,
+                double aDefault);
   /// Reads a boolean. @pre none.
   /// @return aDefault when absent or of another type.
   bool Boolean(std::string_view aKey, bool aDefault);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -1,9 +1,13 @@
+#include <map>
+#include <regex>
+
 #include <gtest/gtest.h>
 
 #include "core/random_source.h"
 #include "platform/call_codec.h"
 #include "platform/engine_client.h"
 #include "platform/route_document.h"
+#include "settings/instance_settings.h"
 #include "settings/node_settings.h"
 #include "tests/support/gateway_fakes.h"
 
@@ -59,6 +63,28 @@
   return all;
 }
 
+/// Renders a settings template as the platform does, with its own fields.
+std::string RenderTemplate(const std::string& aFile,
+                           const std::map<std::string, std::string>& aFields)
+{
+  const auto text =
+    ReadWholeFile(std::string(CELERYSPREAD_SOURCE_DIR) + "/deploy/" + aFile);
+  EXPECT_TRUE(text) << aFile;
+  static const std::regex kPlaceholder(R"(\{\{([A-Za-z.0-9]+)(\|json)?\}\})");
+  std::string rendered;
+  std::sregex_iterator at(text->begin(), text->end(), kPlaceholder);
+  auto end = text->cbegin();
+  for (; at != std::sregex_iterator(); ++at) {
+    rendered.append(end, (*at)[0].first);
+    const auto field = aFields.find((*at)[1]);
+    EXPECT_NE(field, aFields.end()) << (*at)[1];
+    rendered += field == aFields.end() ? "" : field->second;
+    end = (*at)[0].second;
+  }
+  rendered.append(end, text->cend());
+  return rendered;
+}
+
 } // namespace
 
 TEST(RouteDocumentTest, ReadsEveryField)
@@ -278,4 +304,66 @@
   EXPECT_EQ(reader.Errors()[0].m_path, "/seeds");
 }
 
+/// A deployment that is played at a smaller size has fractions in bounds that
+/// are whole numbers elsewhere. Every process ended at once with a settings
+/// error.
+TEST(NodeSettingsTest, TemplatesAcceptFractionsInEveryBound)
+{
+  const std::map<std::string, std::string> fields = {
+    { "NodeName", R"("core-a-1")" },
+    { "Zone", R"("z")" },
+    { "Zones", R"({"z":"r"})" },
+    { "Ip", R"("10.1.0.30")" },
+    { "PortRange.0", "7380" },
+    { "Seeds", R"(["10.1.0.33:8144"])" },
+    { "Listen.ControlPlane", R"("10.1.0.30:8144")" },
+    { "Listen.Frontend", R"("10.1.0.30:8149")" },
+    { "Listen.Ready", R"("10.1.0.30:8141")" },
+    { "Bootstrap", "true" },
+    { "DataDir", R"("/data")" },
+    { "FaultTolerance.Machines", "2" },
+    { "CloudApi.Address", R"("10.200.0.100:8142")" },
+    { "CloudApi.RatePerS", "44.25" },
+    { "Bounds.Fencing", "true" },
+    { "Bounds.LeaseMs", "3000.5" },
+    { "Bounds.CeilingWindowS", "5.25" },
+    { "Bounds.RetryRatio", "0.125" },
+    { "Bounds.RetrySlack", "33.05263157894737" },
+    { "Bounds.RetryWindowS", "9.5" },
+  };
+  NodeSettingsReader reader;
+  for (const char* file : { "entry.json.tmpl", "control.json.tmpl" }) {
+    // Addresses appear inside a string as well.
+    std::string text = RenderTemplate(file, fields);
+    const std::string inner = R"(""10.1.0.30":9464")";
+    const size_t at = text.find(inner);
+    ASSERT_NE(at, std::string::npos) << text;
+    text.replace(at, inner.size(), R"("10.1.0.30:9464")");
+    const auto settings = reader.Parse(text);
+    ASSERT_TRUE(settings) << reader.Errors().front().Text();
+    if (settings->m_operatorAddress.m_port == 0) {
+      EXPECT_EQ(settings->m_retryRatio, 0.125);
+      EXPECT_EQ(settings->m_retrySlack, 33U);
+      EXPECT_EQ(settings->m_retryWindow, std::chrono::milliseconds(9500));
+    } else {
+      EXPECT_EQ(settings->m_engineListCallsPerSecond, 44.25);
+      EXPECT_EQ(settings->m_ownerLease, std::chrono::microseconds(3'000'500));
+      EXPECT_EQ(settings->m_storeWindow, std::chrono::milliseconds(5250));
+    }
+  }
+}
+
+TEST(NodeSettingsTest, RejectsNumbersWithATailOrWithoutABound)
+{
+  for (const char* number :
+       { R"("0.5x")", R"("nan")", R"("inf")", R"("-1")" }) {
+    NodeSettingsReader reader;
+    EXPECT_FALSE(
+      reader.Parse(std::string(R"({"instance":"c1","failure_domain":"z",
+        "address":"10.0.0.1","wire_port":7380,"retry_ratio":)") +
+                   number + "}"))
+      << number;
+  }
+}
+
 } // namespace celeryspread::test
