Control: a removed replica is replaced within its process

Cause: a control instance whose replica was removed while it was unreachable discarded its identity and ended with code 0, to join anew at its next start. A second replica in one process could not lock the data folder, because the lock's descriptor was never closed.

Change: ControlProcess builds another replica on the emptied folder; peers are the seeds as read again and the voters that the old replica knew. The lock belongs to PosixFileSystem. SIGHUP is ignored in between.

--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -52,10 +52,10 @@
 public:
   Impl(InstanceSettings aSettings,
        ControlStart aStart,
-       std::optional<FleetPlatform> aPlatform)
+       const FleetPlatform* aPlatform)
     : m_settings(std::move(aSettings))
     , m_start(aStart)
-    , m_platform(std::move(aPlatform))
+    , m_platform(aPlatform)
     , m_base(event_base_new())
     , m_port(m_base.get())
     , m_random(std::random_device()())
@@ -73,9 +73,10 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  int Run()
+  /// Returns the exit code; empty when this replica was removed from the
+  /// replica set and its identity was discarded.
+  std::optional<int> Run()
   {
-    signal(SIGPIPE, SIG_IGN);
     m_log.Write(EventId::Started,
                 std::string("version=") + CELERYSPREAD_VERSION);
     const auto key = m_settings.m_clusterKey.empty()
@@ -97,11 +98,35 @@
     Serve();
     m_log.Write(EventId::Stopped, "");
     if (m_isRemoved) {
-      return ExitCode::Success;
+      return std::nullopt;
     }
     return m_host->IsFailed() ? ExitCode::CannotUseDisk : ExitCode::Success;
   }
 
+  /// Returns the settings for the replica that takes this one's place. Peers
+  /// that the old replica knew are kept, as the seeds may all have been
+  /// replaced.
+  InstanceSettings SuccessorSettings()
+  {
+    if (m_platform != nullptr) {
+      Reload();
+    }
+    InstanceSettings settings = m_settings;
+    for (const auto& [id, address] : m_host->Replica().Replicas().m_voters) {
+      const bool isListed =
+        std::any_of(settings.m_control.begin(),
+                    settings.m_control.end(),
+                    [&](const PeerAddress& aPeer) {
+                      return aPeer.m_instance == address.m_instance;
+                    });
+      if (!isListed) {
+        settings.m_control.push_back(
+          { address.m_instance, address.m_address, address.m_port });
+      }
+    }
+    return settings;
+  }
+
   void OnCall(std::unique_ptr<CallerCall> aCall) override
   {
     constexpr int kOk = 200;
@@ -202,7 +227,7 @@
       m_port, m_clock, *m_host, *m_peers, *m_admin, m_instances);
     m_service = service.get();
     m_host->SetRevisionListener([this] { m_service->NotifyRevision(); });
-    if (m_platform) {
+    if (m_platform != nullptr) {
       AssembleFleet();
     }
     m_node = kj::mv(service);
@@ -304,7 +329,7 @@
 
   void Reload()
   {
-    if (!m_platform) {
+    if (m_platform == nullptr) {
       return;
     }
     const auto peers = m_platform->m_reloadPeers();
@@ -334,10 +359,13 @@
     return ownVoters == 1 && replicas.m_voters.contains(m_store.Identity());
   }
 
-  /// Discards an identity that was removed from the replica set and ends the
-  /// process; the next start joins as another replica.
+  /// Discards an identity that was removed from the replica set and leaves the
+  /// event loop, so that another replica takes its place in this process.
   void DiscardIdentity()
   {
+    if (m_isRemoved) {
+      return;
+    }
     m_log.Write(
       EventId::ReplicaRemoved,
       "replica=" + m_store.Identity().Value() +
@@ -403,7 +431,7 @@
 
   InstanceSettings m_settings;
   ControlStart m_start;
-  std::optional<FleetPlatform> m_platform;
+  const FleetPlatform* m_platform;
   EventBasePointer m_base;
   EventLoopPort m_port;
   SystemClock m_clock;
@@ -436,16 +464,16 @@
 };
 
 ControlProcess::ControlProcess(InstanceSettings aSettings, ControlStart aStart)
-  : m_impl(std::make_unique<Impl>(std::move(aSettings), aStart, std::nullopt))
+  : m_impl(std::make_unique<Impl>(std::move(aSettings), aStart, nullptr))
 {
 }
 
 ControlProcess::ControlProcess(InstanceSettings aSettings,
                                ControlStart aStart,
                                FleetPlatform aPlatform)
-  : m_impl(std::make_unique<Impl>(std::move(aSettings),
-                                  aStart,
-                                  std::move(aPlatform)))
+  : m_platform(std::make_unique<FleetPlatform>(std::move(aPlatform)))
+  , m_impl(
+      std::make_unique<Impl>(std::move(aSettings), aStart, m_platform.get()))
 {
 }
 
@@ -453,7 +481,21 @@
 
 int ControlProcess::Run()
 {
-  return m_impl->Run();
+  signal(SIGPIPE, SIG_IGN);
+  // Ignored while one replica takes the place of another; the settings are read
+  // again then.
+  signal(SIGHUP, SIG_IGN);
+  while (true) {
+    const std::optional<int> code = m_impl->Run();
+    if (code) {
+      return *code;
+    }
+    InstanceSettings settings = m_impl->SuccessorSettings();
+    // The successor needs the ports and the lock on the data folder.
+    m_impl.reset();
+    m_impl = std::make_unique<Impl>(
+      std::move(settings), ControlStart::Join, m_platform.get());
+  }
 }
 
 } // namespace celeryspread
--- a/control/control_process.h
+++ b/control/control_process.h
@@ -55,12 +55,16 @@
   ControlProcess(const ControlProcess&) = delete;
   ControlProcess& operator=(const ControlProcess&) = delete;
 
-  /// Serves until SIGTERM or SIGINT.
+  /// Serves until SIGTERM or SIGINT. A replica that was removed from the
+  /// replica set while it was unreachable discards its identity, and another
+  /// one joins in its place within the same process.
   /// @pre called once. @return exit code, see docs/OPERATING.md.
   int Run();
 
 private:
   class Impl;
+  /// Null without engine management.
+  std::unique_ptr<FleetPlatform> m_platform;
   std::unique_ptr<Impl> m_impl;
 };
 
--- a/scripts/check_runs.py
+++ b/scripts/check_runs.py
@@ -230,7 +230,7 @@
             worker.join()
         deployment.wait_for_leader()
         executions = check_outcomes(deployment, history)
-        if deployment.admin("GET", "/admin/tree").json()["revision"] != 1:
+        if deployment.read_tree()["revision"] != 1:
             history.add_problem("the accepted revision was lost")
         codes = deployment.stop()
         for name, code in codes.items():
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -216,6 +216,18 @@
             name, ["celeryspread-control", "--settings", path, "--bootstrap"], self.folder
         )
 
+    def replacement_for(self, control):
+        """Returns another process for a control instance, with an empty disk and
+        ports of its own."""
+        settings_path = os.path.join(self.folder, control.name + ".json")
+        with open(settings_path) as source:
+            settings = json.load(source)
+        name = control.name + "-replacement"
+        settings["wire_port"] = free_port()
+        settings["data_folder"] = os.path.join(self.folder, "data-" + name)
+        path = self._write(name, settings)
+        return Process(name, ["celeryspread-control", "--settings", path], self.folder)
+
     def _entry(self, index):
         name = f"entry-{index + 1}"
         path = self._write(
@@ -262,6 +274,19 @@
     def admin(self, method, path, body=None, entry=0):
         return ask(self.entries[entry].port, method, path, body, self.operator_key)
 
+    def read_tree(self):
+        """Returns the settings tree as the first entry reads it. The entry answers
+        503 for a moment after the leader has changed."""
+        answer = None
+
+        def is_read():
+            nonlocal answer
+            answer = self.admin("GET", "/admin/tree")
+            return answer.status == 200
+
+        wait_until(is_read, what="the settings tree")
+        return answer.json()
+
     def ctl(self, *words):
         """Runs celeryspreadctl against the first entry."""
         environment = dict(os.environ, CELERYSPREAD_KEY=self.operator_key)
--- a/storage/posix_file_system.cpp
+++ b/storage/posix_file_system.cpp
@@ -54,6 +54,13 @@
 
 } // namespace
 
+PosixFileSystem::~PosixFileSystem()
+{
+  if (m_lockFd >= 0) {
+    close(m_lockFd);
+  }
+}
+
 std::string PosixFileSystem::PathOf(const std::string& aName) const
 {
   return m_folder + "/" + aName;
@@ -64,10 +71,9 @@
   if (mkdir(m_folder.c_str(), kFolderMode) != 0 && errno != EEXIST) {
     return false;
   }
-  // The descriptor is never closed, because closing it releases the lock.
-  const int lockFd =
+  m_lockFd =
     open(PathOf("lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
-  return lockFd >= 0 && flock(lockFd, LOCK_EX | LOCK_NB) == 0;
+  return m_lockFd >= 0 && flock(m_lockFd, LOCK_EX | LOCK_NB) == 0;
 }
 
 bool PosixFileSystem::SyncFolder() const
--- a/storage/posix_file_system.h
+++ b/storage/posix_file_system.h
@@ -14,8 +14,12 @@
     : m_folder(std::move(aFolder))
   {
   }
+  /// Releases the lock.
+  ~PosixFileSystem() override;
+  PosixFileSystem(const PosixFileSystem&) = delete;
+  PosixFileSystem& operator=(const PosixFileSystem&) = delete;
   /// Creates the folder if it doesn't exist and locks it against use by another
-  /// process. @pre called once. @error false.
+  /// process or object. @pre called once. @error false.
   bool CreateAndLock();
   std::optional<std::string> Read(const std::string& aName) override;
   std::unique_ptr<DurableFile> OpenForAppend(const std::string& aName) override;
@@ -27,6 +31,7 @@
   [[nodiscard]] bool SyncFolder() const;
 
   std::string m_folder;
+  int m_lockFd = -1;
 };
 
 } // namespace celeryspread
