--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -103,8 +103,12 @@
     m_deps.m_owner.RecordDemand(
       { PoolId(TextOf(demand.getPool())),
         { TextOf(demand.getModel()), TextOf(demand.getAdapter()) } },
-      demand.getCalls(),
-      Duration(static_cast<int64_t>(demand.getWorkMicros())));
+      { demand.getCalls(),
+        Duration(static_cast<int64_t>(demand.getWorkMicros())),
+        Duration(static_cast<int64_t>(demand.getPrefillMicros())) });
+  }
+  for (const auto engine : aRequest.getFailingEngines()) {
+    m_deps.m_owner.CheckEngine(UpstreamId(TextOf(engine)));
   }
   const Revision routeVersion(aRequest.getRouteVersion());
   const uint64_t epoch = aRequest.getEpoch();
--- a/fleet/demand_tracker.cpp
+++ b/fleet/demand_tracker.cpp
@@ -1,5 +1,6 @@
 #include "fleet/demand_tracker.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace celeryspread {
@@ -10,16 +11,17 @@
 /// constant would follow single bursts.
 constexpr double kSmoothingSeconds = 1.5;
 constexpr double kMicrosPerSecond = 1e6;
-/// Calls per second below which a target is dropped.
-constexpr double kMinTrackedRate = 0.001;
+/// Calls per second and calls in progress below which a target is dropped.
+constexpr double kMinTracked = 0.001;
+/// Use of its prompt reader at which an engine counts as full. At a higher use
+/// prompts meet often, and each that is read meanwhile pauses all streams.
+constexpr double kFullPrefillUse = 0.5;
 
 } // namespace
 
-void DemandTracker::Record(const Key& aKey, uint32_t aCalls, Duration aWork)
+void DemandTracker::Record(const Key& aKey, const CallDemand& aDemand)
 {
-  State& state = m_states[aKey];
-  state.m_newCalls += aCalls;
-  state.m_newWork += aWork;
+  m_states[aKey].m_new += aDemand;
 }
 
 void DemandTracker::Tick(TimePoint aNow)
@@ -35,23 +37,26 @@
   }
   m_lastTick = aNow;
   const double keep = std::exp(-elapsed / kSmoothingSeconds);
-  m_modelCallsInProgress.clear();
+  const auto smooth = [&](double& aValue, double aNew) {
+    aValue = keep * aValue + (1 - keep) * aNew / elapsed;
+  };
+  const auto seconds = [](Duration aDuration) {
+    return static_cast<double>(aDuration.count()) / kMicrosPerSecond;
+  };
+  m_models.clear();
   for (auto it = m_states.begin(); it != m_states.end();) {
     State& state = it->second;
-    const double newRate = state.m_newCalls / elapsed;
-    const double newCallsInProgress =
-      static_cast<double>(state.m_newWork.count()) / kMicrosPerSecond / elapsed;
-    state.m_rate = keep * state.m_rate + (1 - keep) * newRate;
-    state.m_callsInProgress =
-      keep * state.m_callsInProgress + (1 - keep) * newCallsInProgress;
-    state.m_newCalls = 0;
-    state.m_newWork = Duration::zero();
-    if (state.m_rate < kMinTrackedRate) {
+    smooth(state.m_rate, state.m_new.m_calls);
+    smooth(state.m_callsInProgress, seconds(state.m_new.m_work));
+    smooth(state.m_prefillUse, seconds(state.m_new.m_prefill));
+    state.m_new = CallDemand();
+    if (state.m_rate < kMinTracked && state.m_callsInProgress < kMinTracked) {
       it = m_states.erase(it);
       continue;
     }
-    m_modelCallsInProgress[{ it->first.m_pool, it->first.m_target.m_model }] +=
-      state.m_callsInProgress;
+    ModelUse& use = m_models[{ it->first.m_pool, it->first.m_target.m_model }];
+    use.m_callsInProgress += state.m_callsInProgress;
+    use.m_prefillUse += state.m_prefillUse;
     ++it;
   }
 }
@@ -68,17 +73,22 @@
   return found == m_states.end() ? 0 : found->second.m_callsInProgress;
 }
 
-double DemandTracker::ModelCallsInProgress(const PoolId& aPool,
-                                           const std::string& aModel) const
+double DemandTracker::EngineLoad(const PoolId& aPool,
+                                 const std::string& aModel,
+                                 uint32_t aSlots) const
 {
-  const auto found = m_modelCallsInProgress.find({ aPool, aModel });
-  return found == m_modelCallsInProgress.end() ? 0 : found->second;
+  const auto found = m_models.find({ aPool, aModel });
+  if (found == m_models.end()) {
+    return 0;
+  }
+  return std::max(found->second.m_callsInProgress / aSlots,
+                  found->second.m_prefillUse / kFullPrefillUse);
 }
 
 void DemandTracker::Clear()
 {
   m_states.clear();
-  m_modelCallsInProgress.clear();
+  m_models.clear();
   m_lastTick = TimePoint();
 }
 
--- a/fleet/demand_tracker.h
+++ b/fleet/demand_tracker.h
@@ -4,13 +4,18 @@
 #include <string>
 
 #include "core/clock.h"
+#include "routes/call_demand.h"
 #include "routes/engine_record.h"
 
 namespace celeryspread {
 
-/// Smoothed demand for each target: calls per second and calls in progress.
-/// Calls in progress grow with the cost of a call and with the time that it is
-/// queued, so they show which models need more engines.
+/// Smoothed demand for each target: calls per second, calls in progress, and
+/// the use of prompt readers.
+///
+/// Which of the engines' resources is used up first depends on the engines and
+/// on the calls. With few slots these bind: calls in progress grow with the
+/// cost of a call and with the time that it is queued. With many slots and long
+/// prompts the prompt reader binds, while most of the slots are still free.
 /// @thread loop thread only.
 class DemandTracker
 {
@@ -24,9 +29,8 @@
     auto operator<=>(const Key&) const = default;
   };
 
-  /// Counts the calls of an entry since its last report, and adds the time that
-  /// calls spent at engines since then. @pre none.
-  void Record(const Key& aKey, uint32_t aCalls, Duration aWork);
+  /// Adds the demand that an entry counted since its last report. @pre none.
+  void Record(const Key& aKey, const CallDemand& aDemand);
   /// Updates the smoothed values from what was recorded since the last tick.
   /// @pre called periodically, a few times per time constant of the smoothing.
   void Tick(TimePoint aNow);
@@ -34,10 +38,11 @@
   [[nodiscard]] double CallRate(const Key& aKey) const;
   /// Returns the calls in progress for a target, smoothed. @pre none.
   [[nodiscard]] double CallsInProgress(const Key& aKey) const;
-  /// Returns the calls in progress for a model and its adapters, smoothed.
-  /// @pre none.
-  [[nodiscard]] double ModelCallsInProgress(const PoolId& aPool,
-                                            const std::string& aModel) const;
+  /// Returns how many engines a model and its adapters keep busy: the use of
+  /// slots or of the prompt reader, whichever is larger. @pre aSlots > 0.
+  [[nodiscard]] double EngineLoad(const PoolId& aPool,
+                                  const std::string& aModel,
+                                  uint32_t aSlots) const;
   /// Discards all recorded demand. @pre none.
   void Clear();
 
@@ -45,15 +50,21 @@
   struct State
   {
     /// Recorded since the last tick.
-    uint32_t m_newCalls = 0;
-    Duration m_newWork{};
-    /// Smoothed calls per second and calls in progress.
+    CallDemand m_new;
+    /// Smoothed calls per second, calls in progress, and prompt readers that
+    /// are busy all the time.
     double m_rate = 0;
     double m_callsInProgress = 0;
+    double m_prefillUse = 0;
+  };
+  struct ModelUse
+  {
+    double m_callsInProgress = 0;
+    double m_prefillUse = 0;
   };
 
   std::map<Key, State> m_states;
-  std::map<std::pair<PoolId, std::string>, double> m_modelCallsInProgress;
+  std::map<std::pair<PoolId, std::string>, ModelUse> m_models;
   TimePoint m_lastTick;
 };
 
--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -39,12 +39,12 @@
 EngineOrders::EngineOrders(Dependencies aDependencies,
                            InstanceId aOwner,
                            SpecFinder aFindSpec,
-                           StoreLoadReserver aReserveStoreLoad,
+                           StoreBudgetFinder aFindStoreBudget,
                            std::function<bool()> aMayOrder)
   : m_deps(aDependencies)
   , m_owner(std::move(aOwner))
   , m_findSpec(std::move(aFindSpec))
-  , m_reserveStoreLoad(std::move(aReserveStoreLoad))
+  , m_findStoreBudget(std::move(aFindStoreBudget))
   , m_mayOrder(std::move(aMayOrder))
 {
 }
@@ -112,8 +112,15 @@
     aDone(false);
     return;
   }
-  m_engines[aEngine].m_queue.push_back(
-    { aKind, aTarget, std::move(aDone), 0, m_deps.m_clock.Now() });
+  PendingOrder order{
+    aKind, aTarget, std::move(aDone), 0, m_deps.m_clock.Now(), nullptr
+  };
+  const EngineRecord* record = m_deps.m_directory.Find(aEngine);
+  if (record != nullptr && IsStoreLoad(*record, order)) {
+    order.m_storeLoad =
+      m_findStoreBudget(record->m_pool).Reserve(order.m_queuedAt);
+  }
+  m_engines[aEngine].m_queue.push_back(std::move(order));
   ProcessQueue(aEngine);
 }
 
@@ -149,14 +156,44 @@
          aOrder.m_target.m_adapter.empty() && aRecord.Holds(aOrder.m_target);
 }
 
-bool EngineOrders::ReserveStoreLoadIfNeeded(const EngineRecord& aRecord,
-                                            const PendingOrder& aOrder) const
+bool EngineOrders::IsStoreLoad(const EngineRecord& aRecord,
+                               const PendingOrder& aOrder)
+{
+  return aOrder.m_kind == EngineOrderKind::Load &&
+         aOrder.m_target.m_adapter.empty() &&
+         !aRecord.m_cachedWeights.contains(aOrder.m_target.m_model);
+}
+
+bool EngineOrders::StartStoreLoadIfNeeded(const EngineRecord& aRecord,
+                                          PendingOrder& aOrder) const
 {
-  const bool isFromStore =
-    aOrder.m_kind == EngineOrderKind::Load &&
-    aOrder.m_target.m_adapter.empty() &&
-    !aRecord.m_cachedWeights.contains(aOrder.m_target.m_model);
-  return !isFromStore || m_reserveStoreLoad(aRecord.m_pool);
+  if (!IsStoreLoad(aRecord, aOrder)) {
+    aOrder.m_storeLoad.reset();
+    return true;
+  }
+  StoreBudget& budget = m_findStoreBudget(aRecord.m_pool);
+  const TimePoint now = m_deps.m_clock.Now();
+  if (aOrder.m_storeLoad == nullptr) {
+    aOrder.m_storeLoad = budget.Reserve(now);
+  }
+  if (aOrder.m_storeLoad == nullptr) {
+    return false;
+  }
+  budget.Start(std::move(aOrder.m_storeLoad), now);
+  return true;
+}
+
+void EngineOrders::CheckReachable(const UpstreamId& aEngine)
+{
+  if (m_isOwner) {
+    RequestReport(aEngine);
+  }
+}
+
+bool EngineOrders::IsReachable(const UpstreamId& aEngine) const
+{
+  const auto found = m_engines.find(aEngine);
+  return found == m_engines.end() || !found->second.m_isUnreachable;
 }
 
 bool EngineOrders::HasFreeAdapterSlot(const EngineRecord& aRecord) const
@@ -282,6 +319,9 @@
     if (found != m_engines.end() && found->second.m_change) {
       CheckModelChange(id, found->second);
     }
+    if (!IsReachable(id)) {
+      RequestReport(id);
+    }
     ProcessQueue(id);
   }
 }
@@ -335,7 +375,7 @@
     return;
   }
   const bool fits = FitsOnEngine(*record, engine, pending);
-  if (!fits || !ReserveStoreLoadIfNeeded(*record, pending)) {
+  if (!fits || !StartStoreLoadIfNeeded(*record, pending)) {
     m_deps.m_log.Write(EventId::PlacementRefused,
                        Describe(aId, pending) + " reason=\"" +
                          (fits ? "the weight store's rate is used up"
@@ -402,6 +442,12 @@
   const TimePoint now = m_deps.m_clock.Now();
   engine.m_isReading = false;
   engine.m_nextReadAt = now + kMinReadInterval;
+  if (engine.m_isUnreachable == aReport.has_value()) {
+    engine.m_isUnreachable = !aReport;
+    m_deps.m_log.Write(EventId::EngineReachability,
+                       "engine=" + aId.Value() +
+                         " reachable=" + (aReport ? "yes" : "no"));
+  }
   if (!aReport || engine.m_sent) {
     return;
   }
--- a/fleet/engine_orders.h
+++ b/fleet/engine_orders.h
@@ -11,6 +11,7 @@
 #include "fleet/engine_contents.h"
 #include "fleet/engine_control.h"
 #include "fleet/engine_directory.h"
+#include "fleet/store_budget.h"
 #include "routes/route_config.h"
 #include "telemetry/event_log.h"
 
@@ -28,8 +29,8 @@
 {
 public:
   using Done = std::function<void(bool aIsDone)>;
-  /// Reserves a load from the weight store; false while its rate is used up.
-  using StoreLoadReserver = std::function<bool(const PoolId&)>;
+  /// Finds the budget of a pool for loads from the weight store.
+  using StoreBudgetFinder = std::function<StoreBudget&(const PoolId&)>;
   /// Finds the properties that all engines of a pool share; null when the pool
   /// has none.
   using SpecFinder = std::function<const EngineSpec*(const PoolId&)>;
@@ -49,7 +50,7 @@
   EngineOrders(Dependencies aDependencies,
                InstanceId aOwner,
                SpecFinder aFindSpec,
-               StoreLoadReserver aReserveStoreLoad,
+               StoreBudgetFinder aFindStoreBudget,
                std::function<bool()> aMayOrder);
   ~EngineOrders();
 
@@ -70,6 +71,12 @@
               EngineOrderKind aKind,
               const ModelTarget& aTarget,
               Done aDone);
+  /// Reads the engine's report to find out whether it answers. @pre the engine
+  /// is in the directory.
+  void CheckReachable(const UpstreamId& aEngine);
+  /// Returns whether the engine answered the last check, also when none was
+  /// made. An engine that did not is checked again periodically. @pre none.
+  [[nodiscard]] bool IsReachable(const UpstreamId& aEngine) const;
   /// Runs periodic work: sends queued orders and checks model changes.
   /// @pre called several times a second.
   void Tick();
@@ -106,6 +113,9 @@
     /// Tries that the engine answered with a conflict.
     uint32_t m_tries = 0;
     TimePoint m_queuedAt;
+    /// A load from the weight store; its budget is taken while it is queued, so
+    /// that a load planned later can't take it meanwhile.
+    std::shared_ptr<StoreBudget::Reservation> m_storeLoad;
   };
   /// A model load or unload that the engine accepted and has not finished.
   struct ModelChange
@@ -128,6 +138,8 @@
     std::optional<PendingOrder> m_sent;
     std::optional<ModelChange> m_change;
     bool m_isReading = false;
+    /// The report that was read last did not arrive.
+    bool m_isUnreachable = false;
     TimePoint m_nextReadAt;
     /// The engine counts as unresponsive before this, because it left an order
     /// unanswered or accepted the unload of an adapter in use.
@@ -151,10 +163,13 @@
   void CheckModelChange(const UpstreamId& aId, EngineQueue& aEngine);
   [[nodiscard]] static bool NeedsAnnouncement(const EngineRecord& aRecord,
                                               const PendingOrder& aOrder);
-  /// Reserves a load from the weight store if the order reads from it; returns
+  /// Returns whether an order reads from the weight store.
+  [[nodiscard]] static bool IsStoreLoad(const EngineRecord& aRecord,
+                                        const PendingOrder& aOrder);
+  /// Starts a load from the weight store if the order reads from it; returns
   /// false when the store's rate is used up.
-  [[nodiscard]] bool ReserveStoreLoadIfNeeded(const EngineRecord& aRecord,
-                                              const PendingOrder& aOrder) const;
+  [[nodiscard]] bool StartStoreLoadIfNeeded(const EngineRecord& aRecord,
+                                            PendingOrder& aOrder) const;
   [[nodiscard]] bool FitsOnEngine(const EngineRecord& aRecord,
                                   const EngineQueue& aEngine,
                                   const PendingOrder& aOrder) const;
@@ -169,7 +184,7 @@
   Dependencies m_deps;
   InstanceId m_owner;
   SpecFinder m_findSpec;
-  StoreLoadReserver m_reserveStoreLoad;
+  StoreBudgetFinder m_findStoreBudget;
   std::function<bool()> m_mayOrder;
   std::map<UpstreamId, EngineQueue> m_engines;
   FencingToken m_token;
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -18,6 +18,13 @@
 /// Added to the lease of the previous owner, because its last order may still
 /// be in transit.
 constexpr Duration kMaxOrderTransitTime = std::chrono::milliseconds(300);
+/// One balancing copy is planned at a time for this many engines.
+constexpr size_t kEnginesPerCopy = 12;
+/// One in this many engines may load a standby copy at a time, as an engine
+/// that loads from the weight store takes no other order for seconds.
+constexpr size_t kEnginesPerStandbyLoad = 3;
+/// Part of the weight store's rate that standby copies leave to demand.
+constexpr size_t kStoreReserveDivisor = 3;
 /// Adapters that are tried for eviction to load one; those in use can't be
 /// evicted.
 constexpr uint32_t kMaxAdapterEvictions = 3;
@@ -38,9 +45,7 @@
         aDependencies.m_log },
       m_options.m_ownerId,
       [this](const PoolId& aPool) { return SpecOf(aPool); },
-      [this](const PoolId& aPool) {
-        return m_budgets[aPool].TryTake(m_deps.m_clock.Now());
-      },
+      [this](const PoolId& aPool) -> StoreBudget& { return m_budgets[aPool]; },
       m_hasLease)
 {
 }
@@ -149,10 +154,16 @@
 }
 
 void FleetOwner::RecordDemand(const DemandTracker::Key& aKey,
-                              uint32_t aCalls,
-                              Duration aWork)
+                              const CallDemand& aDemand)
 {
-  m_demand.Record(aKey, aCalls, aWork);
+  m_demand.Record(aKey, aDemand);
+}
+
+void FleetOwner::CheckEngine(const UpstreamId& aEngine)
+{
+  if (m_term && m_directory.Find(aEngine) != nullptr) {
+    m_orders.CheckReachable(aEngine);
+  }
 }
 
 void FleetOwner::Plan(TimePoint aNow)
@@ -180,7 +191,7 @@
     engine.m_id = id;
     engine.m_domain = record.m_domain;
     engine.m_isBusy = !m_orders.IsResponsive(id);
-    engine.m_isLeaving = record.m_isLeaving;
+    engine.m_isLeaving = record.m_isLeaving || !m_orders.IsReachable(id);
     engine.m_freeMegabytes = m_orders.FreeMegabytes(record);
     engine.m_cachedWeights = record.m_cachedWeights;
     // A copy that is being loaded counts, or each plan would order another one.
@@ -194,11 +205,14 @@
   }
   std::map<std::string, double> loads;
   for (const auto& [name, spec] : aPool.m_engine->m_models) {
-    loads[name] = m_demand.ModelCallsInProgress(aPool.m_id, name) /
-                  std::max<uint32_t>(1, aPool.m_engine->m_slots);
+    loads[name] = m_demand.EngineLoad(
+      aPool.m_id, name, std::max<uint32_t>(1, aPool.m_engine->m_slots));
   }
   PlanLimits limits;
   limits.m_storeLoads = budget.RemainingLoads(aNow);
+  limits.m_balancingCopies =
+    std::max(limits.m_balancingCopies, engines.size() / kEnginesPerCopy);
+  limits.m_standbyLoads = StandbyLoads(engines, budget, aNow);
   for (const PlannedOrder& order :
        ModelPlanner::Plan(*aPool.m_engine, engines, loads, limits)) {
     m_deps.m_log.Write(EventId::PlacementPlanned,
@@ -215,6 +229,23 @@
   }
 }
 
+size_t FleetOwner::StandbyLoads(const std::vector<PlannedEngine>& aEngines,
+                                StoreBudget& aBudget,
+                                TimePoint aNow)
+{
+  const size_t reserve = aBudget.Capacity() / kStoreReserveDivisor;
+  const size_t remaining = aBudget.RemainingLoads(aNow);
+  const size_t changing = static_cast<size_t>(std::count_if(
+    aEngines.begin(), aEngines.end(), [](const PlannedEngine& aEngine) {
+      return aEngine.m_isBusy;
+    }));
+  const size_t maxChanging = aEngines.size() / kEnginesPerStandbyLoad;
+  if (remaining <= reserve || changing >= maxChanging) {
+    return 0;
+  }
+  return std::min(remaining - reserve, maxChanging - changing);
+}
+
 const EngineRecord* FleetOwner::FindHolder(const DemandTracker::Key& aKey) const
 {
   for (const auto& [id, entry] : m_directory.All()) {
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -59,9 +59,12 @@
   /// Runs periodic work. @pre called several times a second.
   void Tick();
   /// Records the demand that an entry counted since its last report. @pre none.
-  void RecordDemand(const DemandTracker::Key& aKey,
-                    uint32_t aCalls,
-                    Duration aWork);
+  void RecordDemand(const DemandTracker::Key& aKey, const CallDemand& aDemand);
+  /// Checks whether an engine on which an entry's attempts failed still
+  /// answers. If it does not, its copies don't count until it answers again, as
+  /// the platform's list shows a crashed engine for some seconds more. @pre
+  /// none.
+  void CheckEngine(const UpstreamId& aEngine);
   /// Loads an adapter. aDone is called exactly once, with the engine that holds
   /// the adapter, or with an empty id when it can't be loaded now.
   /// @pre aPreferred names the engine that suits the call best, or is empty.
@@ -89,6 +92,11 @@
   void ReadList();
   void Plan(TimePoint aNow);
   void PlanPool(const Pool& aPool, TimePoint aNow);
+  /// Returns how many standby copies may be loaded from the weight store now.
+  [[nodiscard]] static size_t StandbyLoads(
+    const std::vector<PlannedEngine>& aEngines,
+    StoreBudget& aBudget,
+    TimePoint aNow);
   [[nodiscard]] const EngineRecord* FindHolder(
     const DemandTracker::Key& aKey) const;
   [[nodiscard]] const EngineRecord* ChooseForAdapter(
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <optional>
+#include <tuple>
 
 #include "fleet/model_shares.h"
 
@@ -23,9 +25,19 @@
 /// The eviction of a copy with calls in progress waits for them, about as long
 /// as a load takes.
 constexpr double kBusyEvictionFactor = 0.5;
+/// Cost of an eviction for each unit of the evicted copy's load, in squared
+/// engine loads. Its calls keep the engine busy until they end, while the other
+/// holders get the new calls and the new copy can't be loaded.
+constexpr double kDrainCost = 0.5;
 /// Load of a copy, as a share of an engine's slots, above which it is assumed
 /// to have calls in progress.
 constexpr double kBusyCopyLoad = 0.03;
+/// Copies of a model of which one may be evicted for a standby copy; two stay,
+/// so that the loss of an engine leaves one.
+constexpr size_t kMinCopiesToEvict = 3;
+/// Load of the holders of a model above which none of its copies counts as
+/// idle.
+constexpr double kMaxIdleLoad = 0.15;
 /// Models that are considered for a further copy: those with the largest
 /// product of their holders' common load and their own load, which counts as at
 /// most one engine.
@@ -43,6 +55,7 @@
     , m_limits(aLimits)
     , m_shares(aSpec.m_models.size(), m_engines.size())
     , m_servedCopies(aSpec.m_models.size())
+    , m_cacheMegabytes(static_cast<int64_t>(aSpec.m_cacheMegabytes))
   {
     for (const auto& [name, spec] : aSpec.m_models) {
       m_models.push_back({ name, static_cast<int64_t>(spec.m_megabytes) });
@@ -100,7 +113,7 @@
     std::vector<size_t> models;
     for (size_t i = 0; i < m_models.size(); ++i) {
       if (m_shares.CopyCount(i) > 0 &&
-          m_shares.CommonLoad(i) >= ModelPlanner::kMinLoad) {
+          m_shares.CommonLoad(i) >= ModelPlanner::kMinLoadForFreeMemory) {
         models.push_back(i);
       }
     }
@@ -115,17 +128,46 @@
     std::optional<Candidate> best;
     for (const size_t model : models) {
       const auto candidate = FindBestCandidate(model);
-      if (candidate && (!best || candidate->m_gain > best->m_gain)) {
+      if (candidate && IsWorthwhile(*candidate) &&
+          (!best || candidate->m_gain > best->m_gain)) {
         best = candidate;
       }
     }
-    if (!best || best->m_gain < ModelPlanner::kMinGain) {
+    if (!best) {
       return false;
     }
     AddToPlan(*best);
     return true;
   }
 
+  /// Adds a copy of the model whose weights the fewest engines hold or have
+  /// cached, on an engine without them. @return false when there is none.
+  bool AddStandbyCopy()
+  {
+    if (m_weights.empty()) {
+      IndexWeights();
+    }
+    std::vector<size_t> models(m_models.size());
+    std::iota(models.begin(), models.end(), 0);
+    std::sort(models.begin(), models.end(), [&](size_t aLeft, size_t aRight) {
+      return std::pair(m_weightHolders[aLeft], -m_shares.ModelLoad(aLeft)) <
+             std::pair(m_weightHolders[aRight], -m_shares.ModelLoad(aRight));
+    });
+    for (const size_t model : models) {
+      if (m_weightHolders[model] >= m_standbyTarget) {
+        break;
+      }
+      if (const auto standby = FindStandby(model)) {
+        m_weights[standby->m_engine][model] = true;
+        m_cachedMegabytes[standby->m_engine] += m_models[model].m_megabytes;
+        ++m_weightHolders[model];
+        AddToPlan(*standby);
+        return true;
+      }
+    }
+    return false;
+  }
+
   [[nodiscard]] std::vector<PlannedOrder> TakeOrders()
   {
     return std::move(m_orders);
@@ -147,6 +189,103 @@
     bool m_isFromStore = false;
   };
 
+  /// Returns whether a candidate gains enough for the copy that it evicts.
+  [[nodiscard]] bool IsWorthwhile(const Candidate& aCandidate) const
+  {
+    if (!aCandidate.m_evicted) {
+      return aCandidate.m_gain >= ModelPlanner::kMinGainInFreeMemory;
+    }
+    return aCandidate.m_gain >= ModelPlanner::kMinGain &&
+           m_shares.CommonLoad(aCandidate.m_model) >= ModelPlanner::kMinLoad;
+  }
+
+  /// Finds out which engines can load which models without the weight store.
+  void IndexWeights()
+  {
+    m_weights.assign(m_engines.size(), std::vector<bool>(m_models.size()));
+    m_weightHolders.assign(m_models.size(), 0);
+    m_cachedMegabytes.assign(m_engines.size(), 0);
+    for (size_t engine = 0; engine < m_engines.size(); ++engine) {
+      if (m_engines[engine].m_isLeaving) {
+        continue;
+      }
+      const auto& cached = m_engines[engine].m_cachedWeights;
+      for (size_t model = 0; model < m_models.size(); ++model) {
+        // Every load leaves a cached copy.
+        if (Holds(engine, model) || cached.contains(m_models[model].m_name)) {
+          m_weights[engine][model] = true;
+          m_cachedMegabytes[engine] += m_models[model].m_megabytes;
+          ++m_weightHolders[model];
+        }
+      }
+    }
+    int64_t allModels = 0;
+    for (const Model& model : m_models) {
+      allModels += model.m_megabytes;
+    }
+    // More would only evict each other from the caches.
+    m_standbyTarget =
+      static_cast<size_t>(static_cast<int64_t>(m_engines.size()) *
+                          m_cacheMegabytes / std::max<int64_t>(1, allModels));
+  }
+
+  /// Returns the best engine for a standby copy of a model: one without its
+  /// weights, with memory that is free or held by a copy without calls.
+  [[nodiscard]] std::optional<Candidate> FindStandby(size_t aModel) const
+  {
+    const int64_t needed = m_models[aModel].m_megabytes;
+    const std::set<FailureDomainId> domains = DomainsOf(aModel);
+    std::optional<Candidate> best;
+    std::tuple<bool, bool, int64_t> bestRank;
+    for (size_t i = 0; i < m_engines.size(); ++i) {
+      const PlannedEngine& engine = m_engines[i];
+      if (engine.m_isBusy || engine.m_isLeaving || m_weights[i][aModel]) {
+        continue;
+      }
+      Candidate candidate;
+      candidate.m_model = aModel;
+      candidate.m_engine = i;
+      candidate.m_isFromStore = true;
+      if (engine.m_freeMegabytes < needed) {
+        candidate.m_evicted = FindIdleCopy(i, needed);
+        if (!candidate.m_evicted) {
+          continue;
+        }
+      }
+      const std::tuple<bool, bool, int64_t> rank{
+        candidate.m_evicted.has_value(),
+        domains.contains(engine.m_domain),
+        m_cachedMegabytes[i]
+      };
+      if (!best || rank < bestRank) {
+        best = candidate;
+        bestRank = rank;
+      }
+    }
+    return best;
+  }
+
+  /// Returns the copy with the least load on an engine that other engines serve
+  /// as well and that leaves enough memory; empty when each may be in use.
+  [[nodiscard]] std::optional<size_t> FindIdleCopy(size_t aEngine,
+                                                   int64_t aNeeded) const
+  {
+    std::optional<size_t> idle;
+    for (const size_t held : m_held[aEngine]) {
+      const int64_t freeMegabytes =
+        m_engines[aEngine].m_freeMegabytes + m_models[held].m_megabytes;
+      const bool isIdle = Serves(aEngine, held) &&
+                          m_servedCopies[held] >= kMinCopiesToEvict &&
+                          m_shares.CopyLoad(held, aEngine) <= kBusyCopyLoad &&
+                          m_shares.CommonLoad(held) <= kMaxIdleLoad;
+      if (isIdle && freeMegabytes >= aNeeded &&
+          (!idle || m_shares.ModelLoad(held) < m_shares.ModelLoad(*idle))) {
+        idle = held;
+      }
+    }
+    return idle;
+  }
+
   /// Returns the failure domains in which a model is held.
   [[nodiscard]] std::set<FailureDomainId> DomainsOf(size_t aModel) const
   {
@@ -195,6 +334,7 @@
       gain -= 2 * copyLoad *
                 m_shares.LeastOtherHolderLoad(evicted, aCandidate.m_engine) +
               copyLoad * copyLoad / others;
+      gain -= kDrainCost * copyLoad;
       load = remaining;
     }
     const size_t usedCopies = m_shares.UsedCopyCount(aCandidate.m_model);
@@ -301,6 +441,15 @@
   std::vector<Model> m_models;
   /// Engines that serve each model now and keep it.
   std::vector<size_t> m_servedCopies;
+  /// Weights that an engine can cache. @unit megabytes.
+  int64_t m_cacheMegabytes;
+  /// For each engine, which models it could load without the weight store.
+  std::vector<std::vector<bool>> m_weights;
+  /// For each model, the number of engines that could load it so.
+  std::vector<size_t> m_weightHolders;
+  std::vector<int64_t> m_cachedMegabytes;
+  /// Engines that should be able to load each model so.
+  size_t m_standbyTarget = 0;
   /// Models that each engine holds.
   std::vector<std::vector<size_t>> m_held;
   std::vector<PlannedOrder> m_orders;
@@ -318,6 +467,8 @@
   plan.PlaceMissingModels();
   for (size_t i = 0; i < aLimits.m_balancingCopies && plan.AddBestCopy(); ++i) {
   }
+  for (size_t i = 0; i < aLimits.m_standbyLoads && plan.AddStandbyCopy(); ++i) {
+  }
   return plan.TakeOrders();
 }
 
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -47,6 +47,8 @@
   /// Copies added for balance, each with at most one eviction. Models without a
   /// copy are placed in addition.
   size_t m_balancingCopies = 3;
+  /// Loads from the weight store that may start now for standby copies.
+  size_t m_standbyLoads = 0;
 };
 
 /// Decides which engines hold which models, so that every model has a copy
@@ -76,6 +78,11 @@
   /// copies show which models were in demand earlier.
   static constexpr double kPriorLoad = 0.01;
 
+  /// Least gain, and least share of the holders' slots in use, for which a copy
+  /// is added in free memory, where it evicts nothing.
+  static constexpr double kMinGainInFreeMemory = 0.002;
+  static constexpr double kMinLoadForFreeMemory = 0.08;
+
   /// Plans loads and the evictions that they need.
   /// @pre aLoads holds the calls in progress of each model, divided by the
   /// slots of an engine.
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -1,5 +1,7 @@
 #include "gateway/directory_link.h"
 
+#include <utility>
+
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
 
@@ -14,6 +16,22 @@
 /// Delay before the next follow request after a failed one.
 constexpr int64_t kRetryDelayMicros = 100'000;
 
+template<typename Demands>
+void WriteDemand(const Demands& aDemands, wire::FollowRequest::Builder aOut)
+{
+  auto list = aOut.initDemand(static_cast<unsigned>(aDemands.size()));
+  unsigned at = 0;
+  for (const auto& [key, demand] : aDemands) {
+    auto entry = list[at++];
+    entry.setPool(key.m_pool.Value());
+    entry.setModel(key.m_target.m_model);
+    entry.setAdapter(key.m_target.m_adapter);
+    entry.setCalls(demand.m_calls);
+    entry.setWorkMicros(static_cast<uint64_t>(demand.m_work.count()));
+    entry.setPrefillMicros(static_cast<uint64_t>(demand.m_prefill.count()));
+  }
+}
+
 } // namespace
 
 DirectoryLink::DirectoryLink(Dependencies aDependencies,
@@ -105,36 +123,50 @@
   request.setRouteVersion(m_routeVersion.Value());
   request.setEpoch(m_directoryTerm);
   request.setDirectoryVersion(m_directoryVersion);
-  WriteDemand(request);
-  auto reply =
-    call.send().then([this](auto&& aResponse) { Apply(aResponse.getReply()); });
-  return link->WithTimeout<void>(kj::mv(reply), kFollowTimeout);
+  const std::vector<UpstreamId> failing = m_deps.m_table.FailingEngines();
+  auto failingList =
+    request.initFailingEngines(static_cast<unsigned>(failing.size()));
+  for (unsigned i = 0; i < failing.size(); ++i) {
+    failingList.set(i, failing[i].Value());
+  }
+  auto demand = std::make_shared<ReportedDemand>(TakeDemand());
+  WriteDemand(*demand, request);
+  auto reply = call.send().then([this, demand](auto&& aResponse) {
+    demand->clear();
+    Apply(aResponse.getReply());
+  });
+  return link->WithTimeout<void>(kj::mv(reply), kFollowTimeout)
+    .catch_([this, demand](kj::Exception&& aException) {
+      RestoreDemand(*demand);
+      kj::throwFatalException(kj::mv(aException));
+    });
 }
 
 void DirectoryLink::AccumulateWork(Demand& aDemand)
 {
   const TimePoint now = m_deps.m_clock.Now();
-  aDemand.m_work += (now - aDemand.m_accumulatedAt) * aDemand.m_running;
+  aDemand.m_sinceReport.m_work +=
+    (now - aDemand.m_accumulatedAt) * aDemand.m_running;
   aDemand.m_accumulatedAt = now;
 }
 
-void DirectoryLink::WriteDemand(wire::FollowRequest::Builder aOut)
+DirectoryLink::ReportedDemand DirectoryLink::TakeDemand()
 {
-  auto list = aOut.initDemand(static_cast<unsigned>(m_demand.size()));
-  unsigned at = 0;
+  ReportedDemand taken;
   for (auto& [key, demand] : m_demand) {
     AccumulateWork(demand);
-    auto entry = list[at++];
-    entry.setPool(key.m_pool.Value());
-    entry.setModel(key.m_target.m_model);
-    entry.setAdapter(key.m_target.m_adapter);
-    entry.setCalls(demand.m_calls);
-    entry.setWorkMicros(static_cast<uint64_t>(demand.m_work.count()));
-    demand.m_calls = 0;
-    demand.m_work = Duration::zero();
+    taken[key] = std::exchange(demand.m_sinceReport, CallDemand());
   }
   std::erase_if(
     m_demand, [](const auto& aEntry) { return aEntry.second.m_running == 0; });
+  return taken;
+}
+
+void DirectoryLink::RestoreDemand(const ReportedDemand& aDemand)
+{
+  for (const auto& [key, demand] : aDemand) {
+    m_demand[key].m_sinceReport += demand;
+  }
 }
 
 void DirectoryLink::RecordRunning(const PoolId& aPool,
@@ -212,12 +244,14 @@
 }
 
 void DirectoryLink::RecordDemand(const PoolId& aPool,
-                                 const ModelTarget& aTarget)
+                                 const ModelTarget& aTarget,
+                                 Duration aPrefill)
 {
   if (aTarget.m_model.empty()) {
     return;
   }
-  ++m_demand[{ aPool, aTarget }].m_calls;
+  m_demand[{ aPool, aTarget }].m_sinceReport +=
+    CallDemand{ 1, Duration::zero(), aPrefill };
 }
 
 void DirectoryLink::LoadAdapter(const PoolId& aPool,
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -7,6 +7,7 @@
 
 #include "gateway/engine_table.h"
 #include "gateway/gateway_context.h"
+#include "routes/call_demand.h"
 #include "settings/node_settings.h"
 #include "wire/wire_link.h"
 
@@ -54,7 +55,9 @@
                    const ModelTarget& aTarget,
                    const UpstreamId& aPreferred,
                    std::function<void(UpstreamId)> aDone) override;
-  void RecordDemand(const PoolId& aPool, const ModelTarget& aTarget) override;
+  void RecordDemand(const PoolId& aPool,
+                    const ModelTarget& aTarget,
+                    Duration aPrefill) override;
   void RecordRunning(const PoolId& aPool,
                      const ModelTarget& aTarget,
                      int aChange) override;
@@ -62,12 +65,9 @@
 private:
   struct Demand
   {
-    /// New calls since the last report.
-    uint32_t m_calls = 0;
+    /// Demand since the last report; its work up to m_accumulatedAt.
+    CallDemand m_sinceReport;
     uint32_t m_running = 0;
-    /// Time that calls spent at engines between the last report and
-    /// m_accumulatedAt, summed over the calls.
-    Duration m_work{};
     TimePoint m_accumulatedAt;
   };
   struct DemandKey
@@ -77,7 +77,12 @@
     auto operator<=>(const DemandKey&) const = default;
   };
 
-  void WriteDemand(wire::FollowRequest::Builder aOut);
+  using ReportedDemand = std::map<DemandKey, CallDemand>;
+
+  /// Takes the demand since the last report.
+  ReportedDemand TakeDemand();
+  /// Adds demand whose report failed to the next report.
+  void RestoreDemand(const ReportedDemand& aDemand);
   void AccumulateWork(Demand& aDemand);
   WireLink& LinkTo(const std::string& aAddress);
   WireLink* UsableLink();
--- a/gateway/engine_table.cpp
+++ b/gateway/engine_table.cpp
@@ -19,6 +19,8 @@
 constexpr int64_t kEventGapSmoothing = 4;
 /// Consecutive failures after which an upstream is avoided.
 constexpr uint32_t kFailuresToAvoid = 3;
+/// Consecutive failures after which the owner is asked to check an engine.
+constexpr uint32_t kFailuresToReport = 2;
 constexpr Duration kInitialAvoidance = std::chrono::milliseconds(500);
 constexpr uint32_t kMaxAvoidanceDoublings = 4;
 
@@ -107,6 +109,18 @@
   return found == m_byPool.end() ? m_noEngines : found->second;
 }
 
+std::vector<UpstreamId> EngineTable::FailingEngines() const
+{
+  std::vector<UpstreamId> failing;
+  for (const auto& [id, state] : m_engines) {
+    if (state->m_consecutiveFailures >= kFailuresToReport &&
+        !state->m_record.m_models.empty()) {
+      failing.push_back(id);
+    }
+  }
+  return failing;
+}
+
 void EngineTable::RecordPrefillEnd(const UpstreamId& aId, Duration aPrefill)
 {
   EngineState* state = FindMutable(aId);
--- a/gateway/engine_table.h
+++ b/gateway/engine_table.h
@@ -101,6 +101,9 @@
   [[nodiscard]] const EnginePointers& InPool(const PoolId& aPool) const;
   /// Returns the upstream with an id, null if there is none. @pre none.
   [[nodiscard]] const EngineState* Find(const UpstreamId& aId) const;
+  /// Returns the model engines on which the last attempts failed, and that were
+  /// not tried with success since. @pre none.
+  [[nodiscard]] std::vector<UpstreamId> FailingEngines() const;
   /// Returns the number of upstreams. @pre none.
   [[nodiscard]] size_t Size() const { return m_engines.size(); }
 
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -80,8 +80,11 @@
   const bool isMiss = state == nullptr && m_context.m_selector.LastError() !=
                                             SelectError::NoUpstream;
   if (m_dispatches == 0 && !m_hasRequestedAdapter) {
-    m_context.m_demand.RecordDemand(m_input.m_pool,
-                                    m_input.m_callFields.m_target);
+    m_context.m_demand.RecordDemand(
+      m_input.m_pool,
+      m_input.m_callFields.m_target,
+      m_context.m_prefill.BaseEstimate(m_input.m_callFields.m_target.m_model,
+                                       m_input.m_callFields.m_promptTokens));
     if (isMiss) {
       m_context.m_metrics.Count("celeryspread_gateway_misses_total");
     }
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -33,9 +33,11 @@
 {
 public:
   virtual ~DemandRecorder() = default;
-  /// Records a call for a target. @pre none. @thread loop.
+  /// Records a call for a target, whose prompt an engine is expected to read in
+  /// aPrefill. @pre none. @thread loop.
   virtual void RecordDemand(const PoolId& aPool,
-                            const ModelTarget& aTarget) = 0;
+                            const ModelTarget& aTarget,
+                            Duration aPrefill) = 0;
   /// Records that an attempt for a target starts (+1) or ends (-1) on an
   /// engine. @pre each end follows its start. @thread loop.
   virtual void RecordRunning(const PoolId& aPool,
--- a/gateway/prefill_estimator.h
+++ b/gateway/prefill_estimator.h
@@ -27,6 +27,12 @@
   void AddSample(const std::string& aModel,
                  uint32_t aPromptTokens,
                  Duration aTimeToFirstEvent);
+  /// Returns the time that an engine without other prompts needs to read one.
+  /// While engines are overloaded, Estimate() includes the time that prompts
+  /// wait for each other; this does not, so it measures the work that a call
+  /// brings. @pre none.
+  [[nodiscard]] Duration BaseEstimate(const std::string& aModel,
+                                      uint32_t aPromptTokens) const;
   /// Returns the expected time to read a prompt. @pre none.
   [[nodiscard]] Duration Estimate(const std::string& aModel,
                                   uint32_t aPromptTokens) const;
@@ -39,9 +45,13 @@
     std::array<double, kSamples> m_micros{};
     size_t m_count = 0;
     double m_estimate = kDefaultMicros;
+    /// Least estimate so far.
+    double m_leastEstimate = 0;
   };
 
   std::map<std::string, Samples> m_models;
+  /// Least estimate so far of any model; 0 before the first.
+  double m_leastEstimate = 0;
 };
 
 } // namespace celeryspread
--- a/routes/route_config.h
+++ b/routes/route_config.h
@@ -74,6 +74,8 @@
   uint32_t m_slots = 1;
   uint64_t m_cacheTokens = 0;
   uint64_t m_weightMegabytes = 0;
+  /// Weights that an engine's disk can cache.
+  uint64_t m_cacheMegabytes = 0;
   uint32_t m_adapterSlots = 0;
   double m_storeLoadsPerSecond = 0;
   std::map<std::string, ModelSpec, std::less<>> m_models;
--- a/telemetry/event_catalog.cpp
+++ b/telemetry/event_catalog.cpp
@@ -98,6 +98,11 @@
     EventLevel::Warning,
     "platform_entry_unreadable",
     "Entries of the platform's list could not be read and were skipped." },
+  { EventId::EngineReachability,
+    EventLevel::Warning,
+    "engine_reachability",
+    "An engine on which calls failed did not answer a check, so its models do "
+    "not count, or it answers again." },
   { EventId::CallFailed,
     EventLevel::Warning,
     "call_failed",
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -40,6 +40,7 @@
   EngineSeen = 305,
   EngineGone = 306,
   PlatformEntryUnreadable = 307,
+  EngineReachability = 308,
   CallFailed = 400,
   StreamBroken = 401,
   CallRefused = 402,
--- a/tests/fleet/engine_orders_test.cpp
+++ b/tests/fleet/engine_orders_test.cpp
@@ -23,7 +23,7 @@
     std::function<void(std::optional<EngineReport>)> aDone) override
   {
     ++m_reads;
-    aDone(m_report);
+    aDone(m_isAnswering ? std::optional(m_report) : std::nullopt);
   }
   void ReadList(std::function<void(std::optional<std::vector<EngineRecord>>)>
                   aDone) override
@@ -35,6 +35,7 @@
   std::vector<EngineOrder> m_orders;
   std::function<void(OrderReply)> m_reply;
   int m_reads = 0;
+  bool m_isAnswering = true;
 };
 
 } // namespace
@@ -46,6 +47,7 @@
   {
     m_spec.m_weightMegabytes = 250;
     m_spec.m_adapterSlots = 2;
+    m_budget.SetLimits(1.0 / 3600, std::chrono::hours(1));
     for (const char* name : { "m1", "m2", "m3" }) {
       ModelSpec model;
       model.m_name = name;
@@ -84,13 +86,15 @@
   EngineDirectory m_directory;
   EngineSpec m_spec;
   bool m_mayOrder = true;
-  /// Loads from the weight store that its rate still allows.
-  int m_storeLoads = 1;
+  /// Allows one load from the weight store during a test.
+  StoreBudget m_budget;
   std::vector<bool> m_results;
   EngineOrders m_orders{ { m_clock, m_timers, m_control, m_directory, m_log },
                          InstanceId("owner"),
                          [this](const PoolId&) { return &m_spec; },
-                         [this](const PoolId&) { return m_storeLoads-- > 0; },
+                         [this](const PoolId&) -> StoreBudget& {
+                           return m_budget;
+                         },
                          [this] { return m_mayOrder; } };
 };
 
@@ -137,9 +141,9 @@
 {
   Submit(EngineOrderKind::Load, { "m2", "" });
   EXPECT_EQ(m_control.m_orders.size(), 1U);
-  EXPECT_EQ(m_storeLoads, 1);
+  EXPECT_EQ(m_budget.RemainingLoads(m_clock.Now()), 1U);
   m_control.m_reply(OrderReply::Refused);
-  m_storeLoads = 0;
+  m_budget.SetLimits(0, std::chrono::hours(1));
   Wait(1000);
   Submit(EngineOrderKind::Load, { "m3", "" });
   EXPECT_EQ(m_control.m_orders.size(), 1U);
@@ -284,4 +288,45 @@
   EXPECT_EQ(directory.Find(UpstreamId("e")), nullptr);
 }
 
+/// A load waited for an unload while a load planned later used up the store's
+/// rate, so the model with the most calls stayed without a copy.
+TEST_F(EngineOrdersTest, QueuedStoreLoadKeepsItsPartOfTheRate)
+{
+  m_control.m_report.m_models["m2"] = LoadedModel{ 1, {} };
+  Submit(EngineOrderKind::Unload, { "m2", "" });
+  Submit(EngineOrderKind::Load, { "m3", "" });
+  EXPECT_EQ(m_budget.RemainingLoads(m_clock.Now()), 0U);
+  EXPECT_EQ(m_budget.Reserve(m_clock.Now()), nullptr);
+  Wait(300);
+  ASSERT_EQ(m_control.m_orders.size(), 1U);
+  m_control.m_reply(OrderReply::Accepted);
+  m_control.m_report.m_models.erase("m2");
+  m_control.m_report.m_sequence = 8;
+  Wait(1000);
+  ASSERT_EQ(m_control.m_orders.size(), 2U);
+  EXPECT_EQ(m_control.m_orders[1].m_target.m_model, "m3");
+}
+
+TEST_F(EngineOrdersTest, StoreLoadThatIsForgottenGivesItsPartBack)
+{
+  m_mayOrder = false;
+  Submit(EngineOrderKind::Load, { "m3", "" });
+  EXPECT_EQ(m_budget.RemainingLoads(m_clock.Now()), 0U);
+  m_orders.Forget(m_engine);
+  EXPECT_EQ(m_budget.RemainingLoads(m_clock.Now()), 1U);
+}
+
+/// The platform's list shows a crashed engine for seconds, and until then its
+/// models counted as served.
+TEST_F(EngineOrdersTest, EngineWithoutAnAnswerIsUnreachableUntilItAnswers)
+{
+  m_control.m_isAnswering = false;
+  EXPECT_TRUE(m_orders.IsReachable(m_engine));
+  m_orders.CheckReachable(m_engine);
+  EXPECT_FALSE(m_orders.IsReachable(m_engine));
+  m_control.m_isAnswering = true;
+  Wait(1000);
+  EXPECT_TRUE(m_orders.IsReachable(m_engine));
+}
+
 } // namespace celeryspread::test
--- a/tests/fleet/model_planner_test.cpp
+++ b/tests/fleet/model_planner_test.cpp
@@ -219,6 +219,56 @@
   EXPECT_EQ(orders[0].m_engine, UpstreamId("free"));
 }
 
+/// Load pattern: demand moves to models that one engine each can load fast.
+/// Loads that demand leaves unused spread their weights over more engines.
+TEST(ModelPlannerTest, UnusedStoreLoadsBringWeightsToMoreEngines)
+{
+  EngineSpec spec = MakeSpec(3);
+  spec.m_cacheMegabytes = 300;
+  std::vector<PlannedEngine> engines = { MakeEngine("a", { "m0", "m1" }),
+                                         MakeEngine("b", { "m2", "m0" }),
+                                         MakeEngine("c", { "m0" }),
+                                         MakeEngine("d", { "m1" }) };
+  PlanLimits limits = StoreLoads(4);
+  EXPECT_TRUE(ModelPlanner::Plan(spec, engines, {}, limits).empty());
+  limits.m_standbyLoads = 1;
+  const auto orders = ModelPlanner::Plan(spec, engines, {}, limits);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].m_model, "m2");
+  EXPECT_TRUE(orders[0].m_isFromStore);
+  EXPECT_TRUE(orders[0].m_engine == UpstreamId("c") ||
+              orders[0].m_engine == UpstreamId("d"));
+}
+
+TEST(ModelPlannerTest, StandbyCopyEvictsNoneOfTheLastTwoCopies)
+{
+  EngineSpec spec = MakeSpec(3);
+  spec.m_cacheMegabytes = 300;
+  PlanLimits limits = StoreLoads(4);
+  limits.m_standbyLoads = 4;
+  EXPECT_TRUE(ModelPlanner::Plan(spec,
+                                 { MakeEngine("a", { "m0", "m1" }),
+                                   MakeEngine("b", { "m0", "m2" }) },
+                                 {},
+                                 limits)
+                .empty());
+}
+
+TEST(ModelPlannerTest, StandbyCopyEvictsNoCopyWithCalls)
+{
+  EngineSpec spec = MakeSpec(3);
+  spec.m_cacheMegabytes = 300;
+  PlanLimits limits = StoreLoads(4);
+  limits.m_standbyLoads = 4;
+  const std::vector<PlannedEngine> engines = { MakeEngine("a", { "m0", "m1" }),
+                                               MakeEngine("b", { "m0", "m2" }),
+                                               MakeEngine("c",
+                                                          { "m0", "m1" }) };
+  EXPECT_FALSE(ModelPlanner::Plan(spec, engines, {}, limits).empty());
+  EXPECT_TRUE(
+    ModelPlanner::Plan(spec, engines, { { "m0", 0.5 } }, limits).empty());
+}
+
 TEST(StoreBudgetTest, KeepsEveryWindowWithinTheRate)
 {
   StoreBudget budget;
@@ -226,7 +276,8 @@
   std::vector<TimePoint> starts;
   for (int i = 0; i < 1000; ++i) {
     const TimePoint now = TimePoint(std::chrono::milliseconds(37 * i));
-    if (budget.TryTake(now)) {
+    if (auto load = budget.Reserve(now)) {
+      budget.Start(std::move(load), now);
       starts.push_back(now);
     }
   }
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -189,7 +189,8 @@
     m_onLoaded = std::move(aDone);
   }
   void RecordDemand(const PoolId& /*aPool*/,
-                    const ModelTarget& /*aTarget*/) override
+                    const ModelTarget& /*aTarget*/,
+                    Duration /*aPrefill*/) override
   {
     ++m_calls;
   }
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -214,6 +214,8 @@
   calls @3 :UInt32;
   # Total time that the calls spent at engines.
   workMicros @4 :UInt64;
+  # Expected time that engines need to read the prompts of the calls.
+  prefillMicros @5 :UInt64;
 }
 
 struct FollowRequest {
@@ -225,6 +227,8 @@
   epoch @3 :UInt64;
   directoryVersion @4 :UInt64;
   demand @5 :List(DemandEntry);
+  # Engines on which several attempts in a row got no answer.
+  failingEngines @6 :List(Text);
 }
 
 struct FollowReply {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -494,7 +494,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f0e77f969d615e7b, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f0e77f969d615e7b, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -509,7 +509,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3773,6 +3773,8 @@
 
   inline  ::uint64_t getWorkMicros() const;
 
+  inline  ::uint64_t getPrefillMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3828,6 +3830,9 @@
   inline  ::uint64_t getWorkMicros();
   inline void setWorkMicros( ::uint64_t value);
 
+  inline  ::uint64_t getPrefillMicros();
+  inline void setPrefillMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3886,6 +3891,9 @@
   inline bool hasDemand() const;
   inline  ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
 
+  inline bool hasFailingEngines() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getFailingEngines() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3944,6 +3952,14 @@
   inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>> disownDemand();
 
+  inline bool hasFailingEngines();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getFailingEngines();
+  inline void setFailingEngines( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setFailingEngines(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initFailingEngines(unsigned int size);
+  inline void adoptFailingEngines(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownFailingEngines();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9595,6 +9611,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t DemandEntry::Reader::getPrefillMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DemandEntry::Builder::getPrefillMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DemandEntry::Builder::setPrefillMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowRequest::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9739,6 +9769,44 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool FollowRequest::Reader::hasFailingEngines() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowRequest::Builder::hasFailingEngines() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FollowRequest::Reader::getFailingEngines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowRequest::Builder::getFailingEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::setFailingEngines( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void FollowRequest::Builder::setFailingEngines(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowRequest::Builder::initFailingEngines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FollowRequest::Builder::adoptFailingEngines(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FollowRequest::Builder::disownFailingEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool FollowReply::Reader::getIsLeader() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
