Control: instances relay the engine directory to their failure domain

Cause: every entry followed the leader, which sent each change of each engine to each of them. Changes of an engine's caches, which entries don't use, went out as well.

Change: DirectoryRelay follows the owner on every other control instance; entries follow the one in their failure domain, and fall back to the owner when it does not answer or its copy was not confirmed for 1.5 s. Demand and failing engines are added up on the way. The owner counts the entries that follow relays, so the shares of the retry budget stay right. Cached weights are no change for entries.

--- /dev/null
+++ b/control/directory_relay.cpp
@@ -0,0 +1,134 @@
+#include "control/directory_relay.h"
+
+#include <utility>
+
+#include "wire/engine_codec.h"
+#include "wire/message_bytes.h"
+
+namespace celeryspread {
+
+namespace {
+
+/// Longer than the owner's long poll for relays and a round trip between
+/// regions.
+constexpr Duration kFollowTimeout = std::chrono::milliseconds(1000);
+/// A copy that the owner has not confirmed for this long is not served, so that
+/// entries turn to another instance well within the time in which a
+/// configuration must be in force.
+constexpr Duration kMaxCopyAge = std::chrono::milliseconds(1500);
+/// Delay before the next request after a failed one.
+constexpr int64_t kRetryDelayMicros = 100'000;
+
+} // namespace
+
+DirectoryRelay::DirectoryRelay(Dependencies aDependencies,
+                               InstanceId aSelf,
+                               FailureDomainId aDomain)
+  : m_deps(aDependencies)
+  , m_self(std::move(aSelf))
+  , m_domain(std::move(aDomain))
+  , m_follow(nullptr)
+{
+  m_follow = FollowLoop().eagerlyEvaluate(nullptr);
+}
+
+const EngineDirectory* DirectoryRelay::Directory() const
+{
+  const bool isRecent =
+    m_directory.HasList() && m_deps.m_clock.Now() < m_confirmedAt + kMaxCopyAge;
+  return isRecent ? &m_directory : nullptr;
+}
+
+void DirectoryRelay::RecordDemand(const DemandTracker::Key& aKey,
+                                  const CallDemand& aDemand)
+{
+  m_demand[aKey] += aDemand;
+}
+
+kj::Promise<void> DirectoryRelay::FollowLoop()
+{
+  return FollowOnce()
+    .catch_([this](kj::Exception&&) {
+      return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
+    })
+    .then([this] { return FollowLoop(); });
+}
+
+kj::Promise<void> DirectoryRelay::FollowOnce()
+{
+  const ReplicaAddress* leader = m_deps.m_host.LeaderAddress();
+  if (leader == nullptr || m_deps.m_host.Replica().IsLeader()) {
+    return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
+  }
+  WireLink& link = m_deps.m_peers.LinkTo(*leader);
+  if (!link.IsUp()) {
+    return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
+  }
+  auto call = link.Node().followRequest();
+  WriteRequest(call.initRequest());
+  const TimePoint sentAt = m_deps.m_clock.Now();
+  auto reply = call.send().then([this, sentAt](auto&& aResponse) {
+    Apply(aResponse.getReply());
+    m_confirmedAt = sentAt;
+  });
+  return link.WithTimeout<void>(kj::mv(reply), kFollowTimeout);
+}
+
+void DirectoryRelay::WriteRequest(wire::FollowRequest::Builder aOut)
+{
+  aOut.setInstance(m_self.Value());
+  aOut.setFailureDomain(m_domain.Value());
+  // Routes come with the replicated log.
+  aOut.setRouteVersion(UINT64_MAX);
+  aOut.setEpoch(m_epoch);
+  aOut.setDirectoryVersion(m_directory.Version());
+  aOut.setIsRelay(true);
+  aOut.setRelayedEntries(m_followerCount);
+  const auto demands = std::exchange(m_demand, {});
+  auto demandList = aOut.initDemand(static_cast<unsigned>(demands.size()));
+  unsigned at = 0;
+  for (const auto& [key, demand] : demands) {
+    auto entry = demandList[at++];
+    entry.setPool(key.m_pool.Value());
+    entry.setModel(key.m_target.m_model);
+    entry.setAdapter(key.m_target.m_adapter);
+    entry.setCalls(demand.m_calls);
+    entry.setWorkMicros(static_cast<uint64_t>(demand.m_work.count()));
+    entry.setPrefillMicros(static_cast<uint64_t>(demand.m_prefill.count()));
+  }
+  const auto failing = std::exchange(m_failing, {});
+  auto failingList =
+    aOut.initFailingEngines(static_cast<unsigned>(failing.size()));
+  at = 0;
+  for (const UpstreamId& engine : failing) {
+    failingList.set(at++, engine.Value());
+  }
+}
+
+void DirectoryRelay::Apply(wire::FollowReply::Reader aReply)
+{
+  KJ_REQUIRE(aReply.getIsLeader() && aReply.getHasDirectory(),
+             "the instance does not own the engines");
+  // A former leader may not know yet that it was replaced.
+  KJ_REQUIRE(aReply.getEpoch() >= m_epoch, "the leader was replaced");
+  KJ_REQUIRE(aReply.getIsWhole() || aReply.getEpoch() == m_epoch,
+             "changes of another term");
+  std::vector<EngineDirectory::Entry> entries;
+  for (const auto engine : aReply.getEngines()) {
+    EngineDirectory::Entry entry;
+    entry.m_record = ReadEngine(engine);
+    entry.m_isGone = engine.getIsGone();
+    entries.push_back(std::move(entry));
+  }
+  m_directory.ApplyUpdate(
+    aReply.getIsWhole(), aReply.getDirectoryVersion(), std::move(entries));
+  m_epoch = aReply.getEpoch();
+  m_entryCount = aReply.getEntryCount();
+  m_relays.clear();
+  for (const auto relay : aReply.getRelays()) {
+    m_relays.push_back({ TextOf(relay.getAddress()),
+                         FailureDomainId(TextOf(relay.getFailureDomain())) });
+  }
+}
+
+} // namespace celeryspread
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -14,11 +14,23 @@
 constexpr Duration kEntryCountDelay = std::chrono::milliseconds(2000);
 /// An entry whose last follow call is older than this is no longer counted.
 constexpr Duration kMaxEntryAge = std::chrono::seconds(6);
+/// The same for a follow call of a relay, which reports demand for many entries
+/// and has to confirm its copy of the directory.
+constexpr int64_t kRelayLongPollMicros = 250'000;
+/// A relay whose last follow call is older than this is not named to entries.
+constexpr Duration kMaxRelayAge = std::chrono::milliseconds(1500);
 
 } // namespace
 
-FleetService::FleetService(Dependencies aDeps)
+FleetService::FleetService(Dependencies aDeps,
+                           InstanceId aSelf,
+                           FailureDomainId aDomain)
   : m_deps(aDeps)
+  , m_self(std::move(aSelf))
+  , m_domain(std::move(aDomain))
+  , m_relay({ aDeps.m_port, aDeps.m_clock, aDeps.m_host, aDeps.m_peers },
+            m_self,
+            m_domain)
 {
 }
 
@@ -48,6 +60,7 @@
   if (hasLease && m_deps.m_owner.Term() != term) {
     m_deps.m_owner.AcquireOwnership(term);
     m_ownerSince = m_deps.m_clock.Now();
+    m_relays.clear();
   } else if (isOwner && !m_deps.m_host.Replica().IsLeader()) {
     m_deps.m_owner.LoseOwnership();
   }
@@ -58,9 +71,25 @@
   ApplyRoutes();
   UpdateOwnership();
   m_deps.m_owner.Tick();
+  m_relay.SetFollowerCount(OwnFollowerCount(m_deps.m_clock.Now()));
   WakeFollowers();
 }
 
+const EngineDirectory* FleetService::ServedDirectory() const
+{
+  if (!m_deps.m_owner.Term()) {
+    return m_relay.Directory();
+  }
+  const EngineDirectory& directory = m_deps.m_owner.Directory();
+  return directory.HasList() ? &directory : nullptr;
+}
+
+uint64_t FleetService::ServedEpoch() const
+{
+  const auto term = m_deps.m_owner.Term();
+  return term ? term->Value() : m_relay.Epoch();
+}
+
 bool FleetService::HasUpdate(Revision aRouteVersion,
                              uint64_t aEpoch,
                              uint64_t aDirectoryVersion) const
@@ -68,13 +97,12 @@
   if (m_deps.m_host.State().Routes().m_version > aRouteVersion) {
     return true;
   }
-  const auto term = m_deps.m_owner.Term();
-  if (!term) {
-    return true;
+  const EngineDirectory* directory = ServedDirectory();
+  if (directory == nullptr) {
+    // The owner reads the list soon; any other instance sends the caller on.
+    return !m_deps.m_owner.Term();
   }
-  const EngineDirectory& directory = m_deps.m_owner.Directory();
-  return directory.HasList() &&
-         (aEpoch != term->Value() || directory.Version() > aDirectoryVersion);
+  return aEpoch != ServedEpoch() || directory->Version() > aDirectoryVersion;
 }
 
 void FleetService::WakeFollowers()
@@ -93,23 +121,47 @@
   }
 }
 
-kj::Promise<void> FleetService::Follow(
-  wire::FollowRequest::Reader aRequest,
-  const std::function<wire::FollowReply::Builder()>& aReply)
+void FleetService::RecordReport(wire::FollowRequest::Reader aRequest)
 {
   const TimePoint now = m_deps.m_clock.Now();
-  m_entriesSeenAt[InstanceId(TextOf(aRequest.getInstance()))] = now;
-  for (const auto demand : aRequest.getDemand()) {
-    m_deps.m_owner.RecordDemand(
-      { PoolId(TextOf(demand.getPool())),
-        { TextOf(demand.getModel()), TextOf(demand.getAdapter()) } },
-      { demand.getCalls(),
-        Duration(static_cast<int64_t>(demand.getWorkMicros())),
-        Duration(static_cast<int64_t>(demand.getPrefillMicros())) });
+  const InstanceId sender(TextOf(aRequest.getInstance()));
+  if (aRequest.getIsRelay()) {
+    m_relays[sender] = { FailureDomainId(TextOf(aRequest.getFailureDomain())),
+                         aRequest.getRelayedEntries(),
+                         now };
+  } else {
+    m_entriesSeenAt[sender] = now;
+  }
+  const bool isOwner = m_deps.m_owner.Term().has_value();
+  for (const auto report : aRequest.getDemand()) {
+    const DemandTracker::Key key{ PoolId(TextOf(report.getPool())),
+                                  { TextOf(report.getModel()),
+                                    TextOf(report.getAdapter()) } };
+    const CallDemand demand{
+      report.getCalls(),
+      Duration(static_cast<int64_t>(report.getWorkMicros())),
+      Duration(static_cast<int64_t>(report.getPrefillMicros()))
+    };
+    if (isOwner) {
+      m_deps.m_owner.RecordDemand(key, demand);
+    } else {
+      m_relay.RecordDemand(key, demand);
+    }
   }
   for (const auto engine : aRequest.getFailingEngines()) {
-    m_deps.m_owner.CheckEngine(UpstreamId(TextOf(engine)));
+    if (isOwner) {
+      m_deps.m_owner.CheckEngine(UpstreamId(TextOf(engine)));
+    } else {
+      m_relay.RecordFailing(UpstreamId(TextOf(engine)));
+    }
   }
+}
+
+kj::Promise<void> FleetService::Follow(
+  wire::FollowRequest::Reader aRequest,
+  const std::function<wire::FollowReply::Builder()>& aReply)
+{
+  RecordReport(aRequest);
   const Revision routeVersion(aRequest.getRouteVersion());
   const uint64_t epoch = aRequest.getEpoch();
   const uint64_t directoryVersion = aRequest.getDirectoryVersion();
@@ -124,20 +176,64 @@
   m_waitingFollows.push_back(
     { routeVersion, epoch, directoryVersion, kj::mv(paf.fulfiller) });
   return paf.promise
-    .exclusiveJoin(PromiseAfter(m_deps.m_port.Base(), kLongPollMicros))
+    .exclusiveJoin(PromiseAfter(m_deps.m_port.Base(),
+                                aRequest.getIsRelay() ? kRelayLongPollMicros
+                                                      : kLongPollMicros))
     .then([answer] { answer(); });
 }
 
+uint32_t FleetService::OwnFollowerCount(TimePoint aNow)
+{
+  std::erase_if(m_entriesSeenAt, [&](const auto& aEntry) {
+    return aEntry.second + kMaxEntryAge < aNow;
+  });
+  return static_cast<uint32_t>(m_entriesSeenAt.size());
+}
+
 uint32_t FleetService::EntryCount(TimePoint aNow)
 {
+  if (!m_deps.m_owner.Term()) {
+    return m_relay.EntryCount();
+  }
   if (aNow < m_ownerSince + kEntryCountDelay) {
-    // Not all entries have found the new leader yet.
+    // Not all entries and relays have found the new leader yet.
     return 0;
   }
-  std::erase_if(m_entriesSeenAt, [&](const auto& aEntry) {
-    return aEntry.second + kMaxEntryAge < aNow;
+  std::erase_if(m_relays, [&](const auto& aRelay) {
+    return aRelay.second.m_seenAt + kMaxEntryAge < aNow;
   });
-  return static_cast<uint32_t>(m_entriesSeenAt.size());
+  // An entry that changes from one instance to another counts twice for a
+  // while, which makes its share of the retry budget smaller.
+  uint32_t count = OwnFollowerCount(aNow);
+  for (const auto& [instance, relay] : m_relays) {
+    count += relay.m_entries;
+  }
+  return count;
+}
+
+void FleetService::WriteRelays(wire::FollowReply::Builder aOut) const
+{
+  std::vector<RelayAddress> relays;
+  if (m_deps.m_owner.Term()) {
+    const TimePoint now = m_deps.m_clock.Now();
+    for (const auto& [id, address] :
+         m_deps.m_host.Replica().Replicas().m_voters) {
+      const auto relay = m_relays.find(address.m_instance);
+      if (address.m_instance == m_self) {
+        relays.push_back({ address.m_address, m_domain });
+      } else if (relay != m_relays.end() &&
+                 now < relay->second.m_seenAt + kMaxRelayAge) {
+        relays.push_back({ address.m_address, relay->second.m_domain });
+      }
+    }
+  } else {
+    relays = m_relay.Relays();
+  }
+  auto list = aOut.initRelays(static_cast<unsigned>(relays.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setAddress(relays[i].m_address);
+    list[i].setFailureDomain(relays[i].m_domain.Value());
+  }
 }
 
 void FleetService::WriteControlInstances(wire::FollowReply::Builder aOut) const
@@ -153,12 +249,13 @@
   }
 }
 
-void FleetService::WriteEngines(bool aIsWhole,
+void FleetService::WriteEngines(const EngineDirectory& aDirectory,
+                                bool aIsWhole,
                                 uint64_t aKnownVersion,
-                                wire::FollowReply::Builder aOut) const
+                                wire::FollowReply::Builder aOut)
 {
   std::vector<const EngineDirectory::Entry*> changed;
-  for (const auto& [id, entry] : m_deps.m_owner.Directory().All()) {
+  for (const auto& [id, entry] : aDirectory.All()) {
     const bool isSent =
       aIsWhole ? !entry.m_isGone : entry.m_changedInVersion > aKnownVersion;
     if (isSent) {
@@ -184,29 +281,30 @@
     out.setVersion(routes.m_version.Value());
     out.setDocument(DataOf(routes.m_document));
   }
-  const auto term = m_deps.m_owner.Term();
-  if (!term) {
-    const ReplicaAddress* leader = m_deps.m_host.LeaderAddress();
-    if (leader != nullptr && !m_deps.m_host.Replica().IsLeader()) {
-      auto out = aOut.initLeader();
-      out.setInstance(leader->m_instance.Value());
-      out.setAddress(leader->m_address);
-      out.setPort(leader->m_port);
-    }
+  const bool isOwner = m_deps.m_owner.Term().has_value();
+  aOut.setIsLeader(isOwner);
+  const ReplicaAddress* leader = m_deps.m_host.LeaderAddress();
+  if (!isOwner && leader != nullptr && !m_deps.m_host.Replica().IsLeader()) {
+    auto out = aOut.initLeader();
+    out.setInstance(leader->m_instance.Value());
+    out.setAddress(leader->m_address);
+    out.setPort(leader->m_port);
+  }
+  const EngineDirectory* directory = ServedDirectory();
+  aOut.setHasDirectory(directory != nullptr);
+  if (!isOwner && directory == nullptr) {
     return;
   }
-  aOut.setIsLeader(true);
   aOut.setEntryCount(EntryCount(m_deps.m_clock.Now()));
-  const EngineDirectory& directory = m_deps.m_owner.Directory();
-  aOut.setHasDirectory(directory.HasList());
-  if (!directory.HasList()) {
+  if (directory == nullptr) {
     return;
   }
-  const bool isWhole = aEpoch != term->Value();
+  const bool isWhole = aEpoch != ServedEpoch();
   aOut.setIsWhole(isWhole);
-  aOut.setEpoch(term->Value());
-  aOut.setDirectoryVersion(directory.Version());
-  WriteEngines(isWhole, aDirectoryVersion, aOut);
+  aOut.setEpoch(ServedEpoch());
+  aOut.setDirectoryVersion(directory->Version());
+  WriteRelays(aOut);
+  WriteEngines(*directory, isWhole, aDirectoryVersion, aOut);
 }
 
 kj::Promise<std::string> FleetService::LoadAdapter(
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "control/directory_relay.h"
 #include "control/replica_host.h"
 #include "fleet/fleet_owner.h"
 #include "wire/celeryspread.capnp.h"
@@ -25,16 +26,18 @@
     ReplicaHost& m_host;
     FleetOwner& m_owner;
     RouteDocumentReader& m_reader;
+    PeerLinks& m_peers;
     EventLog& m_log;
   };
 
-  /// Creates the service. @pre none.
-  explicit FleetService(Dependencies aDeps);
+  /// Creates the service of an instance in aDomain. @pre none.
+  FleetService(Dependencies aDeps, InstanceId aSelf, FailureDomainId aDomain);
 
   /// Runs periodic work. @pre called several times a second.
   void Tick();
-  /// Answers a follow call: at once when there is an update or this instance is
-  /// not the owner, else with the next update or at the end of the long poll.
+  /// Answers a follow call: at once when there is an update or this instance
+  /// has no directory, else with the next update or at the end of the long
+  /// poll.
   /// @pre aReply may be called until the promise resolves.
   kj::Promise<void> Follow(
     wire::FollowRequest::Reader aRequest,
@@ -54,6 +57,14 @@
     kj::Own<kj::PromiseFulfiller<void>> m_fulfiller;
   };
 
+  /// Another instance that follows this owner for the entries of its domain.
+  struct Relay
+  {
+    FailureDomainId m_domain;
+    uint32_t m_entries = 0;
+    TimePoint m_seenAt;
+  };
+
   void ApplyRoutes();
   void UpdateOwnership();
   /// Returns whether an entry with these versions needs an answer now.
@@ -61,18 +72,34 @@
                                uint64_t aEpoch,
                                uint64_t aDirectoryVersion) const;
   void WakeFollowers();
+  /// Returns the directory that this instance serves: its own as the owner, or
+  /// a recent copy of the owner's; null for none.
+  [[nodiscard]] const EngineDirectory* ServedDirectory() const;
+  /// Returns the term of the owner of the served directory.
+  /// @pre ServedDirectory() is not null.
+  [[nodiscard]] uint64_t ServedEpoch() const;
+  /// Passes on what an entry or a relay reports.
+  void RecordReport(wire::FollowRequest::Reader aRequest);
+  void WriteRelays(wire::FollowReply::Builder aOut) const;
   void WriteReply(Revision aRouteVersion,
                   uint64_t aEpoch,
                   uint64_t aDirectoryVersion,
                   wire::FollowReply::Builder aOut);
-  void WriteEngines(bool aIsWhole,
-                    uint64_t aKnownVersion,
-                    wire::FollowReply::Builder aOut) const;
+  static void WriteEngines(const EngineDirectory& aDirectory,
+                           bool aIsWhole,
+                           uint64_t aKnownVersion,
+                           wire::FollowReply::Builder aOut);
   void WriteControlInstances(wire::FollowReply::Builder aOut) const;
   /// Returns the number of entries that follow this owner, 0 while unknown.
   [[nodiscard]] uint32_t EntryCount(TimePoint aNow);
+  /// Returns the number of entries that call this instance itself.
+  [[nodiscard]] uint32_t OwnFollowerCount(TimePoint aNow);
 
   Dependencies m_deps;
+  InstanceId m_self;
+  FailureDomainId m_domain;
+  DirectoryRelay m_relay;
+  std::map<InstanceId, Relay> m_relays;
   Revision m_appliedRouteVersion;
   TimePoint m_ownerSince;
   std::map<InstanceId, TimePoint> m_entriesSeenAt;
--- a/fleet/engine_directory.cpp
+++ b/fleet/engine_directory.cpp
@@ -86,9 +86,10 @@
     record.m_isLeaving =
       record.m_isLeaving || (!isRestarted && entry.m_record.m_isLeaving);
     ApplyOrderEffects(record, aNow);
-    if (isNew || record != entry.m_record) {
-      entry.m_record = std::move(record);
-      entry.m_isGone = false;
+    const bool isChanged = isNew || !record.IsSameForEntries(entry.m_record);
+    entry.m_record = std::move(record);
+    entry.m_isGone = false;
+    if (isChanged) {
       MarkChanged(entry);
     }
   }
@@ -104,6 +105,23 @@
   return changes;
 }
 
+void EngineDirectory::ApplyUpdate(bool aIsWhole,
+                                  uint64_t aVersion,
+                                  std::vector<Entry> aEntries)
+{
+  if (aIsWhole) {
+    Clear();
+  }
+  m_version = aVersion;
+  m_hasList = true;
+  for (Entry& entry : aEntries) {
+    // A follower at an older version needs the change again.
+    entry.m_changedInVersion = aVersion;
+    const UpstreamId id = entry.m_record.m_id;
+    m_entries[id] = std::move(entry);
+  }
+}
+
 void EngineDirectory::ApplyModels(
   const UpstreamId& aId,
   std::map<std::string, LoadedModel, std::less<>> aModels,
--- a/fleet/engine_directory.h
+++ b/fleet/engine_directory.h
@@ -39,6 +39,12 @@
   void Clear();
   /// Applies the platform's list. @pre aList holds all engines.
   ListChanges ApplyList(std::vector<EngineRecord> aList, TimePoint aNow);
+  /// Applies an update from the owner to a copy of its directory, up to the
+  /// owner's version aVersion. Engines missing from a whole update are removed.
+  /// @pre the updates come in order, the first one whole.
+  void ApplyUpdate(bool aIsWhole,
+                   uint64_t aVersion,
+                   std::vector<Entry> aEntries);
   /// Applies the models of an engine's report. @pre none.
   void ApplyModels(const UpstreamId& aId,
                    std::map<std::string, LoadedModel, std::less<>> aModels,
--- a/fleet/engine_orders.cpp
+++ b/fleet/engine_orders.cpp
@@ -23,8 +23,8 @@
 /// can have them.
 constexpr Duration kUnresponsiveTime = std::chrono::seconds(3);
 /// Time until every entry is notified that a model is to be unloaded: a tick of
-/// the directory and the network latency to another region.
-constexpr Duration kAnnouncementTime = std::chrono::milliseconds(200);
+/// the owner and one of a relay, and the network latency to another region.
+constexpr Duration kAnnouncementTime = std::chrono::milliseconds(250);
 /// Tries of one order that the engine answers with a conflict.
 constexpr uint32_t kMaxOrderTries = 4;
 /// The call that needs the adapter would be late after a longer wait, and
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -61,6 +61,11 @@
 /// with loads spread over the holders as entries spread calls (ModelShares). A
 /// copy with little gain is not added, so that models with similar demand do
 /// not keep evicting each other.
+///
+/// A load from the weight store takes longer than many shifts of demand last,
+/// one from an engine's own cache a fraction of a second. Store loads that
+/// demand does not need are therefore used for standby copies in free memory:
+/// they serve calls, and leave weights in the caches of more engines.
 /// @thread any; no state.
 class ModelPlanner
 {
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -1,5 +1,6 @@
 #include "gateway/directory_link.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/engine_codec.h"
@@ -13,6 +14,8 @@
 /// answer reaches it.
 constexpr Duration kFollowTimeout = std::chrono::milliseconds(2500);
 constexpr Duration kAdapterTimeout = std::chrono::milliseconds(1500);
+/// Time for which the owner is followed after a relay failed.
+constexpr Duration kRelayRetryDelay = std::chrono::seconds(3);
 /// Delay before the next follow request after a failed one.
 constexpr int64_t kRetryDelayMicros = 100'000;
 
@@ -104,6 +107,7 @@
 {
   return FollowOnce()
     .catch_([this](kj::Exception&&) {
+      m_noRelayUntil = m_deps.m_clock.Now() + kRelayRetryDelay;
       SelectNextLink();
       return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
     })
@@ -199,23 +203,53 @@
     m_routeVersion = version;
     m_listener(version, BytesOf(aReply.getRoutes().getDocument()));
   }
-  if (!aReply.getIsLeader()) {
-    const std::string leader = TextOf(aReply.getLeader().getAddress());
-    KJ_REQUIRE(!leader.empty() && leader != m_currentAddress,
-               "no leader is known there");
-    LinkTo(leader);
-    m_currentAddress = leader;
-    // A new link takes a moment to come up; until then the other control
-    // instances are tried.
-    KJ_REQUIRE(LinkTo(leader).IsUp(), "the leader's link is not up");
+  if (!aReply.getIsLeader() && !aReply.getHasDirectory()) {
+    FollowOwner(aReply);
     return;
   }
   // A leader of an earlier term may not know yet that it was replaced.
   KJ_REQUIRE(!aReply.getHasDirectory() || aReply.getEpoch() >= m_directoryTerm,
              "the leader was replaced");
+  m_ownerAddress = aReply.getIsLeader()
+                     ? m_currentAddress
+                     : TextOf(aReply.getLeader().getAddress());
+  if (!m_ownerAddress.empty()) {
+    LinkTo(m_ownerAddress);
+  }
   m_deps.m_retries.SetEntryCount(aReply.getEntryCount());
   if (aReply.getHasDirectory()) {
     ApplyEngines(aReply);
+    FollowRelay(aReply);
+  }
+}
+
+void DirectoryLink::FollowOwner(wire::FollowReply::Reader aReply)
+{
+  m_noRelayUntil = m_deps.m_clock.Now() + kRelayRetryDelay;
+  const std::string leader = TextOf(aReply.getLeader().getAddress());
+  KJ_REQUIRE(!leader.empty() && leader != m_currentAddress,
+             "no leader is known there");
+  LinkTo(leader);
+  m_currentAddress = leader;
+  m_ownerAddress = leader;
+  // A new link takes a moment to come up; until then the other control
+  // instances are tried.
+  KJ_REQUIRE(LinkTo(leader).IsUp(), "the leader's link is not up");
+}
+
+void DirectoryLink::FollowRelay(wire::FollowReply::Reader aReply)
+{
+  if (m_deps.m_clock.Now() < m_noRelayUntil) {
+    return;
+  }
+  for (const auto relay : aReply.getRelays()) {
+    const std::string address = TextOf(relay.getAddress());
+    if (TextOf(relay.getFailureDomain()) ==
+          m_settings.m_failureDomain.Value() &&
+        LinkTo(address).IsUp()) {
+      m_currentAddress = address;
+      return;
+    }
   }
 }
 
@@ -238,8 +272,12 @@
                          " epoch=" + std::to_string(aReply.getEpoch()) +
                          " engines=" + std::to_string(listed.size()));
   }
+  // A relay may lag behind the instance that was followed before it.
+  m_directoryVersion =
+    aReply.getIsWhole()
+      ? aReply.getDirectoryVersion()
+      : std::max(m_directoryVersion, aReply.getDirectoryVersion());
   m_directoryTerm = aReply.getEpoch();
-  m_directoryVersion = aReply.getDirectoryVersion();
   m_hasDirectory = true;
 }
 
@@ -272,11 +310,12 @@
       callback(aEngine);
     }
   };
-  WireLink* link = UsableLink();
-  if (link == nullptr) {
+  const auto owner = m_links.find(m_ownerAddress);
+  if (owner == m_links.end() || !owner->second->IsUp()) {
     finish(UpstreamId());
     return;
   }
+  WireLink* link = owner->second.get();
   auto call = link->Node().loadAdapterRequest();
   auto request = call.initRequest();
   request.setPool(aPool.Value());
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -92,6 +92,10 @@
   void Apply(wire::FollowReply::Reader aReply);
   void ApplyEngines(wire::FollowReply::Reader aReply);
   void AddControlLinks(wire::FollowReply::Reader aReply);
+  /// Changes to the owner because this instance has no directory.
+  void FollowOwner(wire::FollowReply::Reader aReply);
+  /// Changes to the relay in the own failure domain, if there is one.
+  void FollowRelay(wire::FollowReply::Reader aReply);
 
   Dependencies m_deps;
   ClusterKey m_key;
@@ -101,6 +105,11 @@
   std::map<std::string, std::unique_ptr<WireLink>> m_links;
   /// Address of the link in use; empty at first.
   std::string m_currentAddress;
+  /// Address of the instance that owns the engines; empty while unknown.
+  std::string m_ownerAddress;
+  /// Until then the owner is followed, because a relay did not answer or had no
+  /// recent directory.
+  TimePoint m_noRelayUntil;
   Revision m_routeVersion;
   /// Term of the leader that sent the directory, called epoch in messages.
   uint64_t m_directoryTerm = 0;
--- a/routes/engine_record.h
+++ b/routes/engine_record.h
@@ -57,6 +57,15 @@
   }
   /// Compares all fields. @pre none. @thread any.
   bool operator==(const EngineRecord&) const = default;
+  /// Returns whether entries would treat both records alike: they don't use the
+  /// time of the start and the cached weights. @pre none. @thread any.
+  [[nodiscard]] bool IsSameForEntries(const EngineRecord& aOther) const
+  {
+    return m_id == aOther.m_id && m_pool == aOther.m_pool &&
+           m_address == aOther.m_address && m_domain == aOther.m_domain &&
+           m_slots == aOther.m_slots && m_isLeaving == aOther.m_isLeaving &&
+           m_models == aOther.m_models;
+  }
 };
 
 } // namespace celeryspread
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -229,6 +229,17 @@
   demand @5 :List(DemandEntry);
   # Engines on which several attempts in a row got no answer.
   failingEngines @6 :List(Text);
+  # Whether the sender is a control instance that relays the directory to the
+  # entries of its failure domain, and how many entries follow it.
+  isRelay @7 :Bool;
+  relayedEntries @8 :UInt32;
+}
+
+# A control instance that answers follow calls with a directory. Entries follow
+# the one in their own failure domain.
+struct RelayEntry {
+  address @0 :Text;
+  failureDomain @1 :Text;
 }
 
 struct FollowReply {
@@ -245,9 +256,11 @@
   # Number of entry instances that follow the leader; they divide the retry
   # budget among themselves. 0 while a new leader may not know all of them.
   entryCount @8 :UInt32;
-  # False from a follower, and from a new leader that does not know the engines
-  # yet.
+  # False from a new leader that does not know the engines yet, and from a
+  # follower whose copy of the directory may be outdated. A follower with a
+  # recent copy sets it while isLeader is false.
   hasDirectory @9 :Bool;
+  relays @10 :List(RelayEntry);
 }
 
 struct AdapterRequest {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -47,6 +47,7 @@
 CAPNP_DECLARE_SCHEMA(bc108f4f24518174);
 CAPNP_DECLARE_SCHEMA(f0e77f969d615e7b);
 CAPNP_DECLARE_SCHEMA(f1be59d92bd792c1);
+CAPNP_DECLARE_SCHEMA(c4e46dff17840335);
 CAPNP_DECLARE_SCHEMA(b18c2b5bed9a4a67);
 CAPNP_DECLARE_SCHEMA(f09e405c8a347459);
 CAPNP_DECLARE_SCHEMA(cbeffeb05744a539);
@@ -509,7 +510,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayEntry {
+  RelayEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c4e46dff17840335, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -524,7 +540,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3894,6 +3910,10 @@
   inline bool hasFailingEngines() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getFailingEngines() const;
 
+  inline bool getIsRelay() const;
+
+  inline  ::uint32_t getRelayedEntries() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3960,6 +3980,12 @@
   inline void adoptFailingEngines(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownFailingEngines();
 
+  inline bool getIsRelay();
+  inline void setIsRelay(bool value);
+
+  inline  ::uint32_t getRelayedEntries();
+  inline void setRelayedEntries( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3986,6 +4012,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayEntry::Reader {
+public:
+  typedef RelayEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayEntry::Builder {
+public:
+  typedef RelayEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayEntry::Pipeline {
+public:
+  typedef RelayEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FollowReply::Reader {
 public:
   typedef FollowReply Reads;
@@ -4027,6 +4144,9 @@
 
   inline bool getHasDirectory() const;
 
+  inline bool hasRelays() const;
+  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Reader getRelays() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4101,6 +4221,13 @@
   inline bool getHasDirectory();
   inline void setHasDirectory(bool value);
 
+  inline bool hasRelays();
+  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Builder getRelays();
+  inline void setRelays( ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Builder initRelays(unsigned int size);
+  inline void adoptRelays(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>> disownRelays();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9807,6 +9934,102 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool FollowRequest::Reader::getIsRelay() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowRequest::Builder::getIsRelay() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setIsRelay(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FollowRequest::Reader::getRelayedEntries() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FollowRequest::Builder::getRelayedEntries() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setRelayedEntries( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayEntry::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayEntry::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayEntry::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayEntry::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayEntry::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayEntry::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayEntry::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayEntry::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayEntry::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayEntry::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayEntry::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayEntry::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayEntry::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayEntry::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayEntry::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayEntry::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool FollowReply::Reader::getIsLeader() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10037,6 +10260,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowReply::Reader::hasRelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasRelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getRelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getRelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setRelays( ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initRelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptRelays(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownRelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool AdapterRequest::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
