Bound answers of upstreams that have no end

Cause: an upstream in trouble may send bytes that are no answer until its connection is closed, in a head or a body. evhttp bounds the header fields only: a chunk size, a chunk extension, a huge chunk and interim answers were read without end, a plain answer and an event of a stream were held in memory until the deadline of the call.

Change: EvhttpUpstreamCall ends a call whose head (interim answers included) or held-back bytes exceed a bound, and closes its connection. A GatewayCall gives up a plain answer over 8 MiB and an event over 256 KiB; the call is retried where that is allowed, and a rejection stays one.

Result: tests with a real server that never stops sending, in eight places of an answer, and for the gateway. Both front ends use the client.

--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -1,5 +1,6 @@
 #include "control/control_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <random>
--- a/gateway/event_splitter.h
+++ b/gateway/event_splitter.h
@@ -27,10 +27,18 @@
   /// Returns whether a resumed stream began at another event than expected.
   /// @pre none.
   [[nodiscard]] bool IsOutOfOrder() const { return m_isOutOfOrder; }
+  /// Returns whether an incomplete event is longer than any event may be; more
+  /// bytes must not be added. @pre none.
+  [[nodiscard]] bool IsOversized() const
+  {
+    return m_partial.size() > kMaxEventBytes;
+  }
   /// Returns whether bytes of an incomplete event are buffered. @pre none.
   [[nodiscard]] bool HasPartialEvent() const { return !m_partial.empty(); }
 
 private:
+  static constexpr size_t kMaxEventBytes = 262'144;
+
   void TrackId(std::string_view aEvent);
 
   std::string m_partial;
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -25,6 +25,9 @@
 constexpr uint32_t kLightLoadDivisor = 3;
 /// Bytes buffered for a slow caller above which the upstream is paused.
 constexpr size_t kMaxPendingBytes = 65'536;
+/// A longer answer that is no stream is given up. It is held in memory until it
+/// is complete, and an upstream in trouble may send bytes without end.
+constexpr size_t kMaxAnswerBytes = 8'388'608;
 /// An attempt with less time left can't succeed.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(20);
 
@@ -303,10 +306,18 @@
   m_context.m_table.RecordBytes(m_upstream, m_context.m_clock.Now());
   const bool isEvents = m_isStreaming && IsSuccess(m_status);
   if (!isEvents) {
+    if (m_body.size() + aBytes.size() > kMaxAnswerBytes) {
+      HandleEndlessAnswer();
+      return;
+    }
     m_body += aBytes;
     return;
   }
   const std::string_view events = m_events.Feed(aBytes);
+  if (m_events.IsOversized()) {
+    HandleEndlessAnswer();
+    return;
+  }
   if (m_events.IsOutOfOrder()) {
     AbortStream("the resumed stream did not continue after the last event");
     return;
@@ -321,6 +332,16 @@
   }
 }
 
+void GatewayCall::HandleEndlessAnswer()
+{
+  if (m_isRejected) {
+    // The headers said already that the request did not run.
+    HandleRejection();
+    return;
+  }
+  HandleFailedAttempt(true, "the upstream's answer has no end");
+}
+
 void GatewayCall::OnOutputDrained()
 {
   if (m_attempt != nullptr) {
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -84,6 +84,8 @@
   [[nodiscard]] Duration Age(TimePoint aNow) const;
   void CloseAttempt(AttemptOutcome aOutcome);
   void HandleFailedAttempt(bool aMayHaveRun, const std::string& aReason);
+  /// Ends an attempt whose answer exceeds every bound.
+  void HandleEndlessAnswer();
   void HandleRejection();
   /// Passes on an answer that is not a stream, or retries the call.
   void DeliverAnswer();
--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -15,6 +15,11 @@
 constexpr int64_t kMicrosPerSecond = 1'000'000;
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 constexpr ev_ssize_t kMaxResponseHeaderBytes = 65'536;
+/// Bytes before the headers of the answer, interim answers included.
+constexpr size_t kMaxBytesBeforeHeaders = 2 * kMaxResponseHeaderBytes;
+/// Bytes that evhttp may hold back, as of a chunk that is not complete or a
+/// line without an end.
+constexpr size_t kMaxBufferedBytes = 4'194'304;
 
 timeval ToTimeval(Duration aDuration)
 {
@@ -124,7 +129,7 @@
   if (m_hasEnded) {
     return;
   }
-  RemoveOutputCallback();
+  RemoveBufferCallbacks();
   m_callbackArgument->m_call = nullptr;
   m_client.FreeLater(m_connection, std::move(m_callbackArgument));
 }
@@ -157,6 +162,7 @@
   bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
   m_outputCallback =
     evbuffer_add_cb(bufferevent_get_output(bev), OnOutput, this);
+  m_inputCallback = evbuffer_add_cb(bufferevent_get_input(bev), OnInput, this);
   const int result = evhttp_make_request(m_connection,
                                          request,
                                          ToEvhttpMethod(m_request.m_method),
@@ -186,6 +192,24 @@
   event_active(self->m_deferredEvent, 0, 0);
 }
 
+void EvhttpUpstreamCall::OnInput(evbuffer* aBuffer,
+                                 const evbuffer_cb_info* aInfo,
+                                 void* aSelf)
+{
+  auto* self = static_cast<EvhttpUpstreamCall*>(aSelf);
+  if (!self->m_hasHeaders) {
+    self->m_bytesBeforeHeaders += aInfo->n_added;
+  }
+  // A single read may bring the headers and some of the body.
+  const bool isEndlessHead =
+    !self->m_hasHeaders && self->m_bytesBeforeHeaders > kMaxBytesBeforeHeaders;
+  if (isEndlessHead || evbuffer_get_length(aBuffer) > kMaxBufferedBytes) {
+    // The connection can't be freed while evhttp reads from it.
+    self->m_isOversized = true;
+    event_active(self->m_deferredEvent, 0, 0);
+  }
+}
+
 int EvhttpUpstreamCall::OnHeaders(evhttp_request* aRequest, void* aSelf)
 {
   EvhttpUpstreamCall* self = static_cast<CallbackArgument*>(aSelf)->m_call;
@@ -236,18 +260,20 @@
   }
 }
 
-void EvhttpUpstreamCall::RemoveOutputCallback()
+void EvhttpUpstreamCall::RemoveBufferCallbacks()
 {
   if (m_outputCallback != nullptr) {
     bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
     evbuffer_remove_cb_entry(bufferevent_get_output(bev), m_outputCallback);
+    evbuffer_remove_cb_entry(bufferevent_get_input(bev), m_inputCallback);
     m_outputCallback = nullptr;
+    m_inputCallback = nullptr;
   }
 }
 
 void EvhttpUpstreamCall::Fail(UpstreamFailureKind aKind, std::string aReason)
 {
-  RemoveOutputCallback();
+  RemoveBufferCallbacks();
   m_hasEnded = true;
   m_client.FreeLater(m_connection, std::move(m_callbackArgument));
   m_observer.OnUpstreamFailed({ aKind, m_hasSentBytes, std::move(aReason) });
@@ -258,7 +284,7 @@
   if (!DeliverBody(aRequest)) {
     return;
   }
-  RemoveOutputCallback();
+  RemoveBufferCallbacks();
   m_hasEnded = true;
   // Bytes after the response would be read as the response to the next request,
   // so such a connection is not reused.
@@ -337,6 +363,11 @@
                "no connection to the upstream");
     return;
   }
+  if (self->m_isOversized) {
+    self->Fail(UpstreamFailureKind::InvalidResponse,
+               "the upstream's answer has no end");
+    return;
+  }
   if (self->m_isPaused) {
     bufferevent_disable(evhttp_connection_get_bufferevent(self->m_connection),
                         EV_READ);
--- a/http/evhttp_upstream_call.h
+++ b/http/evhttp_upstream_call.h
@@ -43,6 +43,9 @@
   static void OnOutput(evbuffer* aBuffer,
                        const evbuffer_cb_info* aInfo,
                        void* aSelf);
+  static void OnInput(evbuffer* aBuffer,
+                      const evbuffer_cb_info* aInfo,
+                      void* aSelf);
   static void OnDeferred(int aFd, short aWhat, void* aSelf);
   void Send();
   void Complete(evhttp_request* aRequest);
@@ -50,7 +53,7 @@
   /// observer destroyed this call.
   bool DeliverBody(evhttp_request* aRequest);
   void Fail(UpstreamFailureKind aKind, std::string aReason);
-  void RemoveOutputCallback();
+  void RemoveBufferCallbacks();
   void SetTimeout(Duration aTimeout);
 
   EvhttpUpstreamClient& m_client;
@@ -58,6 +61,8 @@
   UpstreamRequest m_request;
   UpstreamObserver& m_observer;
   evbuffer_cb_entry* m_outputCallback = nullptr;
+  evbuffer_cb_entry* m_inputCallback = nullptr;
+  size_t m_bytesBeforeHeaders = 0;
   event* m_deferredEvent;
   std::unique_ptr<CallbackArgument> m_callbackArgument;
   bool m_hasEnded = false;
@@ -65,6 +70,8 @@
   bool m_hasHeaders = false;
   bool m_hasSentBytes = false;
   bool m_isPaused = false;
+  /// The upstream sends more bytes than an answer may hold back.
+  bool m_isOversized = false;
   /// An evhttp_request_error; -1 without an error.
   int m_evhttpError = -1;
   /// While the observer runs: points to a local that the destructor sets.
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -235,6 +235,52 @@
   EXPECT_EQ(m_caller.m_body, "id: 1\ndata: x\n\n");
 }
 
+/// An upstream in trouble sends bytes that are no answer until its connection
+/// is closed. All of them were held in memory until the deadline.
+TEST_F(GatewayTest, GivesUpAnAnswerWithoutEnd)
+{
+  const std::string filler(1'048'576, 'x');
+  Call("/look/1");
+  Answer(0, 200, m_good);
+  for (int i = 0; i < 64 && !Attempt(0).m_isCancelled; ++i) {
+    Attempt(0).m_observer->OnUpstreamBody(filler);
+  }
+  EXPECT_TRUE(Attempt(0).m_isCancelled);
+  // The call may run again, so another upstream gets it.
+  ASSERT_EQ(m_client.m_attempts.size(), 2U);
+  Answer(1, 200, m_good);
+  Attempt(1).m_observer->OnUpstreamBody("found");
+  Attempt(1).m_observer->OnUpstreamEnd();
+  EXPECT_EQ(m_caller.m_status, 200);
+  EXPECT_EQ(m_caller.m_body, "found");
+}
+
+TEST_F(GatewayTest, GivesUpAnEventWithoutEnd)
+{
+  const std::string filler(65'536, 'x');
+  Call("/chat/1", { { "model", "m" } });
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\nid: 2\ndata: ");
+  for (int i = 0; i < 64 && !Attempt(0).m_isCancelled; ++i) {
+    Attempt(0).m_observer->OnUpstreamBody(filler);
+  }
+  EXPECT_TRUE(Attempt(0).m_isCancelled);
+  EXPECT_TRUE(m_caller.m_isAborted);
+  EXPECT_EQ(m_caller.m_body, "id: 1\ndata: x\n\n");
+}
+
+TEST_F(GatewayTest, RejectionWithABodyWithoutEndIsARejection)
+{
+  const std::string filler(1'048'576, 'x');
+  Call("/pay/1");
+  Answer(0, 503, { { "id", "a1" }, { "not-run", "1" } });
+  for (int i = 0; i < 64 && !Attempt(0).m_isCancelled; ++i) {
+    Attempt(0).m_observer->OnUpstreamBody(filler);
+  }
+  EXPECT_TRUE(Attempt(0).m_isCancelled);
+  EXPECT_EQ(m_client.m_attempts.size(), 2U);
+}
+
 TEST_F(GatewayTest, CancelsTheAttemptWhenTheCallerDisconnects)
 {
   Call("/pay/1");
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -84,6 +84,76 @@
   std::vector<bufferevent*> m_connections;
 };
 
+/// Server in trouble that answers with a head and then with the same bytes
+/// until the client closes the connection.
+class EndlessServer
+{
+public:
+  EndlessServer(TestLoop& aLoop, std::string aHead, std::string aRepeated)
+    : m_head(std::move(aHead))
+    , m_repeated(std::move(aRepeated))
+  {
+    const auto address = MakeSocketAddress("127.0.0.1", 0);
+    m_listener = evconnlistener_new_bind(aLoop.Base(),
+                                         OnAccept,
+                                         this,
+                                         LEV_OPT_CLOSE_ON_FREE,
+                                         16,
+                                         address->Get(),
+                                         static_cast<int>(address->m_length));
+  }
+  ~EndlessServer()
+  {
+    evconnlistener_free(m_listener);
+    for (bufferevent* bev : m_connections) {
+      bufferevent_free(bev);
+    }
+  }
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  [[nodiscard]] uint16_t Port() const
+  {
+    return BoundPort(evconnlistener_get_fd(m_listener));
+  }
+  [[nodiscard]] size_t SentBytes() const { return m_sentBytes; }
+  [[nodiscard]] bool IsClosed() const { return m_isClosed; }
+
+private:
+  static void OnAccept(evconnlistener* aListener,
+                       evutil_socket_t aFd,
+                       sockaddr* /*aAddress*/,
+                       int /*aLength*/,
+                       void* aSelf)
+  {
+    auto* self = static_cast<EndlessServer*>(aSelf);
+    bufferevent* bev = bufferevent_socket_new(
+      evconnlistener_get_base(aListener), aFd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(bev, nullptr, OnWritten, OnEvent, self);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+    bufferevent_write(bev, self->m_head.data(), self->m_head.size());
+    self->m_connections.push_back(bev);
+  }
+  static void OnWritten(bufferevent* aBev, void* aSelf)
+  {
+    auto* self = static_cast<EndlessServer*>(aSelf);
+    bufferevent_write(aBev, self->m_repeated.data(), self->m_repeated.size());
+    self->m_sentBytes += self->m_repeated.size();
+  }
+  static void OnEvent(bufferevent* aBev, short /*aWhat*/, void* aSelf)
+  {
+    bufferevent_disable(aBev, EV_READ | EV_WRITE);
+    static_cast<EndlessServer*>(aSelf)->m_isClosed = true;
+  }
+
+  std::string m_head;
+  std::string m_repeated;
+  evconnlistener* m_listener;
+  std::vector<bufferevent*> m_connections;
+  size_t m_sentBytes = 0;
+  bool m_isClosed = false;
+};
+
 /// Records the response to one call.
 class ResponseRecorder : public UpstreamObserver
 {
@@ -113,7 +183,8 @@
 protected:
   /// Calls aServer, then lets the loop run so that the connection is kept or
   /// freed.
-  ResponseRecorder Call(const FixedResponseServer& aServer)
+  template<typename Server>
+  ResponseRecorder Call(const Server& aServer)
   {
     UpstreamRequest request;
     request.m_address = { "127.0.0.1", aServer.Port() };
@@ -178,4 +249,43 @@
   EXPECT_EQ(server.ConnectionCount(), 2U);
 }
 
+/// Bytes that are no answer may come without end until the client closes. The
+/// client held all of them in memory until the deadline of the call.
+TEST_F(UpstreamClientTest, GivesUpOnBytesWithoutEnd)
+{
+  const std::string filler(65'536, 'x');
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  struct Case
+  {
+    const char* m_name;
+    std::string m_head;
+    std::string m_repeated;
+  };
+  std::string interim;
+  std::string field;
+  for (int i = 0; i < 1000; ++i) {
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    field += "Filler: " + std::string(50, 'y') + "\r\n";
+  }
+  const Case cases[] = {
+    { "status line", "HTTP/1.1 200 ", filler },
+    { "header line", "HTTP/1.1 200 OK\r\nFiller: ", filler },
+    { "header fields", "HTTP/1.1 200 OK\r\n", field },
+    { "interim answers", "", interim },
+    { "chunk size", chunked, std::string(65'536, '0') },
+    { "chunk extension", chunked + "5;", filler },
+    { "chunk", chunked + "7fffffff\r\n", filler },
+    { "trailer", chunked + "0\r\nFiller: ", filler },
+  };
+  constexpr size_t kMaxSentBytes = 32 * 1024 * 1024;
+  for (const Case& endless : cases) {
+    EndlessServer server(m_loop, endless.m_head, endless.m_repeated);
+    EXPECT_TRUE(Call(server).m_hasFailed) << endless.m_name;
+    EXPECT_LT(server.SentBytes(), kMaxSentBytes) << endless.m_name;
+    EXPECT_TRUE(server.IsClosed()) << endless.m_name;
+    EXPECT_EQ(m_client.IdleConnectionCount(), 0U) << endless.m_name;
+  }
+}
+
 } // namespace celeryspread::test
