Planner: demand decides the places where not all models fit

Change: where the engines can't hold every model, only models that are called are placed, and a model with little demand may lose its last copy to one with at least twice its demand. Where all fit, nothing changes.

The tests for both cases failed before.

--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -114,12 +114,11 @@
     }
     InstanceSettings settings = m_settings;
     for (const auto& [id, address] : m_host->Replica().Replicas().m_voters) {
-      const bool isListed =
-        std::any_of(settings.m_control.begin(),
-                    settings.m_control.end(),
-                    [&](const PeerAddress& aPeer) {
-                      return aPeer.m_instance == address.m_instance;
-                    });
+      const InstanceId& known = address.m_instance;
+      const bool isListed = std::any_of(
+        settings.m_control.begin(),
+        settings.m_control.end(),
+        [&](const PeerAddress& aPeer) { return aPeer.m_instance == known; });
       if (!isListed) {
         settings.m_control.push_back(
           { address.m_instance, address.m_address, address.m_port });
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -31,6 +31,11 @@
 /// Load of a copy, as a share of an engine's slots, above which it is assumed
 /// to have calls in progress.
 constexpr double kBusyCopyLoad = 0.03;
+/// Load of a model below which it may lose its last copy where not all models
+/// fit, and the factor by which the demand for the other must be larger. Models
+/// that are called now and then would keep evicting each other without it.
+constexpr double kMaxIdleDemand = 0.02;
+constexpr double kMinDemandRatio = 2;
 /// Models that are considered for a further copy: those with the largest
 /// product of their holders' common load and their own load, which counts as at
 /// most one engine.
@@ -71,20 +76,24 @@
     }
     for (size_t i = 0; i < m_models.size(); ++i) {
       const auto load = aLoads.find(m_models[i].m_name);
+      m_demand.push_back(load == aLoads.end() ? 0 : load->second);
       m_shares.SetLoad(i,
                        ModelPlanner::kPriorLoad *
                            static_cast<double>(m_shares.CopyCount(i)) +
-                         (load == aLoads.end() ? 0 : load->second));
+                         m_demand.back());
     }
+    m_isScarce = IsMemoryScarce(aSpec);
     m_shares.Distribute();
   }
 
   /// Places every model that no engine holds, those with the most load first.
+  /// Where not all models fit, only those that are called are placed.
   void PlaceMissingModels()
   {
     std::vector<size_t> missing;
     for (size_t i = 0; i < m_models.size(); ++i) {
-      if (m_shares.CopyCount(i) == 0) {
+      const bool isWanted = !m_isScarce || m_demand[i] > 0;
+      if (m_shares.CopyCount(i) == 0 && isWanted) {
         missing.push_back(i);
       }
     }
@@ -267,6 +276,20 @@
     return m_engines[aEngine].m_served.contains(m_models[aModel].m_name);
   }
 
+  /// Returns whether the engines can't hold a copy of each model.
+  [[nodiscard]] bool IsMemoryScarce(const EngineSpec& aSpec) const
+  {
+    const auto engines = static_cast<int64_t>(std::count_if(
+      m_engines.begin(), m_engines.end(), [](const PlannedEngine& aEngine) {
+        return !aEngine.m_isLeaving;
+      }));
+    int64_t needed = 0;
+    for (const Model& model : m_models) {
+      needed += model.m_megabytes;
+    }
+    return needed > engines * static_cast<int64_t>(aSpec.m_weightMegabytes);
+  }
+
   /// Returns whether another engine serves a model now and keeps it.
   [[nodiscard]] bool IsServedElsewhere(size_t aModel, size_t aEngine) const
   {
@@ -274,6 +297,19 @@
     return m_servedCopies[aModel] > own;
   }
 
+  /// Returns whether a copy may be evicted for another model. Where all models
+  /// fit into the engines, each keeps a copy. Where they do not, a model may
+  /// lose its last copy to one with more demand.
+  [[nodiscard]] bool MayEvict(size_t aEvicted,
+                              size_t aEngine,
+                              size_t aModel) const
+  {
+    return IsServedElsewhere(aEvicted, aEngine) ||
+           (m_isScarce && Serves(aEngine, aEvicted) &&
+            m_demand[aEvicted] < kMaxIdleDemand &&
+            kMinDemandRatio * m_demand[aEvicted] < m_demand[aModel]);
+  }
+
   [[nodiscard]] bool Holds(size_t aEngine, size_t aModel) const
   {
     const auto& held = m_held[aEngine];
@@ -366,7 +402,7 @@
       for (const size_t evicted : m_held[i]) {
         const int64_t freeMegabytes =
           engine.m_freeMegabytes + m_models[evicted].m_megabytes;
-        if (IsServedElsewhere(evicted, i) && freeMegabytes >= needed) {
+        if (freeMegabytes >= needed && MayEvict(evicted, i, aModel)) {
           candidate.m_evicted = evicted;
           Consider(candidate, domains, best);
         }
@@ -416,6 +452,9 @@
   size_t m_standbyTarget = 0;
   /// Models that each engine holds.
   std::vector<std::vector<size_t>> m_held;
+  /// Load of each model as reported.
+  std::vector<double> m_demand;
+  bool m_isScarce = false;
   std::vector<PlannedOrder> m_orders;
 };
 
--- a/tests/fleet/model_planner_test.cpp
+++ b/tests/fleet/model_planner_test.cpp
@@ -272,6 +272,49 @@
   EXPECT_EQ(orders[1].m_model, "m4");
 }
 
+/// Load pattern: more models than the engines can hold. Rare models took the
+/// places of models in demand, and no model could get a place back.
+TEST(ModelPlannerTest, ModelsWithDemandTakeThePlacesOfIdleOnes)
+{
+  const EngineSpec spec = MakeSpec(6);
+  const std::vector<PlannedEngine> engines = {
+    MakeEngine("a", { "m0", "m1" }), MakeEngine("b", { "m2", "m3" })
+  };
+  EXPECT_TRUE(ModelPlanner::Plan(spec, engines, {}, StoreLoads(4)).empty());
+  const auto orders = ModelPlanner::Plan(spec,
+                                         engines,
+                                         { { "m0", 0.2 },
+                                           { "m1", 0.1 },
+                                           { "m2", 0.1 },
+                                           { "m3", 0.001 },
+                                           { "m4", 0.05 } },
+                                         StoreLoads(4));
+  ASSERT_EQ(orders.size(), 2U);
+  EXPECT_EQ(orders[0].m_model, "m3");
+  EXPECT_FALSE(orders[0].m_isLoad);
+  EXPECT_EQ(orders[1].m_model, "m4");
+  EXPECT_TRUE(ModelPlanner::Plan(spec,
+                                 engines,
+                                 { { "m0", 0.2 },
+                                   { "m1", 0.1 },
+                                   { "m2", 0.1 },
+                                   { "m3", 0.004 },
+                                   { "m4", 0.005 } },
+                                 StoreLoads(4))
+                .empty());
+}
+
+TEST(ModelPlannerTest, LastCopiesStayWhereAllModelsFit)
+{
+  const EngineSpec spec = MakeSpec(4);
+  const std::vector<PlannedEngine> engines = {
+    MakeEngine("a", { "m0", "m1" }), MakeEngine("b", { "m2", "m3" })
+  };
+  EXPECT_TRUE(
+    ModelPlanner::Plan(spec, engines, { { "m0", 5.0 } }, StoreLoads(4))
+      .empty());
+}
+
 TEST(StoreBudgetTest, KeepsEveryWindowWithinTheRate)
 {
   StoreBudget budget;
