Tests: an entry between the owner and the relay of its failure domain

Change: DirectoryLink runs against two fake control instances on loopback that answer as a script says: relay found, relay without a recent copy, relay that lags, relay of an earlier term, failed report, adapter loads.

--- /dev/null
+++ b/tests/gateway/directory_link_test.cpp
@@ -0,0 +1,229 @@
+#include <gtest/gtest.h>
+
+#include "core/random_source.h"
+#include "gateway/directory_link.h"
+#include "gateway/retry_budget_share.h"
+#include "tests/support/gateway_fakes.h"
+#include "tests/support/test_loop.h"
+#include "wire/engine_codec.h"
+#include "wire/message_bytes.h"
+#include "wire/wire_server.h"
+
+namespace celeryspread::test {
+
+namespace {
+
+constexpr const char* kOwnerAddress = "127.0.0.1";
+constexpr const char* kRelayAddress = "127.0.0.2";
+
+/// What a fake control instance answers, and what it was asked.
+struct ControlScript
+{
+  bool m_isOwner = false;
+  bool m_hasDirectory = true;
+  bool m_failsFollows = false;
+  uint64_t m_epoch = 5;
+  uint64_t m_version = 10;
+  size_t m_follows = 0;
+  size_t m_adapterLoads = 0;
+  uint32_t m_demandedCalls = 0;
+  uint64_t m_lastKnownVersion = 0;
+};
+
+/// Control instance that answers each follow call after a moment, as its script
+/// says.
+class FakeControlNode : public wire::ControlNode::Server
+{
+public:
+  FakeControlNode(EventLoopPort& aPort, ControlScript& aScript)
+    : m_port(aPort)
+    , m_script(aScript)
+  {
+  }
+
+protected:
+  kj::Promise<void> ping(PingContext /*aContext*/) override
+  {
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> follow(FollowContext aContext) override
+  {
+    constexpr int64_t kAnswerDelayMicros = 5'000;
+    const auto request = aContext.getParams().getRequest();
+    ++m_script.m_follows;
+    KJ_REQUIRE(!m_script.m_failsFollows, "scripted failure");
+    m_script.m_lastKnownVersion = request.getDirectoryVersion();
+    for (const auto demand : request.getDemand()) {
+      m_script.m_demandedCalls += demand.getCalls();
+    }
+    const uint64_t knownEpoch = request.getEpoch();
+    return PromiseAfter(m_port.Base(), kAnswerDelayMicros)
+      .then([this, aContext, knownEpoch]() mutable {
+        Answer(knownEpoch, aContext.getResults().initReply());
+      });
+  }
+  kj::Promise<void> loadAdapter(LoadAdapterContext aContext) override
+  {
+    ++m_script.m_adapterLoads;
+    aContext.getResults().setEngine("e1");
+    return kj::READY_NOW;
+  }
+
+private:
+  void Answer(uint64_t aKnownEpoch, wire::FollowReply::Builder aReply)
+  {
+    aReply.setIsLeader(m_script.m_isOwner);
+    if (!m_script.m_isOwner) {
+      aReply.initLeader().setAddress(kOwnerAddress);
+    }
+    aReply.setHasDirectory(m_script.m_hasDirectory);
+    if (!m_script.m_hasDirectory) {
+      return;
+    }
+    aReply.setEpoch(m_script.m_epoch);
+    aReply.setDirectoryVersion(m_script.m_version);
+    aReply.setEntryCount(2);
+    const bool isWhole = aKnownEpoch != m_script.m_epoch;
+    aReply.setIsWhole(isWhole);
+    if (isWhole) {
+      WriteEngine(MakeEngine("e1", "here", "m"), aReply.initEngines(1)[0]);
+    }
+    auto relays = aReply.initRelays(2);
+    relays[0].setAddress(kOwnerAddress);
+    relays[0].setFailureDomain("far");
+    relays[1].setAddress(kRelayAddress);
+    relays[1].setFailureDomain("here");
+  }
+
+  EventLoopPort& m_port;
+  ControlScript& m_script;
+};
+
+} // namespace
+
+class DirectoryLinkTest : public ::testing::Test
+{
+protected:
+  DirectoryLinkTest()
+  {
+    m_ownerScript.m_isOwner = true;
+    EXPECT_TRUE(m_owner.Listen(kOwnerAddress, 0));
+    EXPECT_TRUE(m_relay.Listen(kRelayAddress, m_owner.Port()));
+  }
+  ~DirectoryLinkTest() noexcept override = default;
+
+  /// Starts an entry in the failure domain of the relay, which knows both
+  /// instances as seeds.
+  void StartEntry()
+  {
+    NodeSettings settings;
+    settings.m_instance = InstanceId("entry");
+    settings.m_failureDomain = FailureDomainId("here");
+    settings.m_wirePort = m_owner.Port();
+    settings.m_seeds = { { kOwnerAddress, 1 }, { kRelayAddress, 1 } };
+    m_link = std::make_unique<DirectoryLink>(
+      DirectoryLink::Dependencies{
+        m_port, m_loop.GetClock(), m_log, m_table, m_retries },
+      m_key,
+      settings,
+      [](Revision, const std::string&) {});
+  }
+  /// Runs until an instance has answered two more follow calls.
+  bool RunUntilFollowed(const ControlScript& aScript)
+  {
+    const size_t before = aScript.m_follows;
+    return m_loop.RunUntil([&] { return aScript.m_follows >= before + 2; });
+  }
+
+  TestLoop m_loop;
+  EventLoopPort m_port{ m_loop.Base() };
+  const ClusterKey m_key{ "sixteen bytes and more" };
+  ControlScript m_ownerScript;
+  ControlScript m_relayScript;
+  WireServer m_owner{ m_port,
+                      m_key,
+                      kj::heap<FakeControlNode>(m_port, m_ownerScript) };
+  WireServer m_relay{ m_port,
+                      m_key,
+                      kj::heap<FakeControlNode>(m_port, m_relayScript) };
+  RecordingEventLog m_log;
+  EngineTable m_table;
+  RetryBudgetShare m_retries{ RetryBounds{} };
+  std::unique_ptr<DirectoryLink> m_link;
+};
+
+TEST_F(DirectoryLinkTest, FollowsTheRelayOfItsFailureDomain)
+{
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  const size_t ownerFollows = m_ownerScript.m_follows;
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  EXPECT_EQ(m_ownerScript.m_follows, ownerFollows);
+  EXPECT_NE(m_table.Find(UpstreamId("e1")), nullptr);
+}
+
+/// A relay that was cut off from the owner has no recent copy.
+TEST_F(DirectoryLinkTest, FollowsTheOwnerWhileTheRelayHasNoDirectory)
+{
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  m_relayScript.m_hasDirectory = false;
+  ASSERT_TRUE(RunUntilFollowed(m_ownerScript));
+  const size_t relayFollows = m_relayScript.m_follows;
+  m_loop.RunFor(std::chrono::milliseconds(500));
+  EXPECT_EQ(m_relayScript.m_follows, relayFollows);
+  m_relayScript.m_hasDirectory = true;
+  EXPECT_TRUE(RunUntilFollowed(m_relayScript));
+}
+
+TEST_F(DirectoryLinkTest, RelayThatLagsDoesNotSetTheVersionBack)
+{
+  m_ownerScript.m_version = 20;
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  EXPECT_EQ(m_relayScript.m_lastKnownVersion, 20U);
+}
+
+/// A relay may not know yet that the owner was replaced.
+TEST_F(DirectoryLinkTest, LeavesARelayOfAnEarlierTerm)
+{
+  m_ownerScript.m_epoch = 6;
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  ASSERT_TRUE(RunUntilFollowed(m_ownerScript));
+  EXPECT_GE(m_ownerScript.m_follows, 2U);
+  m_relayScript.m_epoch = 6;
+  EXPECT_TRUE(RunUntilFollowed(m_relayScript));
+}
+
+TEST_F(DirectoryLinkTest, DemandOfAFailedReportIsReportedAgain)
+{
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  m_relayScript.m_failsFollows = true;
+  m_ownerScript.m_failsFollows = true;
+  m_link->RecordDemand(PoolId("p"), { "m", "" }, Duration::zero());
+  m_loop.RunFor(std::chrono::milliseconds(300));
+  m_relayScript.m_failsFollows = false;
+  m_ownerScript.m_failsFollows = false;
+  EXPECT_TRUE(m_loop.RunUntil([&] {
+    return m_relayScript.m_demandedCalls + m_ownerScript.m_demandedCalls == 1;
+  }));
+}
+
+TEST_F(DirectoryLinkTest, AsksTheOwnerForAdapters)
+{
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  std::string engine;
+  m_link->LoadAdapter(
+    PoolId("p"), { "m", "a1" }, UpstreamId(), [&](const UpstreamId& aEngine) {
+      engine = aEngine.Value();
+    });
+  EXPECT_TRUE(m_loop.RunUntil([&] { return engine == "e1"; }));
+  EXPECT_EQ(m_ownerScript.m_adapterLoads, 1U);
+  EXPECT_EQ(m_relayScript.m_adapterLoads, 0U);
+}
+
+} // namespace celeryspread::test
