--- a/control/directory_relay.cpp
+++ b/control/directory_relay.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
 
@@ -39,7 +40,7 @@
   return isRecent ? &m_directory : nullptr;
 }
 
-void DirectoryRelay::RecordDemand(const DemandTracker::Key& aKey,
+void DirectoryRelay::RecordDemand(const DemandKey& aKey,
                                   const CallDemand& aDemand)
 {
   m_demand[aKey] += aDemand;
@@ -84,22 +85,11 @@
   aOut.setDirectoryVersion(m_directory.Version());
   aOut.setIsRelay(true);
   aOut.setRelayedEntries(m_followerCount);
-  const auto demands = std::exchange(m_demand, {});
-  auto demandList = aOut.initDemand(static_cast<unsigned>(demands.size()));
-  unsigned at = 0;
-  for (const auto& [key, demand] : demands) {
-    auto entry = demandList[at++];
-    entry.setPool(key.m_pool.Value());
-    entry.setModel(key.m_target.m_model);
-    entry.setAdapter(key.m_target.m_adapter);
-    entry.setCalls(demand.m_calls);
-    entry.setWorkMicros(static_cast<uint64_t>(demand.m_work.count()));
-    entry.setPrefillMicros(static_cast<uint64_t>(demand.m_prefill.count()));
-  }
+  WriteDemand(std::exchange(m_demand, {}), aOut);
   const auto failing = std::exchange(m_failing, {});
   auto failingList =
     aOut.initFailingEngines(static_cast<unsigned>(failing.size()));
-  at = 0;
+  unsigned at = 0;
   for (const UpstreamId& engine : failing) {
     failingList.set(at++, engine.Value());
   }
--- a/control/directory_relay.h
+++ b/control/directory_relay.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include <map>
 #include <set>
 #include <vector>
 
 #include "control/peer_links.h"
 #include "control/replica_host.h"
-#include "fleet/demand_tracker.h"
 #include "fleet/engine_directory.h"
 #include "routes/call_demand.h"
 #include "wire/event_loop_port.h"
@@ -62,7 +60,7 @@
   }
 
   /// Adds demand to the next report to the owner. @pre none.
-  void RecordDemand(const DemandTracker::Key& aKey, const CallDemand& aDemand);
+  void RecordDemand(const DemandKey& aKey, const CallDemand& aDemand);
   /// Adds an engine on which attempts fail to the next report. @pre none.
   void RecordFailing(const UpstreamId& aEngine) { m_failing.insert(aEngine); }
   /// Sets how many entries follow this instance. @pre none.
@@ -83,7 +81,7 @@
   std::vector<RelayAddress> m_relays;
   /// When the request was sent that the owner answered last.
   TimePoint m_confirmedAt;
-  std::map<DemandTracker::Key, CallDemand> m_demand;
+  DemandReport m_demand;
   std::set<UpstreamId> m_failing;
   uint32_t m_followerCount = 0;
   kj::Promise<void> m_follow;
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -1,5 +1,6 @@
 #include "control/fleet_service.h"
 
+#include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
 
@@ -133,15 +134,7 @@
     m_entriesSeenAt[sender] = now;
   }
   const bool isOwner = m_deps.m_owner.Term().has_value();
-  for (const auto report : aRequest.getDemand()) {
-    const DemandTracker::Key key{ PoolId(TextOf(report.getPool())),
-                                  { TextOf(report.getModel()),
-                                    TextOf(report.getAdapter()) } };
-    const CallDemand demand{
-      report.getCalls(),
-      Duration(static_cast<int64_t>(report.getWorkMicros())),
-      Duration(static_cast<int64_t>(report.getPrefillMicros()))
-    };
+  for (const auto& [key, demand] : ReadDemand(aRequest)) {
     if (isOwner) {
       m_deps.m_owner.RecordDemand(key, demand);
     } else {
--- a/fleet/demand_tracker.h
+++ b/fleet/demand_tracker.h
@@ -5,7 +5,6 @@
 
 #include "core/clock.h"
 #include "routes/call_demand.h"
-#include "routes/engine_record.h"
 
 namespace celeryspread {
 
@@ -20,14 +19,7 @@
 class DemandTracker
 {
 public:
-  /// A model or an adapter in a pool.
-  struct Key
-  {
-    PoolId m_pool;
-    ModelTarget m_target;
-    /// Orders by fields. @pre none. @thread any.
-    auto operator<=>(const Key&) const = default;
-  };
+  using Key = DemandKey;
 
   /// Adds the demand that an entry counted since its last report. @pre none.
   void Record(const Key& aKey, const CallDemand& aDemand);
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
 
@@ -19,22 +20,6 @@
 /// Delay before the next follow request after a failed one.
 constexpr int64_t kRetryDelayMicros = 100'000;
 
-template<typename Demands>
-void WriteDemand(const Demands& aDemands, wire::FollowRequest::Builder aOut)
-{
-  auto list = aOut.initDemand(static_cast<unsigned>(aDemands.size()));
-  unsigned at = 0;
-  for (const auto& [key, demand] : aDemands) {
-    auto entry = list[at++];
-    entry.setPool(key.m_pool.Value());
-    entry.setModel(key.m_target.m_model);
-    entry.setAdapter(key.m_target.m_adapter);
-    entry.setCalls(demand.m_calls);
-    entry.setWorkMicros(static_cast<uint64_t>(demand.m_work.count()));
-    entry.setPrefillMicros(static_cast<uint64_t>(demand.m_prefill.count()));
-  }
-}
-
 } // namespace
 
 DirectoryLink::DirectoryLink(Dependencies aDependencies,
@@ -133,7 +118,7 @@
   for (unsigned i = 0; i < failing.size(); ++i) {
     failingList.set(i, failing[i].Value());
   }
-  auto demand = std::make_shared<ReportedDemand>(TakeDemand());
+  auto demand = std::make_shared<DemandReport>(TakeDemand());
   WriteDemand(*demand, request);
   auto reply = call.send().then([this, demand](auto&& aResponse) {
     demand->clear();
@@ -154,9 +139,9 @@
   aDemand.m_accumulatedAt = now;
 }
 
-DirectoryLink::ReportedDemand DirectoryLink::TakeDemand()
+DemandReport DirectoryLink::TakeDemand()
 {
-  ReportedDemand taken;
+  DemandReport taken;
   for (auto& [key, demand] : m_demand) {
     AccumulateWork(demand);
     taken[key] = std::exchange(demand.m_sinceReport, CallDemand());
@@ -166,7 +151,7 @@
   return taken;
 }
 
-void DirectoryLink::RestoreDemand(const ReportedDemand& aDemand)
+void DirectoryLink::RestoreDemand(const DemandReport& aDemand)
 {
   for (const auto& [key, demand] : aDemand) {
     m_demand[key].m_sinceReport += demand;
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -70,19 +70,10 @@
     uint32_t m_running = 0;
     TimePoint m_accumulatedAt;
   };
-  struct DemandKey
-  {
-    PoolId m_pool;
-    ModelTarget m_target;
-    auto operator<=>(const DemandKey&) const = default;
-  };
-
-  using ReportedDemand = std::map<DemandKey, CallDemand>;
-
   /// Takes the demand since the last report.
-  ReportedDemand TakeDemand();
+  DemandReport TakeDemand();
   /// Adds demand whose report failed to the next report.
-  void RestoreDemand(const ReportedDemand& aDemand);
+  void RestoreDemand(const DemandReport& aDemand);
   void AccumulateWork(Demand& aDemand);
   WireLink& LinkTo(const std::string& aAddress);
   WireLink* UsableLink();
--- a/routes/call_demand.h
+++ b/routes/call_demand.h
@@ -1,11 +1,22 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 
 #include "core/clock.h"
+#include "routes/engine_record.h"
 
 namespace celeryspread {
 
+/// A model or an adapter in a pool.
+struct DemandKey
+{
+  PoolId m_pool;
+  ModelTarget m_target;
+  /// Orders by fields. @pre none. @thread any.
+  auto operator<=>(const DemandKey&) const = default;
+};
+
 /// Demand for one model or adapter over some period.
 struct CallDemand
 {
@@ -26,4 +37,7 @@
   }
 };
 
+/// Demand for several targets.
+using DemandReport = std::map<DemandKey, CallDemand>;
+
 } // namespace celeryspread
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -44,6 +44,13 @@
     return BoundPort(evconnlistener_get_fd(m_listener));
   }
   [[nodiscard]] size_t ConnectionCount() const { return m_connections.size(); }
+  /// Sends the response once more on every connection.
+  void SendAgain()
+  {
+    for (bufferevent* bev : m_connections) {
+      bufferevent_write(bev, m_response.data(), m_response.size());
+    }
+  }
 
 private:
   static void OnAccept(evconnlistener* aListener,
@@ -236,6 +243,21 @@
   EXPECT_EQ(server.ConnectionCount(), 2U);
 }
 
+// A second copy of a response that arrives late would be read as the response
+// to the next call on the connection.
+TEST_F(UpstreamClientTest, DropsAnIdleConnectionThatBringsALateCopy)
+{
+  FixedResponseServer server(
+    m_loop, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false);
+  EXPECT_EQ(Call(server).m_body, "body");
+  EXPECT_EQ(m_client.IdleConnectionCount(), 1U);
+  server.SendAgain();
+  m_loop.RunFor(std::chrono::milliseconds(20));
+  EXPECT_EQ(m_client.IdleConnectionCount(), 0U);
+  EXPECT_EQ(Call(server).m_body, "body");
+  EXPECT_EQ(server.ConnectionCount(), 2U);
+}
+
 // With a Keep-Alive timeout of 1 s the client keeps the connection for 500 ms.
 TEST_F(UpstreamClientTest, DropsAnIdleConnectionBeforeItsServerClosesIt)
 {
