Pace whole directories; standby copies on three engines at most

Change: DirectoryPacer limits how fast whole directories go out. A model gets a standby copy only while fewer than three engines have its weights.

--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -18,6 +18,9 @@
 /// The same for a follow call of a relay, which reports demand for many entries
 /// and has to confirm its copy of the directory.
 constexpr int64_t kRelayLongPollMicros = 250'000;
+/// A follow call that needs the whole directory waits this long at most, less
+/// than an entry waits for an answer.
+constexpr int64_t kMaxWholeDelayMicros = 2'000'000;
 /// A relay whose last follow call is older than this is not named to entries.
 constexpr Duration kMaxRelayAge = std::chrono::milliseconds(1500);
 
@@ -106,12 +109,33 @@
   return aEpoch != ServedEpoch() || directory->Version() > aDirectoryVersion;
 }
 
+bool FleetService::NeedsWhole(uint64_t aEpoch) const
+{
+  return ServedDirectory() != nullptr && aEpoch != ServedEpoch();
+}
+
+bool FleetService::IsAnswerDue(Revision aRouteVersion,
+                               uint64_t aEpoch,
+                               uint64_t aDirectoryVersion,
+                               bool aIsRelay) const
+{
+  if (!HasUpdate(aRouteVersion, aEpoch, aDirectoryVersion)) {
+    return false;
+  }
+  const bool isUrgent =
+    aIsRelay || m_deps.m_host.State().Routes().m_version > aRouteVersion;
+  return isUrgent || !NeedsWhole(aEpoch) ||
+         m_pacer.MaySend(m_deps.m_clock.Now());
+}
+
 void FleetService::WakeFollowers()
 {
   for (auto it = m_waitingFollows.begin(); it != m_waitingFollows.end();) {
     const bool isGone = !it->m_fulfiller->isWaiting();
-    if (!isGone &&
-        !HasUpdate(it->m_routeVersion, it->m_epoch, it->m_directoryVersion)) {
+    if (!isGone && !IsAnswerDue(it->m_routeVersion,
+                                it->m_epoch,
+                                it->m_directoryVersion,
+                                it->m_isRelay)) {
       ++it;
       continue;
     }
@@ -161,17 +185,19 @@
   const auto answer = [this, routeVersion, epoch, directoryVersion, aReply] {
     WriteReply(routeVersion, epoch, directoryVersion, aReply());
   };
-  if (HasUpdate(routeVersion, epoch, directoryVersion)) {
+  const bool isRelay = aRequest.getIsRelay();
+  if (IsAnswerDue(routeVersion, epoch, directoryVersion, isRelay)) {
     answer();
     return kj::READY_NOW;
   }
   auto paf = kj::newPromiseAndFulfiller<void>();
   m_waitingFollows.push_back(
-    { routeVersion, epoch, directoryVersion, kj::mv(paf.fulfiller) });
+    { routeVersion, epoch, directoryVersion, isRelay, kj::mv(paf.fulfiller) });
+  const int64_t pollMicros = NeedsWhole(epoch) ? kMaxWholeDelayMicros
+                             : isRelay         ? kRelayLongPollMicros
+                                               : kLongPollMicros;
   return paf.promise
-    .exclusiveJoin(PromiseAfter(m_deps.m_port.Base(),
-                                aRequest.getIsRelay() ? kRelayLongPollMicros
-                                                      : kLongPollMicros))
+    .exclusiveJoin(PromiseAfter(m_deps.m_port.Base(), pollMicros))
     .then([answer] { answer(); });
 }
 
@@ -297,6 +323,9 @@
   aOut.setEpoch(ServedEpoch());
   aOut.setDirectoryVersion(directory->Version());
   WriteRelays(aOut);
+  if (isWhole) {
+    m_pacer.RecordSent(directory->All().size(), m_deps.m_clock.Now());
+  }
   WriteEngines(*directory, isWhole, aDirectoryVersion, aOut);
 }
 
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "control/directory_pacer.h"
 #include "control/directory_relay.h"
 #include "control/replica_host.h"
 #include "fleet/fleet_owner.h"
@@ -54,6 +55,7 @@
     /// Term whose owner sent the directory version.
     uint64_t m_epoch = 0;
     uint64_t m_directoryVersion = 0;
+    bool m_isRelay = false;
     kj::Own<kj::PromiseFulfiller<void>> m_fulfiller;
   };
 
@@ -71,6 +73,15 @@
   [[nodiscard]] bool HasUpdate(Revision aRouteVersion,
                                uint64_t aEpoch,
                                uint64_t aDirectoryVersion) const;
+  /// Returns whether a follow call is answered now: there is an update for it,
+  /// and a whole directory may be sent if it needs one.
+  [[nodiscard]] bool IsAnswerDue(Revision aRouteVersion,
+                                 uint64_t aEpoch,
+                                 uint64_t aDirectoryVersion,
+                                 bool aIsRelay) const;
+  /// Returns whether an entry with a directory of this epoch needs the whole
+  /// served directory.
+  [[nodiscard]] bool NeedsWhole(uint64_t aEpoch) const;
   void WakeFollowers();
   /// Returns the directory that this instance serves: its own as the owner, or
   /// a recent copy of the owner's; null for none.
@@ -99,6 +110,7 @@
   InstanceId m_self;
   FailureDomainId m_domain;
   DirectoryRelay m_relay;
+  DirectoryPacer m_pacer;
   std::map<InstanceId, Relay> m_relays;
   Revision m_appliedRouteVersion;
   TimePoint m_ownerSince;
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -31,6 +31,10 @@
 /// Load of a copy, as a share of an engine's slots, above which it is assumed
 /// to have calls in progress.
 constexpr double kBusyCopyLoad = 0.03;
+/// Engines with the weights of a model above which it gets no standby copy.
+/// Each load from the store has a price, and demand adds further copies by
+/// itself.
+constexpr size_t kMaxStandbyEngines = 3;
 /// Load of a model below which it may lose its last copy where not all models
 /// fit, and the factor by which the demand for the other must be larger. Models
 /// that are called now and then would keep evicting each other without it.
@@ -226,9 +230,10 @@
       allModels += model.m_megabytes;
     }
     // More would only evict each other from the caches.
-    m_standbyTarget =
+    const auto cacheable =
       static_cast<size_t>(static_cast<int64_t>(m_engines.size()) *
                           m_cacheMegabytes / std::max<int64_t>(1, allModels));
+    m_standbyTarget = std::min(cacheable, kMaxStandbyEngines);
   }
 
   /// Returns the best engine for a standby copy of a model: one without its
--- a/tests/fleet/model_planner_test.cpp
+++ b/tests/fleet/model_planner_test.cpp
@@ -240,6 +240,25 @@
               orders[0].m_engine == UpstreamId("d"));
 }
 
+/// With many engines for few models, standby copies filled all free memory.
+TEST(ModelPlannerTest, StandbyCopiesStopAtAFewEngines)
+{
+  EngineSpec spec = MakeSpec(2);
+  spec.m_cacheMegabytes = 400;
+  std::vector<PlannedEngine> engines;
+  for (int i = 0; i < 40; ++i) {
+    engines.push_back(MakeEngine("e" + std::to_string(i), { "m0" }));
+  }
+  engines.push_back(MakeEngine("last", { "m1" }));
+  PlanLimits limits = StoreLoads(40);
+  limits.m_standbyLoads = 40;
+  const auto orders = ModelPlanner::Plan(spec, engines, {}, limits);
+  EXPECT_EQ(orders.size(), 2U);
+  for (const PlannedOrder& order : orders) {
+    EXPECT_EQ(order.m_model, "m1");
+  }
+}
+
 TEST(ModelPlannerTest, StandbyCopiesEvictNothing)
 {
   EngineSpec spec = MakeSpec(3);
