Log the shared prompt parts of a call and when its answer began

Change: the line of a call names the parts of its prompt that others may share, and each attempt says when its answer had begun. The platform's codec reads the parts; those that can't be read are left out, as the engine judges the header.

Result: unit tests of the codec pass; nothing else reads the parts yet.

--- a/core/ids.h
+++ b/core/ids.h
@@ -88,6 +88,7 @@
 using OperatorId = StrongId<struct OperatorTag>;
 using PoolId = StrongId<struct PoolTag>;
 using PlainServiceId = StrongId<struct PlainServiceTag>;
+using PromptPartId = StrongId<struct PromptPartTag>;
 using RegionId = StrongId<struct RegionTag>;
 using RouteId = StrongId<struct RouteTag>;
 using SchemeId = StrongId<struct SchemeTag>;
--- a/gateway/attempt_log.cpp
+++ b/gateway/attempt_log.cpp
@@ -32,6 +32,7 @@
 void AttemptLog::OpenAttempt(const EngineState& aState, TimePoint aNow)
 {
   m_startedAt = aNow;
+  m_begunAt.reset();
   m_firstEventAt.reset();
   m_longestPause = Duration::zero();
   const bool hasReading = aState.m_readingAt != TimePoint();
@@ -54,6 +55,9 @@
 
 void AttemptLog::CloseAttempt(AttemptOutcome aOutcome, TimePoint aNow)
 {
+  if (m_begunAt) {
+    m_text += " begun:" + MillisecondsText(*m_begunAt - m_startedAt) + "ms";
+  }
   if (m_firstEventAt) {
     m_text += " first:" + MillisecondsText(*m_firstEventAt - m_startedAt) +
               "ms pause:" + MillisecondsText(m_longestPause) + "ms";
--- a/gateway/call_fields.h
+++ b/gateway/call_fields.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -21,6 +22,9 @@
   /// The model is empty for calls to plain services.
   ModelTarget m_target;
   uint32_t m_promptTokens = 0;
+  /// Parts of the prompt that other calls may share, in order. The last part
+  /// belongs to the call or its session and is left out.
+  std::vector<PromptPartId> m_sharedParts;
 };
 
 /// Load of an upstream, reported in one of its answers.
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -37,6 +37,15 @@
   return aStatus >= HttpStatus::kOk && aStatus < kFirstRedirect;
 }
 
+std::string PartsText(const std::vector<PromptPartId>& aParts)
+{
+  std::string text;
+  for (const PromptPartId& part : aParts) {
+    text += (text.empty() ? "" : ",") + part.Value();
+  }
+  return text;
+}
+
 } // namespace
 
 GatewayCall::GatewayCall(GatewayContext& aContext,
@@ -294,6 +303,7 @@
     return;
   }
   RecordFirstEvent(now);
+  m_attemptLog.RecordBegin(now);
   if (!m_isStreaming) {
     m_isStreaming = true;
     m_input.m_caller->StartStream(aStatus,
@@ -561,7 +571,8 @@
       " routes_version=" + std::to_string(m_input.m_config->Version().Value()) +
       " pool=" + m_input.m_pool.Value() +
       " model=" + m_input.m_callFields.m_target.m_model +
-      " adapter=" + m_input.m_callFields.m_target.m_adapter + " status=" +
+      " adapter=" + m_input.m_callFields.m_target.m_adapter +
+      " parts=" + PartsText(m_input.m_callFields.m_sharedParts) + " status=" +
       std::to_string(aStatus) + " age_ms=" + std::to_string(age.count()) +
       " attempts=\"" + m_attemptLog.Text() + "\" reason=\"" + aReason + "\"");
 }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -150,9 +150,31 @@
   EXPECT_EQ(callFields->m_attempt, AttemptId("9c41"));
   EXPECT_EQ(callFields->m_target, (ModelTarget{ "daka", "a3" }));
   EXPECT_EQ(callFields->m_promptTokens, 1460U);
+  EXPECT_EQ(callFields->m_sharedParts,
+            std::vector<PromptPartId>{ PromptPartId("5c") });
   EXPECT_EQ(callFields->m_callerTimeout, std::chrono::milliseconds(2500));
 }
 
+/// What the engine makes of a malformed list is the engine's business; it must
+/// not get the call rejected here.
+TEST(CallCodecTest, LeavesOutPromptPartsThatCantBeRead)
+{
+  const auto partsOf = [](const std::string& aPrefix) {
+    CallerRecord record;
+    return platform::PlatformCallCodec()
+      .ReadCall(MakeCall(
+        record, { { "Attempt-Id", "1" }, { "Prompt-Prefix", aPrefix } }))
+      ->m_sharedParts;
+  };
+  EXPECT_TRUE(partsOf("").empty());
+  EXPECT_TRUE(partsOf("5c:800").empty());
+  EXPECT_TRUE(partsOf(",,").empty());
+  EXPECT_TRUE(partsOf(std::string(65, 'a') + ":1,5c:1").empty());
+  EXPECT_EQ(partsOf("5c:800, 91,7d:1"),
+            (std::vector<PromptPartId>{ PromptPartId("5c"),
+                                        PromptPartId("91") }));
+}
+
 TEST(CallCodecTest, RejectsMalformedHeaders)
 {
   platform::PlatformCallCodec codec;
