--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -121,8 +121,8 @@
   };
 };
 
-/// CallCodec with plain headers: "id", "model" and "adapter" of a call, and
-/// "id", "not-run" and "signed" of an answer.
+/// CallCodec with plain headers: "id", "model", "adapter" and "parts" of a call,
+/// "upstream" of an attempt, and "id", "not-run" and "signed" of an answer.
 class FakeCodec : public CallCodec
 {
 public:
@@ -133,15 +133,23 @@
       AttemptId(std::string(aCall.Header("id").value_or("")));
     callFields.m_target.m_model = aCall.Header("model").value_or("");
     callFields.m_target.m_adapter = aCall.Header("adapter").value_or("");
+    std::string_view parts = aCall.Header("parts").value_or("");
+    for (size_t end = parts.find(','); end != std::string_view::npos;
+         end = parts.find(',')) {
+      callFields.m_sharedParts.emplace_back(std::string(parts.substr(0, end)));
+      parts.remove_prefix(end + 1);
+    }
     return callFields.m_attempt.IsEmpty()
              ? std::nullopt
              : std::optional<CallFields>(callFields);
   }
-  HttpHeaders AttemptHeaders(const CallerCall& /*aCall*/,
+  HttpHeaders AttemptHeaders(const CallerCall& aCall,
                              const AttemptFields& aFields) override
   {
     m_lastFields = aFields;
-    return {};
+    HttpHeaders headers = aCall.AllHeaders();
+    headers.push_back({ "upstream", aFields.m_upstream.Value() });
+    return headers;
   }
   AnswerFields ReadAnswer(int /*aStatus*/, const HttpHeaders& aHeaders) override
   {
