--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -335,6 +335,22 @@
     });
 }
 
+kj::Promise<void> ControlService::reportCrashes(ReportCrashesContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  m_fleet->ReportCrashes(aContext.getParams().getReport(),
+                         aContext.getResults());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::requestTrial(RequestTrialContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  aContext.getResults().setIsPermitted(m_fleet->RequestTrial(
+    PromptPartId(TextOf(aContext.getParams().getPart()))));
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> ControlService::join(JoinContext aContext)
 {
   const auto replica = aContext.getParams().getReplica();
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -22,7 +22,8 @@
                  AdminApi& aAdmin,
                  InstanceRegistry& aInstances);
 
-  /// Enables follow() and loadAdapter(). @pre aFleet outlives the service.
+  /// Enables follow() and the calls to the owner of the engines. @pre aFleet
+  /// outlives the service.
   void SetFleet(FleetService& aFleet) { m_fleet = &aFleet; }
   /// Answers the fetches that wait for a settings change. @pre none.
   void NotifyRevision();
@@ -40,6 +41,8 @@
   kj::Promise<void> reportInstances(ReportInstancesContext aContext) override;
   kj::Promise<void> follow(FollowContext aContext) override;
   kj::Promise<void> loadAdapter(LoadAdapterContext aContext) override;
+  kj::Promise<void> reportCrashes(ReportCrashesContext aContext) override;
+  kj::Promise<void> requestTrial(RequestTrialContext aContext) override;
 
 private:
   /// Returns the link to the leader; null when it is down, when no leader is
--- a/control/directory_relay.cpp
+++ b/control/directory_relay.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "wire/crash_codec.h"
 #include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
@@ -83,6 +84,8 @@
   aOut.setRouteVersion(UINT64_MAX);
   aOut.setEpoch(m_epoch);
   aOut.setDirectoryVersion(m_directory.Version());
+  aOut.setSuspectEpoch(m_suspectEpoch);
+  aOut.setSuspectVersion(m_suspectVersion);
   aOut.setIsRelay(true);
   aOut.setRelayedEntries(m_followerCount);
   WriteDemand(std::exchange(m_demand, {}), aOut);
@@ -114,6 +117,11 @@
     aReply.getIsWhole(), aReply.getDirectoryVersion(), std::move(entries));
   m_epoch = aReply.getEpoch();
   m_entryCount = aReply.getEntryCount();
+  if (aReply.getHasSuspects()) {
+    m_suspects = ReadSuspects(aReply.getSuspects(), m_deps.m_clock.Now());
+    m_suspectEpoch = aReply.getSuspectEpoch();
+    m_suspectVersion = aReply.getSuspectVersion();
+  }
   m_relays.clear();
   for (const auto relay : aReply.getRelays()) {
     m_relays.push_back({ TextOf(relay.getAddress()),
--- a/control/directory_relay.h
+++ b/control/directory_relay.h
@@ -6,6 +6,7 @@
 #include "control/peer_links.h"
 #include "control/replica_host.h"
 #include "fleet/engine_directory.h"
+#include "quarantine/crash_investigation.h"
 #include "routes/call_demand.h"
 #include "wire/event_loop_port.h"
 
@@ -59,6 +60,16 @@
     return m_relays;
   }
 
+  /// Returns the owner's list of suspect prompt parts as last received, also of
+  /// an owner that is gone. @pre none.
+  [[nodiscard]] const CrashInvestigation::Parts& Suspects() const
+  {
+    return m_suspects;
+  }
+  /// Returns the version of the list; comparable within a term.
+  /// @pre Directory() is not null.
+  [[nodiscard]] uint64_t SuspectVersion() const { return m_suspectVersion; }
+
   /// Adds demand to the next report to the owner. @pre none.
   void RecordDemand(const DemandKey& aKey, const CallDemand& aDemand);
   /// Adds an engine on which attempts fail to the next report. @pre none.
@@ -79,6 +90,9 @@
   uint64_t m_epoch = 0;
   uint32_t m_entryCount = 0;
   std::vector<RelayAddress> m_relays;
+  CrashInvestigation::Parts m_suspects;
+  uint64_t m_suspectEpoch = 0;
+  uint64_t m_suspectVersion = 0;
   /// When the request was sent that the owner answered last.
   TimePoint m_confirmedAt;
   DemandReport m_demand;
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -1,5 +1,6 @@
 #include "control/fleet_service.h"
 
+#include "wire/crash_codec.h"
 #include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
@@ -63,6 +64,9 @@
   const bool isOwner = m_deps.m_owner.Term().has_value();
   if (hasLease && m_deps.m_owner.Term() != term) {
     m_deps.m_owner.AcquireOwnership(term);
+    for (const auto& [id, part] : m_relay.Suspects()) {
+      m_deps.m_owner.RestoreSuspect(part);
+    }
     m_ownerSince = m_deps.m_clock.Now();
     m_relays.clear();
   } else if (isOwner && !m_deps.m_host.Replica().IsLeader()) {
@@ -94,11 +98,21 @@
   return term ? term->Value() : m_relay.Epoch();
 }
 
-bool FleetService::HasUpdate(Revision aRouteVersion,
-                             uint64_t aEpoch,
-                             uint64_t aDirectoryVersion) const
+uint64_t FleetService::ServedSuspectVersion() const
+{
+  return m_deps.m_owner.Term() ? m_deps.m_owner.Crashes().Version()
+                               : m_relay.SuspectVersion();
+}
+
+bool FleetService::HasNewSuspects(const FollowState& aState) const
 {
-  if (m_deps.m_host.State().Routes().m_version > aRouteVersion) {
+  return aState.m_suspectEpoch != ServedEpoch() ||
+         aState.m_suspectVersion < ServedSuspectVersion();
+}
+
+bool FleetService::HasUpdate(const FollowState& aState) const
+{
+  if (m_deps.m_host.State().Routes().m_version > aState.m_routeVersion) {
     return true;
   }
   const EngineDirectory* directory = ServedDirectory();
@@ -106,7 +120,9 @@
     // The owner reads the list soon; any other instance sends the caller on.
     return !m_deps.m_owner.Term();
   }
-  return aEpoch != ServedEpoch() || directory->Version() > aDirectoryVersion;
+  return aState.m_epoch != ServedEpoch() ||
+         directory->Version() > aState.m_directoryVersion ||
+         HasNewSuspects(aState);
 }
 
 bool FleetService::NeedsWhole(uint64_t aEpoch) const
@@ -114,17 +130,15 @@
   return ServedDirectory() != nullptr && aEpoch != ServedEpoch();
 }
 
-bool FleetService::IsAnswerDue(Revision aRouteVersion,
-                               uint64_t aEpoch,
-                               uint64_t aDirectoryVersion,
-                               bool aIsRelay) const
+bool FleetService::IsAnswerDue(const FollowState& aState) const
 {
-  if (!HasUpdate(aRouteVersion, aEpoch, aDirectoryVersion)) {
+  if (!HasUpdate(aState)) {
     return false;
   }
   const bool isUrgent =
-    aIsRelay || m_deps.m_host.State().Routes().m_version > aRouteVersion;
-  return isUrgent || !NeedsWhole(aEpoch) ||
+    aState.m_isRelay ||
+    m_deps.m_host.State().Routes().m_version > aState.m_routeVersion;
+  return isUrgent || !NeedsWhole(aState.m_epoch) ||
          m_pacer.MaySend(m_deps.m_clock.Now());
 }
 
@@ -132,10 +146,7 @@
 {
   for (auto it = m_waitingFollows.begin(); it != m_waitingFollows.end();) {
     const bool isGone = !it->m_fulfiller->isWaiting();
-    if (!isGone && !IsAnswerDue(it->m_routeVersion,
-                                it->m_epoch,
-                                it->m_directoryVersion,
-                                it->m_isRelay)) {
+    if (!isGone && !IsAnswerDue(it->m_state)) {
       ++it;
       continue;
     }
@@ -179,23 +190,21 @@
   const std::function<wire::FollowReply::Builder()>& aReply)
 {
   RecordReport(aRequest);
-  const Revision routeVersion(aRequest.getRouteVersion());
-  const uint64_t epoch = aRequest.getEpoch();
-  const uint64_t directoryVersion = aRequest.getDirectoryVersion();
-  const bool isRelay = aRequest.getIsRelay();
-  const auto answer = [=, this] {
-    WriteReply(routeVersion, epoch, directoryVersion, isRelay, aReply());
+  const FollowState state{
+    Revision(aRequest.getRouteVersion()), aRequest.getEpoch(),
+    aRequest.getDirectoryVersion(),       aRequest.getSuspectEpoch(),
+    aRequest.getSuspectVersion(),         aRequest.getIsRelay()
   };
-  if (IsAnswerDue(routeVersion, epoch, directoryVersion, isRelay)) {
+  const auto answer = [=, this] { WriteReply(state, aReply()); };
+  if (IsAnswerDue(state)) {
     answer();
     return kj::READY_NOW;
   }
   auto paf = kj::newPromiseAndFulfiller<void>();
-  m_waitingFollows.push_back(
-    { routeVersion, epoch, directoryVersion, isRelay, kj::mv(paf.fulfiller) });
-  const int64_t pollMicros = NeedsWhole(epoch) ? kMaxWholeDelayMicros
-                             : isRelay         ? kRelayLongPollMicros
-                                               : kLongPollMicros;
+  m_waitingFollows.push_back({ state, kj::mv(paf.fulfiller) });
+  const int64_t pollMicros = NeedsWhole(state.m_epoch) ? kMaxWholeDelayMicros
+                             : state.m_isRelay         ? kRelayLongPollMicros
+                                                       : kLongPollMicros;
   return paf.promise
     .exclusiveJoin(PromiseAfter(m_deps.m_port.Base(), pollMicros))
     .then([answer] { answer(); });
@@ -288,15 +297,29 @@
   }
 }
 
-void FleetService::WriteReply(Revision aRouteVersion,
-                              uint64_t aEpoch,
-                              uint64_t aDirectoryVersion,
-                              bool aIsRelay,
+void FleetService::WriteSuspectList(const FollowState& aState,
+                                    wire::FollowReply::Builder aOut) const
+{
+  const CrashInvestigation::Parts& parts =
+    m_deps.m_owner.Term() ? m_deps.m_owner.Crashes().Suspects()
+                          : m_relay.Suspects();
+  if (!HasNewSuspects(aState)) {
+    return;
+  }
+  aOut.setHasSuspects(true);
+  aOut.setSuspectEpoch(ServedEpoch());
+  aOut.setSuspectVersion(ServedSuspectVersion());
+  WriteSuspects(parts,
+                m_deps.m_clock.Now(),
+                aOut.initSuspects(static_cast<unsigned>(parts.size())));
+}
+
+void FleetService::WriteReply(const FollowState& aState,
                               wire::FollowReply::Builder aOut)
 {
   WriteControlInstances(aOut);
   const RouteChange& routes = m_deps.m_host.State().Routes();
-  if (routes.m_version > aRouteVersion) {
+  if (routes.m_version > aState.m_routeVersion) {
     auto out = aOut.initRoutes();
     out.setVersion(routes.m_version.Value());
     out.setDocument(DataOf(routes.m_document));
@@ -320,12 +343,13 @@
     return;
   }
   WriteRelays(aOut);
-  const bool isWhole = aEpoch != ServedEpoch();
+  WriteSuspectList(aState, aOut);
+  const bool isWhole = aState.m_epoch != ServedEpoch();
   const TimePoint now = m_deps.m_clock.Now();
-  if (isWhole && !aIsRelay && !m_pacer.MaySend(now)) {
+  if (isWhole && !aState.m_isRelay && !m_pacer.MaySend(now)) {
     // The entry keeps what it has and asks again, perhaps a relay.
-    aOut.setEpoch(aEpoch);
-    aOut.setDirectoryVersion(aDirectoryVersion);
+    aOut.setEpoch(aState.m_epoch);
+    aOut.setDirectoryVersion(aState.m_directoryVersion);
     return;
   }
   aOut.setIsWhole(isWhole);
@@ -334,7 +358,36 @@
   if (isWhole) {
     m_pacer.RecordSent(directory->All().size(), now);
   }
-  WriteEngines(*directory, isWhole, aDirectoryVersion, aOut);
+  WriteEngines(*directory, isWhole, aState.m_directoryVersion, aOut);
+}
+
+void FleetService::ReportCrashes(
+  wire::CrashReport::Reader aReport,
+  wire::ControlNode::ReportCrashesResults::Builder aOut)
+{
+  KJ_REQUIRE(m_deps.m_owner.Term().has_value(),
+             "the instance does not own the engines");
+  const CrashReport report = ReadCrashReport(aReport, m_deps.m_clock.Now());
+  for (const SuspectPart& part : report.m_carried) {
+    m_deps.m_owner.RestoreSuspect(part);
+  }
+  // First, so that a crash does not make parts suspect that are known to be
+  // sound.
+  for (const auto& [part, soundAt] : report.m_sound) {
+    m_deps.m_owner.RecordSound(part, soundAt);
+  }
+  for (const CrashRecord& record : report.m_crashes) {
+    m_deps.m_owner.RecordCrash(record);
+  }
+  aOut.setEpoch(m_deps.m_owner.Term()->Value());
+  aOut.setVersion(m_deps.m_owner.Crashes().Version());
+}
+
+bool FleetService::RequestTrial(const PromptPartId& aPart)
+{
+  KJ_REQUIRE(m_deps.m_owner.Term().has_value(),
+             "the instance does not own the engines");
+  return m_deps.m_owner.TryStartTrial(aPart);
 }
 
 kj::Promise<std::string> FleetService::LoadAdapter(
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -46,16 +46,31 @@
   /// Has an adapter loaded. @pre none. @return the engine that holds it, empty
   /// when no engine can load it now.
   kj::Promise<std::string> LoadAdapter(wire::AdapterRequest::Reader aRequest);
+  /// Takes an entry's report of crashes. @pre none.
+  /// @error throws unless this instance owns the engines.
+  void ReportCrashes(wire::CrashReport::Reader aReport,
+                     wire::ControlNode::ReportCrashesResults::Builder aOut);
+  /// Returns whether one call with a part that is held back may be sent.
+  /// @pre none. @error throws unless this instance owns the engines.
+  [[nodiscard]] bool RequestTrial(const PromptPartId& aPart);
 
 private:
-  /// A follow call that waits, with the versions that its entry has.
-  struct WaitingFollow
+  /// What the sender of a follow call has.
+  struct FollowState
   {
     Revision m_routeVersion;
     /// Term whose owner sent the directory version.
     uint64_t m_epoch = 0;
     uint64_t m_directoryVersion = 0;
+    /// Term whose owner sent the list of suspect parts.
+    uint64_t m_suspectEpoch = 0;
+    uint64_t m_suspectVersion = 0;
     bool m_isRelay = false;
+  };
+  /// A follow call that waits.
+  struct WaitingFollow
+  {
+    FollowState m_state;
     kj::Own<kj::PromiseFulfiller<void>> m_fulfiller;
   };
 
@@ -69,16 +84,13 @@
 
   void ApplyRoutes();
   void UpdateOwnership();
-  /// Returns whether an entry with these versions needs an answer now.
-  [[nodiscard]] bool HasUpdate(Revision aRouteVersion,
-                               uint64_t aEpoch,
-                               uint64_t aDirectoryVersion) const;
+  /// Returns whether the sender of a follow call needs an answer now.
+  [[nodiscard]] bool HasUpdate(const FollowState& aState) const;
   /// Returns whether a follow call is answered now: there is an update for it,
   /// and a whole directory may be sent if it needs one.
-  [[nodiscard]] bool IsAnswerDue(Revision aRouteVersion,
-                                 uint64_t aEpoch,
-                                 uint64_t aDirectoryVersion,
-                                 bool aIsRelay) const;
+  [[nodiscard]] bool IsAnswerDue(const FollowState& aState) const;
+  /// Returns whether the served list of suspect parts is newer.
+  [[nodiscard]] bool HasNewSuspects(const FollowState& aState) const;
   /// Returns whether an entry with a directory of this epoch needs the whole
   /// served directory.
   [[nodiscard]] bool NeedsWhole(uint64_t aEpoch) const;
@@ -89,14 +101,15 @@
   /// Returns the term of the owner of the served directory.
   /// @pre ServedDirectory() is not null.
   [[nodiscard]] uint64_t ServedEpoch() const;
+  /// Returns the version of the served list of suspect parts.
+  /// @pre ServedDirectory() is not null.
+  [[nodiscard]] uint64_t ServedSuspectVersion() const;
   /// Passes on what an entry or a relay reports.
   void RecordReport(wire::FollowRequest::Reader aRequest);
   void WriteRelays(wire::FollowReply::Builder aOut) const;
-  void WriteReply(Revision aRouteVersion,
-                  uint64_t aEpoch,
-                  uint64_t aDirectoryVersion,
-                  bool aIsRelay,
-                  wire::FollowReply::Builder aOut);
+  void WriteReply(const FollowState& aState, wire::FollowReply::Builder aOut);
+  void WriteSuspectList(const FollowState& aState,
+                        wire::FollowReply::Builder aOut) const;
   static void WriteEngines(const EngineDirectory& aDirectory,
                            bool aIsWhole,
                            uint64_t aKnownVersion,
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -83,6 +83,9 @@
   m_orders.LoseOwnership();
   m_directory.Clear();
   m_demand.Clear();
+  m_crashes.Clear();
+  m_crashChecks.clear();
+  m_heldParts.clear();
 }
 
 void FleetOwner::SetConfig(std::shared_ptr<const RouteConfig> aConfig)
@@ -106,6 +109,8 @@
     ReadList();
   }
   m_orders.Tick();
+  m_crashes.Tick(now);
+  LogHeldParts();
   if (now >= m_planDue) {
     m_planDue = now + kPlanPeriod;
     m_demand.Tick(now);
@@ -166,6 +171,74 @@
   }
 }
 
+void FleetOwner::RecordCrash(const CrashRecord& aRecord)
+{
+  if (!m_term) {
+    return;
+  }
+  const TimePoint now = m_deps.m_clock.Now();
+  const UpstreamId engine = aRecord.m_engine;
+  m_crashes.RecordCrash(aRecord, now);
+  const EngineRecord* record = m_directory.Find(engine);
+  if (record == nullptr || !m_crashChecks.insert(engine).second) {
+    return;
+  }
+  // The entry may have lost its connections only.
+  m_deps.m_control.ReadReport(*record,
+                              [this, engine, now, generation = m_generation](
+                                const std::optional<EngineReport>& aReport) {
+                                if (generation != m_generation) {
+                                  return;
+                                }
+                                m_crashChecks.erase(engine);
+                                if (aReport) {
+                                  m_crashes.RecordAlive(
+                                    engine, now, m_deps.m_clock.Now());
+                                } else {
+                                  CheckEngine(engine);
+                                }
+                              });
+}
+
+void FleetOwner::RecordSound(const PromptPartId& aPart, TimePoint aBegunAt)
+{
+  m_crashes.RecordSound(aPart, aBegunAt, m_deps.m_clock.Now());
+}
+
+void FleetOwner::RestoreSuspect(const SuspectPart& aPart)
+{
+  m_crashes.Restore(aPart, m_deps.m_clock.Now());
+}
+
+bool FleetOwner::TryStartTrial(const PromptPartId& aPart)
+{
+  const bool isPermitted = m_crashes.TryStartTrial(aPart, m_deps.m_clock.Now());
+  if (isPermitted) {
+    m_deps.m_log.Write(EventId::PartTrial, "part=" + aPart.Value());
+  }
+  return isPermitted;
+}
+
+void FleetOwner::LogHeldParts()
+{
+  for (const auto& [id, part] : m_crashes.Suspects()) {
+    if (part.m_isHeld && m_heldParts.insert(id).second) {
+      m_deps.m_log.Write(EventId::PartHeld,
+                         "part=" + id.Value() +
+                           " crashes=" + std::to_string(part.m_crashes));
+    }
+  }
+  std::erase_if(m_heldParts, [&](const PromptPartId& aPart) {
+    const auto found = m_crashes.Suspects().find(aPart);
+    const bool isHeld =
+      found != m_crashes.Suspects().end() && found->second.m_isHeld;
+    if (!isHeld) {
+      m_deps.m_log.Write(EventId::PartReleased, "part=" + aPart.Value());
+    }
+    return !isHeld;
+  });
+}
+
 void FleetOwner::Plan(TimePoint aNow)
 {
   if (m_config == nullptr || !m_directory.HasList() || !m_hasLease()) {
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -8,6 +8,7 @@
 #include "fleet/engine_orders.h"
 #include "fleet/model_planner.h"
 #include "fleet/store_budget.h"
+#include "quarantine/crash_investigation.h"
 
 namespace celeryspread {
 
@@ -73,6 +74,18 @@
                    const UpstreamId& aPreferred,
                    std::function<void(UpstreamId)> aDone);
 
+  /// Records an engine that ended, as an entry saw it. The engine is asked
+  /// whether it still answers. @pre none.
+  void RecordCrash(const CrashRecord& aRecord);
+  /// Records a sound answer with a prompt part. @pre none.
+  void RecordSound(const PromptPartId& aPart, TimePoint aBegunAt);
+  /// Adds what an earlier owner knew about a prompt part. @pre none.
+  void RestoreSuspect(const SuspectPart& aPart);
+  /// Returns whether one call with a part that is held back may be sent now.
+  /// @pre none.
+  [[nodiscard]] bool TryStartTrial(const PromptPartId& aPart);
+  /// Returns what is known about parts that may end engines. @pre none.
+  [[nodiscard]] const CrashInvestigation& Crashes() const { return m_crashes; }
   /// Returns the engines as this owner knows them. @pre none.
   [[nodiscard]] const EngineDirectory& Directory() const { return m_directory; }
   /// Returns the term of ownership; empty without ownership.
@@ -90,6 +103,8 @@
   /// Returns the time between two readings of a list with this many engines.
   [[nodiscard]] Duration ListPeriod(size_t aEngines) const;
   void ReadList();
+  /// Logs which parts are held back since the last call, and which no longer.
+  void LogHeldParts();
   void Plan(TimePoint aNow);
   void PlanPool(const Pool& aPool, TimePoint aNow);
   /// Returns how many standby copies may be loaded from the weight store now.
@@ -126,6 +141,10 @@
   EngineDirectory m_directory;
   DemandTracker m_demand;
   EngineOrders m_orders;
+  CrashInvestigation m_crashes;
+  /// Engines that are asked whether they still answer after a crash.
+  std::set<UpstreamId> m_crashChecks;
+  std::set<PromptPartId> m_heldParts;
   std::map<PoolId, StoreBudget> m_budgets;
   using AdapterLoadKey = std::pair<DemandTracker::Key, UpstreamId>;
   std::map<AdapterLoadKey, AdapterLoad> m_adapterLoads;
--- a/gateway/call_fields.h
+++ b/gateway/call_fields.h
@@ -3,11 +3,11 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
 #include "http/caller_call.h"
+#include "quarantine/crash_record.h"
 #include "routes/engine_record.h"
 
 namespace celeryspread {
@@ -24,7 +24,7 @@
   uint32_t m_promptTokens = 0;
   /// Parts of the prompt that other calls may share, in order. The last part
   /// belongs to the call or its session and is left out.
-  std::vector<PromptPartId> m_sharedParts;
+  PromptParts m_sharedParts;
 };
 
 /// Load of an upstream, reported in one of its answers.
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -19,6 +19,10 @@
 constexpr Duration kRelayRetryDelay = std::chrono::seconds(3);
 /// Delay before the next follow request after a failed one.
 constexpr int64_t kRetryDelayMicros = 100'000;
+constexpr Duration kReportTimeout = std::chrono::milliseconds(1000);
+/// Crashes that a new owner is told of.
+constexpr size_t kMaxCrashes = 32;
+constexpr Duration kCrashMemory = std::chrono::minutes(1);
 
 } // namespace
 
@@ -31,6 +35,7 @@
   , m_settings(std::move(aSettings))
   , m_listener(std::move(aListener))
   , m_follow(nullptr)
+  , m_report(nullptr)
 {
   SetSeeds(m_settings.m_seeds);
   m_follow = FollowLoop().eagerlyEvaluate(nullptr);
@@ -112,6 +117,8 @@
   request.setRouteVersion(m_routeVersion.Value());
   request.setEpoch(m_directoryTerm);
   request.setDirectoryVersion(m_directoryVersion);
+  request.setSuspectEpoch(m_deps.m_quarantine.Epoch());
+  request.setSuspectVersion(m_deps.m_quarantine.Version());
   const std::vector<UpstreamId> failing = m_deps.m_table.FailingEngines();
   auto failingList =
     request.initFailingEngines(static_cast<unsigned>(failing.size()));
@@ -202,12 +209,37 @@
     LinkTo(m_ownerAddress);
   }
   m_deps.m_retries.SetEntryCount(aReply.getEntryCount());
+  ApplySuspects(aReply);
   if (aReply.getHasDirectory()) {
     ApplyEngines(aReply);
     FollowRelay(aReply);
   }
 }
 
+void DirectoryLink::ApplySuspects(wire::FollowReply::Reader aReply)
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  PartQuarantine& quarantine = m_deps.m_quarantine;
+  quarantine.RecordContact(now);
+  if (!aReply.getHasSuspects()) {
+    return;
+  }
+  const uint64_t formerEpoch = quarantine.Epoch();
+  quarantine.Apply(aReply.getSuspectEpoch(),
+                   aReply.getSuspectVersion(),
+                   ReadSuspects(aReply.getSuspects(), now));
+  if (quarantine.Epoch() == formerEpoch) {
+    return;
+  }
+  // The new owner knows nothing of what its predecessor was told.
+  m_isCarriedReported = quarantine.Carried().empty();
+  while (!m_crashes.empty() && m_crashes.front().m_at + kCrashMemory < now) {
+    m_crashes.pop_front();
+  }
+  m_unreportedCrashes = m_crashes.size();
+  SendReports();
+}
+
 void DirectoryLink::FollowOwner(wire::FollowReply::Reader aReply)
 {
   m_noRelayUntil = m_deps.m_clock.Now() + kRelayRetryDelay;
@@ -267,6 +299,116 @@
   m_hasDirectory = m_directoryTerm != 0;
 }
 
+WireLink* DirectoryLink::OwnerLink() const
+{
+  const auto owner = m_links.find(m_ownerAddress);
+  const bool isUsable = owner != m_links.end() && owner->second->IsUp();
+  return isUsable ? owner->second.get() : nullptr;
+}
+
+void DirectoryLink::ReportCrash(const CrashRecord& aRecord)
+{
+  m_crashes.push_back(aRecord);
+  ++m_unreportedCrashes;
+  if (m_crashes.size() > kMaxCrashes) {
+    m_crashes.pop_front();
+  }
+  m_unreportedCrashes = std::min(m_unreportedCrashes, m_crashes.size());
+  SendReports();
+}
+
+void DirectoryLink::ReportSound(const PromptPartId& aPart, TimePoint aBegunAt)
+{
+  TimePoint& soundAt = m_unreportedSound.emplace(aPart, aBegunAt).first->second;
+  soundAt = std::max(soundAt, aBegunAt);
+  SendReports();
+}
+
+CrashReport DirectoryLink::PendingReport() const
+{
+  CrashReport report;
+  report.m_crashes.assign(m_crashes.end() -
+                            static_cast<std::ptrdiff_t>(m_unreportedCrashes),
+                          m_crashes.end());
+  report.m_sound = m_unreportedSound;
+  if (!m_isCarriedReported) {
+    for (const auto& [id, part] : m_deps.m_quarantine.Carried()) {
+      report.m_carried.push_back(part);
+    }
+  }
+  return report;
+}
+
+void DirectoryLink::SendReports()
+{
+  const bool hasNews = m_unreportedCrashes != 0 || !m_unreportedSound.empty() ||
+                       !m_isCarriedReported;
+  if (m_isReporting || !hasNews) {
+    return;
+  }
+  m_isReporting = true;
+  // Not from within a callback of the promise that is replaced here.
+  m_report =
+    kj::evalLater([this] { return SendReportsOnce(); })
+      .then([]() -> kj::Promise<void> { return kj::READY_NOW; },
+            [this](kj::Exception&&) {
+              return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
+            })
+      .then([this] {
+        m_isReporting = false;
+        SendReports();
+      })
+      .eagerlyEvaluate(nullptr);
+}
+
+kj::Promise<void> DirectoryLink::SendReportsOnce()
+{
+  WireLink* link = OwnerLink();
+  KJ_REQUIRE(link != nullptr, "the owner's link is not up");
+  const CrashReport report = PendingReport();
+  auto call = link->Node().reportCrashesRequest();
+  WriteCrashReport(report, m_deps.m_clock.Now(), call.initReport());
+  const bool hasCarried = !m_isCarriedReported;
+  m_unreportedCrashes = 0;
+  m_unreportedSound.clear();
+  m_isCarriedReported = true;
+  auto reply = call.send().then([this, hasCarried](auto&& aResponse) {
+    if (hasCarried) {
+      m_deps.m_quarantine.ConfirmCarried(aResponse.getEpoch(),
+                                         aResponse.getVersion());
+    }
+  });
+  return link->WithTimeout<void>(kj::mv(reply), kReportTimeout)
+    .catch_([this, report, hasCarried](kj::Exception&& aException) {
+      // A report that arrives twice changes nothing.
+      m_unreportedCrashes = std::min(
+        m_unreportedCrashes + report.m_crashes.size(), m_crashes.size());
+      for (const auto& [part, soundAt] : report.m_sound) {
+        m_unreportedSound.emplace(part, soundAt);
+      }
+      m_isCarriedReported = m_isCarriedReported && !hasCarried;
+      kj::throwFatalException(kj::mv(aException));
+    });
+}
+
+void DirectoryLink::RequestTrial(const PromptPartId& aPart,
+                                 std::function<void(bool)> aDone)
+{
+  WireLink* link = OwnerLink();
+  if (link == nullptr) {
+    aDone(false);
+    return;
+  }
+  auto call = link->Node().requestTrialRequest();
+  call.setPart(aPart.Value());
+  auto reply = call.send().then(
+    [](auto&& aResponse) { return aResponse.getIsPermitted(); });
+  link->WithTimeout<bool>(kj::mv(reply), kReportTimeout)
+    .then([aDone](bool aIsPermitted) { aDone(aIsPermitted); },
+          [aDone](kj::Exception&&) { aDone(false); })
+    .detach([](kj::Exception&&) {});
+}
+
 void DirectoryLink::RecordDemand(const PoolId& aPool,
                                  const ModelTarget& aTarget,
                                  Duration aPrefill)
@@ -296,12 +438,11 @@
       callback(aEngine);
     }
   };
-  const auto owner = m_links.find(m_ownerAddress);
-  if (owner == m_links.end() || !owner->second->IsUp()) {
+  WireLink* link = OwnerLink();
+  if (link == nullptr) {
     finish(UpstreamId());
     return;
   }
-  WireLink* link = owner->second.get();
   auto call = link->Node().loadAdapterRequest();
   auto request = call.initRequest();
   request.setPool(aPool.Value());
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,18 +10,21 @@
 #include "gateway/gateway_context.h"
 #include "routes/call_demand.h"
 #include "settings/node_settings.h"
+#include "wire/crash_codec.h"
 #include "wire/wire_link.h"
 
 namespace celeryspread {
 
 /// An entry's link to the control instances. It follows the route configuration
-/// and the engine directory of their leader, reports the demand of callers to
-/// it, and asks it to load adapters. The addresses of control instances come
-/// from the seeds and from the replies of any control instance.
+/// and the engine directory of their leader, reports the demand of callers and
+/// the crashes of engines to it, and asks it to load adapters. The addresses of
+/// control instances come from the seeds and from the replies of any control
+/// instance.
 /// @thread loop thread only.
 class DirectoryLink
   : public AdapterLoader
   , public DemandRecorder
+  , public CrashReporter
 {
 public:
   /// Called with the operator's document when a newer route configuration
@@ -36,6 +40,7 @@
     EventLog& m_log;
     EngineTable& m_table;
     RetryBudgetShare& m_retries;
+    PartQuarantine& m_quarantine;
   };
 
   /// Starts to follow the control instances. @pre the settings were checked.
@@ -61,6 +66,10 @@
   void RecordRunning(const PoolId& aPool,
                      const ModelTarget& aTarget,
                      int aChange) override;
+  void ReportCrash(const CrashRecord& aRecord) override;
+  void ReportSound(const PromptPartId& aPart, TimePoint aBegunAt) override;
+  void RequestTrial(const PromptPartId& aPart,
+                    std::function<void(bool)> aDone) override;
 
 private:
   struct Demand
@@ -82,11 +91,19 @@
   kj::Promise<void> FollowOnce();
   void Apply(wire::FollowReply::Reader aReply);
   void ApplyEngines(wire::FollowReply::Reader aReply);
+  void ApplySuspects(wire::FollowReply::Reader aReply);
   void AddControlLinks(wire::FollowReply::Reader aReply);
   /// Changes to the owner because this instance has no directory.
   void FollowOwner(wire::FollowReply::Reader aReply);
   /// Changes to the relay in the own failure domain, if there is one.
   void FollowRelay(wire::FollowReply::Reader aReply);
+  /// Returns the link to the owner; null while there is none.
+  [[nodiscard]] WireLink* OwnerLink() const;
+  /// Sends the pending reports to the owner unless a report is on its way.
+  void SendReports();
+  kj::Promise<void> SendReportsOnce();
+  /// Returns what the owner does not know yet.
+  [[nodiscard]] CrashReport PendingReport() const;
 
   Dependencies m_deps;
   ClusterKey m_key;
@@ -111,7 +128,16 @@
   using LoadKey = std::pair<DemandKey, UpstreamId>;
   std::map<LoadKey, std::vector<std::function<void(UpstreamId)>>>
     m_pendingLoads;
+  /// Crashes that this entry saw lately, the newest last. A new owner needs
+  /// them all.
+  std::deque<CrashRecord> m_crashes;
+  /// Crashes at the end of m_crashes that the owner does not know yet.
+  size_t m_unreportedCrashes = 0;
+  std::map<PromptPartId, TimePoint> m_unreportedSound;
+  bool m_isCarriedReported = true;
+  bool m_isReporting = false;
   kj::Promise<void> m_follow;
+  kj::Promise<void> m_report;
 };
 
 } // namespace celeryspread
--- a/gateway/engine_table.cpp
+++ b/gateway/engine_table.cpp
@@ -142,6 +142,7 @@
     state->m_lastByteAt = aNow;
   }
   ++state->m_outstanding;
+  ++state->m_attempts;
   state->m_pendingPrefill += aPrefill;
   ++state->m_changesSinceReading;
 }
--- a/gateway/engine_table.h
+++ b/gateway/engine_table.h
@@ -29,6 +29,8 @@
   EngineRecord m_record;
   /// Calls of this entry in progress on the upstream.
   uint32_t m_outstanding = 0;
+  /// Attempts that this entry ever started on the upstream.
+  uint64_t m_attempts = 0;
   LoadReading m_reading;
   TimePoint m_readingAt;
   /// Expected time to read the prompts of this entry's calls that have no first
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -24,9 +24,13 @@
 {
   m_deadlineTimer = m_context.m_timers.Every(kDeadlineCheckPeriod,
                                              [this] { CheckDeadlines(); });
+  m_context.m_crashes.SetHoldListener([this] { HandleHeldParts(); });
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway()
+{
+  m_context.m_crashes.SetHoldListener({});
+}
 
 void Gateway::SetConfig(std::shared_ptr<const RouteConfig> aConfig)
 {
@@ -153,6 +157,18 @@
   }
 }
 
+void Gateway::HandleHeldParts()
+{
+  std::vector<GatewayCall*> calls;
+  for (const auto& [call, owned] : m_calls) {
+    calls.push_back(call);
+  }
+  // A call that ends leaves m_calls, and is destroyed later.
+  for (GatewayCall* call : calls) {
+    call->HandleHeldParts();
+  }
+}
+
 void Gateway::CheckDeadlines()
 {
   const TimePoint now = m_context.m_clock.Now();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -44,6 +44,8 @@
                                                 const AttemptId& aAttempt);
   void RemoveCall(GatewayCall& aCall);
   void CheckDeadlines();
+  /// Ends the calls with parts that are newly held back.
+  void HandleHeldParts();
 
   GatewayContext& m_context;
   std::shared_ptr<const RouteConfig> m_config;
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -28,6 +28,11 @@
 /// A longer answer that is no stream is given up. It is held in memory until it
 /// is complete, and an upstream in trouble may send bytes without end.
 constexpr size_t kMaxAnswerBytes = 8'388'608;
+/// An answer that has gone on for this long did not end its engine.
+constexpr Duration kSoundAfter = std::chrono::seconds(1);
+/// Shortest time after which a caller is asked to return while a part of its
+/// prompt is held back.
+constexpr Duration kMinHeldRetryAfter = std::chrono::seconds(1);
 /// An attempt with less time left can't succeed.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(20);
 
@@ -37,7 +42,7 @@
   return aStatus >= HttpStatus::kOk && aStatus < kFirstRedirect;
 }
 
-std::string PartsText(const std::vector<PromptPartId>& aParts)
+std::string PartsText(const PromptParts& aParts)
 {
   std::string text;
   for (const PromptPartId& part : aParts) {
@@ -85,6 +90,9 @@
     HandleDeadline();
     return;
   }
+  if (RefuseIfHeld()) {
+    return;
+  }
   const SelectQuery query{ m_input.m_pool,
                            m_input.m_callFields.m_target,
                            m_tried };
@@ -135,6 +143,54 @@
   }
 }
 
+bool GatewayCall::RefuseIfHeld()
+{
+  if (m_isTrial) {
+    return false;
+  }
+  const PromptParts& parts = m_input.m_callFields.m_sharedParts;
+  const QuarantineVerdict verdict = m_context.m_crashes.Check(parts);
+  if (verdict.m_kind == QuarantineVerdict::Kind::Free) {
+    return false;
+  }
+  m_context.m_metrics.Count("celeryspread_gateway_held_calls_total");
+  const bool mayAsk =
+    verdict.m_kind == QuarantineVerdict::Kind::TrialDue && !m_isAwaitingTrial;
+  if (!mayAsk) {
+    Refuse("engines ended under calls with prompt part " +
+             verdict.m_part.Value() + ", which is held back",
+           std::max(kMinHeldRetryAfter, verdict.m_heldFor));
+    return true;
+  }
+  m_isAwaitingTrial = true;
+  m_context.m_crashes.RequestTrial(
+    verdict.m_part, [this, isAlive = m_isAlive](bool aIsPermitted) {
+      if (!*isAlive || m_isFinished) {
+        return;
+      }
+      m_isTrial = aIsPermitted;
+      ChooseAndDispatch();
+    });
+  return true;
+}
+
+void GatewayCall::HandleHeldParts()
+{
+  const PromptParts& parts = m_input.m_callFields.m_sharedParts;
+  const bool hasBegun = m_isStreaming || m_status != 0;
+  if (m_isFinished || m_isTrial || m_isAwaitingTrial || hasBegun ||
+      !m_context.m_crashes.IsWithdrawn(parts)) {
+    return;
+  }
+  const std::string reason = "engines ended under calls with a prompt part "
+                             "that is held back by now";
+  if (!m_upstream.IsEmpty()) {
+    m_mayHaveRun = true;
+    CloseAttempt(AttemptOutcome::Cancelled);
+  }
+  Refuse(reason, kMinHeldRetryAfter);
+}
+
 void GatewayCall::RequestAdapter(const UpstreamId& aPreferred)
 {
   if (m_hasRequestedAdapter) {
@@ -188,6 +244,7 @@
   m_tried.insert(record.m_id);
   m_attemptStartedAt = now;
   m_status = 0;
+  m_unprovenSince.reset();
   m_isRejected = false;
   m_body.clear();
   ++m_dispatches;
@@ -293,6 +350,9 @@
     HandleFailedAttempt(true, "the answer belongs to another call");
     return;
   }
+  if (IsSuccess(aStatus)) {
+    m_unprovenSince = now;
+  }
   const bool isStream =
     m_input.m_route->m_kind == CallKind::Stream && IsSuccess(aStatus);
   if (!isStream) {
@@ -334,6 +394,10 @@
   }
   if (!events.empty()) {
     RecordEvents();
+    if (m_unprovenSince &&
+        m_context.m_clock.Now() - *m_unprovenSince >= kSoundAfter) {
+      RecordSound();
+    }
   }
   m_input.m_caller->SendChunk(events);
   if (m_attempt != nullptr &&
@@ -368,9 +432,10 @@
   const bool isEvents = m_isStreaming && IsSuccess(m_status);
   if (isEvents) {
     if (m_events.HasPartialEvent()) {
-      HandleFailedAttempt(true, "the stream ended inside an event");
+      HandleBrokenAnswer("the stream ended inside an event");
       return;
     }
+    RecordSound();
     CloseAttempt(AttemptOutcome::Answered);
     m_input.m_caller->EndStream();
     LogEnd(EventId::CallEnded, m_status, "");
@@ -394,6 +459,7 @@
     return;
   }
   const bool isUpstreamFault = m_status >= HttpStatus::kFirstServerError;
+  RecordSound();
   CloseAttempt(AttemptOutcome::Answered);
   if (isUpstreamFault && MayRetryAfterRun() && TryRetry(true)) {
     return;
@@ -434,16 +500,60 @@
     HandleRejection();
     return;
   }
+  if (aFailure.m_kind == UpstreamFailureKind::ConnectionLost) {
+    HandleBrokenAnswer(aFailure.m_reason);
+    return;
+  }
   HandleFailedAttempt(aFailure.m_mayHaveSentBytes, aFailure.m_reason);
 }
 
+void GatewayCall::RecordSound()
+{
+  if (m_unprovenSince) {
+    m_context.m_crashes.RecordSound(m_input.m_callFields.m_sharedParts,
+                                    *m_unprovenSince);
+    m_unprovenSince.reset();
+  }
+}
+
+void GatewayCall::HandleBrokenAnswer(const std::string& aReason)
+{
+  if (!m_unprovenSince) {
+    HandleFailedAttempt(true, aReason);
+    return;
+  }
+  const TimePoint begunAt = *m_unprovenSince;
+  const UpstreamId engine = m_upstream;
+  m_mayHaveRun = true;
+  CloseAttempt(AttemptOutcome::Failed);
+  const bool mayRetry = MayRetryAfterRun();
+  m_context.m_crashes.RecordBreak(
+    engine,
+    m_input.m_callFields.m_sharedParts,
+    begunAt,
+    [this, isAlive = m_isAlive, mayRetry, aReason](bool aHasEngineEnded) {
+      if (mayRetry && *isAlive && !m_isFinished) {
+        FinishFailedAttempt(!aHasEngineEnded, true, aReason);
+      }
+    });
+  if (!mayRetry && !m_isFinished) {
+    FinishFailedAttempt(false, true, aReason);
+  }
+}
+
 void GatewayCall::HandleFailedAttempt(bool aMayHaveRun,
                                       const std::string& aReason)
 {
   m_mayHaveRun = m_mayHaveRun || aMayHaveRun;
   CloseAttempt(AttemptOutcome::Failed);
-  const bool mayRetry = !aMayHaveRun || MayRetryAfterRun();
-  if (mayRetry && TryRetry(aMayHaveRun)) {
+  FinishFailedAttempt(!aMayHaveRun || MayRetryAfterRun(), aMayHaveRun, aReason);
+}
+
+void GatewayCall::FinishFailedAttempt(bool aMayRetry,
+                                      bool aMayHaveRun,
+                                      const std::string& aReason)
+{
+  if (aMayRetry && TryRetry(aMayHaveRun)) {
     return;
   }
   if (m_isStreaming) {
@@ -464,7 +574,10 @@
   const bool isAllowed = m_possibleRuns < m_input.m_route->m_maxRuns &&
                          m_dispatches < kMaxDispatches &&
                          m_input.m_deadline - now > kMinTimeLeft;
-  if (!isAllowed) {
+  const bool isHeld =
+    m_context.m_crashes.Check(m_input.m_callFields.m_sharedParts).m_kind !=
+    QuarantineVerdict::Kind::Free;
+  if (!isAllowed || (isHeld && (aMayHaveRun || !m_isTrial))) {
     return false;
   }
   const SelectQuery query{ m_input.m_pool,
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -52,6 +52,9 @@
   void Start();
   /// Ends the call because its deadline is exceeded. @pre none.
   void HandleDeadline();
+  /// Ends the call if a part of its prompt is held back by now and no engine
+  /// has begun its answer. @pre none.
+  void HandleHeldParts();
   /// Returns when HandleDeadline() is due. @pre none.
   [[nodiscard]] TimePoint Deadline() const { return m_input.m_deadline; }
 
@@ -68,6 +71,9 @@
   /// Chooses an upstream and dispatches the call to it, or requests the adapter
   /// first, or refuses the call.
   void ChooseAndDispatch();
+  /// Refuses the call if a part of its prompt is held back, or asks whether it
+  /// may be the trial call. @return whether it did either.
+  bool RefuseIfHeld();
   void RequestAdapter(const UpstreamId& aPreferred);
   void Dispatch(const EngineState& aState);
   /// Retries the call after an attempt that ended without a usable answer.
@@ -83,7 +89,16 @@
   /// shows.
   [[nodiscard]] Duration Age(TimePoint aNow) const;
   void CloseAttempt(AttemptOutcome aOutcome);
+  /// Records that the attempt's answer is sound so far.
+  void RecordSound();
   void HandleFailedAttempt(bool aMayHaveRun, const std::string& aReason);
+  /// Handles an answer that its engine broke off. If the call may have ended
+  /// the engine, it is not sent to another one.
+  void HandleBrokenAnswer(const std::string& aReason);
+  /// Retries or ends the call after its attempt was closed.
+  void FinishFailedAttempt(bool aMayRetry,
+                           bool aMayHaveRun,
+                           const std::string& aReason);
   /// Ends an attempt whose answer exceeds every bound.
   void HandleEndlessAnswer();
   void HandleRejection();
@@ -119,6 +134,12 @@
   uint32_t m_dispatches = 0;
   bool m_mayHaveRun = false;
   bool m_hasRequestedAdapter = false;
+  /// The call may be sent although a part of its prompt is held back.
+  bool m_isTrial = false;
+  bool m_isAwaitingTrial = false;
+  /// When the attempt's answer began; empty before, and once it is known to be
+  /// sound.
+  std::optional<TimePoint> m_unprovenSince;
   bool m_isStreaming = false;
   bool m_isRejected = false;
   bool m_isFinished = false;
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -4,6 +4,7 @@
 
 #include "core/timers.h"
 #include "gateway/call_fields.h"
+#include "gateway/crash_watch.h"
 #include "gateway/engine_selector.h"
 #include "gateway/prefill_estimator.h"
 #include "gateway/retry_budget_share.h"
@@ -58,6 +59,7 @@
   PrefillEstimator& m_prefill;
   AdapterLoader& m_adapters;
   DemandRecorder& m_demand;
+  CrashWatch& m_crashes;
   /// The entry's own failure domain.
   const FailureDomainId& m_domain;
   Metrics& m_metrics;
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -84,25 +84,26 @@
     , m_retries(RetryBounds{ m_settings.m_retryRatio,
                              m_settings.m_retrySlack,
                              m_settings.m_retryWindow })
-    , m_directory({ m_port, m_clock, m_log, m_table, m_retries },
+    , m_directory({ m_port, m_clock, m_log, m_table, m_retries, m_quarantine },
                   ClusterKey(kDefaultClusterKey),
                   m_settings,
                   [this](Revision, const std::string& aDocument) {
                     ApplyDocument(aDocument);
                   })
-    , m_context{ m_clock,
-                 m_timers,
-                 m_client,
-                 *m_platform.m_codec,
-                 m_table,
-                 m_selector,
-                 m_retries,
-                 m_prefill,
-                 m_directory,
-                 m_directory,
-                 m_settings.m_failureDomain,
-                 m_metrics,
-                 m_log }
+    , m_crashes({ m_clock,
+                  m_timers,
+                  m_table,
+                  m_quarantine,
+                  m_directory,
+                  m_metrics,
+                  m_log })
+    , m_context{ m_clock,     m_timers,
+                 m_client,    *m_platform.m_codec,
+                 m_table,     m_selector,
+                 m_retries,   m_prefill,
+                 m_directory, m_directory,
+                 m_crashes,   m_settings.m_failureDomain,
+                 m_metrics,   m_log }
     , m_gateway(m_context)
     , m_probes(
         m_platform.m_readyPath,
@@ -265,7 +266,9 @@
   EngineSelector m_selector;
   RetryBudgetShare m_retries;
   PrefillEstimator m_prefill;
+  PartQuarantine m_quarantine;
   DirectoryLink m_directory;
+  CrashWatch m_crashes;
   GatewayContext m_context;
   Gateway m_gateway;
   ProbeHandler m_probes;
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -123,7 +123,7 @@
     settings.m_seeds = { { kOwnerAddress, 1 }, { kRelayAddress, 1 } };
     m_link = std::make_unique<DirectoryLink>(
       DirectoryLink::Dependencies{
-        m_port, m_loop.GetClock(), m_log, m_table, m_retries },
+        m_port, m_loop.GetClock(), m_log, m_table, m_retries, m_quarantine },
       m_key,
       settings,
       [](Revision, const std::string&) {});
@@ -149,6 +149,7 @@
   RecordingEventLog m_log;
   EngineTable m_table;
   RetryBudgetShare m_retries{ RetryBounds{} };
+  PartQuarantine m_quarantine;
   std::unique_ptr<DirectoryLink> m_link;
 };
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -87,10 +87,15 @@
   RecordingEventLog m_log;
   PrefillEstimator m_prefill;
   const FailureDomainId m_domain{ "here" };
+  PartQuarantine m_quarantine;
+  FakeCrashReporter m_reporter;
+  CrashWatch m_crashes{
+    { m_clock, m_timers, m_table, m_quarantine, m_reporter, m_metrics, m_log }
+  };
   GatewayContext m_context{ m_clock,   m_timers,   m_client,  m_codec,
                             m_table,   m_selector, m_retries, m_prefill,
-                            m_control, m_control,  m_domain,  m_metrics,
-                            m_log };
+                            m_control, m_control,  m_crashes, m_domain,
+                            m_metrics, m_log };
   Gateway m_gateway{ m_context };
   CallerRecord m_caller;
 };
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -170,9 +170,9 @@
   EXPECT_TRUE(partsOf("5c:800").empty());
   EXPECT_TRUE(partsOf(",,").empty());
   EXPECT_TRUE(partsOf(std::string(65, 'a') + ":1,5c:1").empty());
-  EXPECT_EQ(partsOf("5c:800, 91,7d:1"),
-            (std::vector<PromptPartId>{ PromptPartId("5c"),
-                                        PromptPartId("91") }));
+  EXPECT_EQ(
+    partsOf("5c:800, 91,7d:1"),
+    (std::vector<PromptPartId>{ PromptPartId("5c"), PromptPartId("91") }));
 }
 
 TEST(CallCodecTest, RejectsMalformedHeaders)
--- a/tests/quarantine/poison_part_test.cpp
+++ b/tests/quarantine/poison_part_test.cpp
@@ -22,14 +22,38 @@
 protected:
   PoisonPartTest()
   {
-    const std::vector<std::string> domains = { "here", "near", "far" };
+    m_entries.resize(kEntries);
     for (size_t i = 0; i < kEntries; ++i) {
-      m_entries.push_back(std::make_unique<SimulatedEntry>(
-        m_time, m_engines, domains[i % domains.size()], kEntries, i + 1));
+      RestartEntry(i);
     }
+    // An entry takes calls once it has the owner's lists.
+    m_time.RunFor(std::chrono::milliseconds(200));
+  }
+
+  /// Starts an entry, in place of the one that had its number before.
+  void RestartEntry(size_t aIndex)
+  {
+    const std::vector<std::string> domains = { "here", "near", "far" };
+    m_entries[aIndex].reset();
+    m_entries[aIndex] =
+      std::make_unique<SimulatedEntry>(m_time,
+                                       m_engines,
+                                       m_owner,
+                                       domains[aIndex % domains.size()],
+                                       kEntries,
+                                       ++m_starts);
   }
 
-  SimulatedEntry& AnyEntry() { return *m_entries[m_random.Below(kEntries)]; }
+  /// Returns an entry that takes calls.
+  SimulatedEntry& AnyEntry()
+  {
+    for (;;) {
+      SimulatedEntry* entry = m_entries[m_random.Below(kEntries)].get();
+      if (entry != nullptr && entry->IsReady()) {
+        return *entry;
+      }
+    }
+  }
   /// Sends a sound call each aPeriod until aEnd.
   void SendSoundCalls(Duration aPeriod, TimePoint aEnd)
   {
@@ -49,7 +73,7 @@
     if (m_time.Now() >= aEnd) {
       return;
     }
-    AnyEntry().Call("/chat/1", aParts);
+    AnyEntry().Call("/chat/1", aParts).m_isPoison = true;
     m_time.Schedule(m_time.Now() + aPeriod,
                     [=, this] { SendPoison(aParts, aPeriod, aEnd); });
   }
@@ -65,10 +89,39 @@
       aPart, crashes[kToleratedCrashes - 1] + kContactTime);
   }
 
+  /// Share of the sound calls sent from aFrom to aTo that engines began to
+  /// answer.
+  double BegunShare(TimePoint aFrom, TimePoint aTo)
+  {
+    size_t sent = 0;
+    size_t begun = 0;
+    for (const auto& entry : m_entries) {
+      for (const SimulatedEntry::Sent& call : entry->Calls()) {
+        if (call.m_at < aFrom || call.m_at >= aTo || call.m_isPoison) {
+          continue;
+        }
+        ++sent;
+        begun += call.m_record.m_status == 200 ? 1 : 0;
+      }
+    }
+    return sent == 0 ? 0 : static_cast<double>(begun) / sent;
+  }
+  /// Calls that entries refused because they held back a part.
+  size_t RefusedFor(const std::string& aPart) const
+  {
+    size_t refused = 0;
+    for (const auto& entry : m_entries) {
+      refused += entry->RefusedFor(aPart);
+    }
+    return refused;
+  }
+
   static constexpr size_t kEntries = 8;
   SimulatedTime m_time;
   SimulatedEngines m_engines{ m_time, {} };
+  SimulatedOwner m_owner{ m_time, m_engines, std::chrono::milliseconds(30) };
   SeededRandomSource m_random{ 7 };
+  uint64_t m_starts = 0;
   std::vector<std::unique_ptr<SimulatedEntry>> m_entries;
 };
 
@@ -87,4 +140,151 @@
   EXPECT_LE(LateArrivals("bad"), kToleratedArrivals);
 }
 
+/// Holding back the first part, which all calls of the route share, would stop
+/// the sound ones as well.
+TEST_F(PoisonPartTest, SoundCallsWithTheSameFirstPartGoOn)
+{
+  m_engines.m_poisonParts = { "bad" };
+  const TimePoint start = m_time.Now();
+  const TimePoint end = start + std::chrono::seconds(40);
+  SendSoundCalls(std::chrono::milliseconds(12), end);
+  m_time.RunFor(std::chrono::seconds(5));
+  const TimePoint poisonAt = m_time.Now();
+  SendPoison({ "first", "bad" }, std::chrono::milliseconds(300), end);
+  m_time.RunFor(std::chrono::seconds(36));
+  const double before = BegunShare(start, poisonAt);
+  EXPECT_GT(before, 0.9);
+  EXPECT_GE(BegunShare(poisonAt + 2 * kContactTime, end), before / 2);
+}
+
+/// Right after a start no part is known to be sound yet.
+TEST_F(PoisonPartTest, FirstPartGoesOnWhenPoisonComesBeforeAnySoundAnswer)
+{
+  m_engines.m_poisonParts = { "bad" };
+  const TimePoint start = m_time.Now();
+  const TimePoint end = start + std::chrono::seconds(30);
+  SendPoison({ "first", "bad" }, std::chrono::milliseconds(200), end);
+  SendSoundCalls(std::chrono::milliseconds(500), end);
+  m_time.RunFor(std::chrono::seconds(31));
+  EXPECT_LE(LateArrivals("bad"), kToleratedArrivals);
+  EXPECT_GE(BegunShare(start + 2 * kContactTime, end), 0.5);
+}
+
+TEST_F(PoisonPartTest, PoisonousFirstPartIsHeldBack)
+{
+  m_engines.m_poisonParts = { "bad" };
+  const TimePoint end = m_time.Now() + std::chrono::seconds(30);
+  SendSoundCalls(std::chrono::milliseconds(12), end);
+  m_time.RunFor(std::chrono::seconds(3));
+  for (const char* topic : { "topic1", "topic2", "topic3" }) {
+    SendPoison({ "bad", topic }, std::chrono::milliseconds(700), end);
+  }
+  m_time.RunFor(std::chrono::seconds(28));
+  EXPECT_LE(LateArrivals("bad"), kToleratedArrivals);
+  EXPECT_GT(RefusedFor("bad"), 0U);
+  EXPECT_EQ(RefusedFor("first"), 0U);
+}
+
+TEST_F(PoisonPartTest, SeveralPoisonousPartsAreToldApart)
+{
+  m_engines.m_poisonParts = { "bad1", "bad2", "bad3" };
+  const TimePoint end = m_time.Now() + std::chrono::seconds(40);
+  SendSoundCalls(std::chrono::milliseconds(12), end);
+  m_time.RunFor(std::chrono::seconds(3));
+  for (const std::string bad : { "bad1", "bad2", "bad3" }) {
+    SendPoison({ "first", bad, "topic7" }, std::chrono::milliseconds(500), end);
+  }
+  m_time.RunFor(std::chrono::seconds(38));
+  for (const std::string bad : { "bad1", "bad2", "bad3" }) {
+    EXPECT_LE(LateArrivals(bad), kToleratedArrivals) << bad;
+  }
+  EXPECT_EQ(RefusedFor("first"), 0U);
+  EXPECT_EQ(RefusedFor("topic7"), 0U);
+}
+
+/// The successor of an owner starts without its knowledge.
+TEST_F(PoisonPartTest, StaysHeldBackWhenTheOwnerIsReplaced)
+{
+  m_engines.m_poisonParts = { "bad" };
+  const TimePoint end = m_time.Now() + std::chrono::seconds(40);
+  SendSoundCalls(std::chrono::milliseconds(12), end);
+  SendPoison({ "first", "bad" }, std::chrono::milliseconds(100), end);
+  m_time.RunFor(std::chrono::seconds(8));
+  const size_t crashes = m_engines.CrashesUnder("bad").size();
+  for (int i = 0; i < 3; ++i) {
+    m_owner.Replace();
+    m_time.RunFor(std::chrono::seconds(2));
+  }
+  EXPECT_EQ(m_engines.CrashesUnder("bad").size(), crashes);
+  m_time.RunFor(std::chrono::seconds(30));
+  EXPECT_LE(LateArrivals("bad"), kToleratedArrivals);
+}
+
+/// A restarted entry knows nothing until it has the owner's list.
+TEST_F(PoisonPartTest, StaysHeldBackWhenEntriesRestart)
+{
+  m_engines.m_poisonParts = { "bad" };
+  const TimePoint end = m_time.Now() + std::chrono::seconds(40);
+  SendSoundCalls(std::chrono::milliseconds(12), end);
+  SendPoison({ "first", "bad" }, std::chrono::milliseconds(100), end);
+  m_time.RunFor(std::chrono::seconds(8));
+  const size_t crashes = m_engines.CrashesUnder("bad").size();
+  for (size_t i = 0; i < kEntries; ++i) {
+    RestartEntry(i);
+    m_time.RunFor(std::chrono::milliseconds(700));
+  }
+  EXPECT_EQ(m_engines.CrashesUnder("bad").size(), crashes);
+}
+
+/// An entry that no control instance reaches still sees engines end.
+TEST_F(PoisonPartTest, EntryThatIsCutOffActsOnItsOwnCrashes)
+{
+  m_engines.m_poisonParts = { "bad" };
+  const TimePoint end = m_time.Now() + std::chrono::seconds(30);
+  SendSoundCalls(std::chrono::milliseconds(12), end);
+  m_time.RunFor(std::chrono::seconds(3));
+  m_entries[0]->SetCutOff(true);
+  const auto sendToCutOff = [this] {
+    m_entries[0]->Call("/chat/1", { "first", "bad" }).m_isPoison = true;
+  };
+  for (int i = 0; i < 100; ++i) {
+    m_time.Schedule(m_time.Now() + i * std::chrono::milliseconds(200),
+                    sendToCutOff);
+  }
+  m_time.RunFor(std::chrono::seconds(21));
+  EXPECT_LE(LateArrivals("bad"), kToleratedArrivals);
+}
+
+/// Engines end for other reasons too, and connections break without the end of
+/// an engine.
+TEST_F(PoisonPartTest, SoundPartsAreNotHeldBackForOtherFailures)
+{
+  const TimePoint end = m_time.Now() + std::chrono::seconds(40);
+  SendSoundCalls(std::chrono::milliseconds(12), end);
+  m_time.RunFor(std::chrono::seconds(3));
+  for (size_t i = 0; i < 30; ++i) {
+    m_engines.Crash(i % 18);
+    m_time.RunFor(std::chrono::milliseconds(500));
+    m_engines.ResetConnections(m_entries[i % kEntries]->Client());
+    m_time.RunFor(std::chrono::milliseconds(500));
+  }
+  m_time.RunFor(std::chrono::seconds(8));
+  EXPECT_EQ(RefusedFor("first"), 0U);
+  size_t refused = 0;
+  for (int i = 0; i < 100; ++i) {
+    refused += RefusedFor("topic" + std::to_string(i));
+  }
+  EXPECT_EQ(refused, 0U);
+}
+
+/// A resumable call that ended its engine must not end a second one within the
+/// same answer.
+TEST_F(PoisonPartTest, CallThatMayHaveEndedItsEngineIsNotRepeated)
+{
+  m_engines.m_poisonParts = { "bad" };
+  AnyEntry().Call("/report/1", { "first", "bad" });
+  m_time.RunFor(std::chrono::seconds(5));
+  EXPECT_EQ(m_engines.CrashesUnder("bad").size(), 1U);
+}
+
 } // namespace celeryspread::test
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -121,8 +121,9 @@
   };
 };
 
-/// CallCodec with plain headers: "id", "model", "adapter" and "parts" of a call,
-/// "upstream" of an attempt, and "id", "not-run" and "signed" of an answer.
+/// CallCodec with plain headers: "id", "model", "adapter" and "parts" of a
+/// call, "upstream" of an attempt, and "id", "not-run" and "signed" of an
+/// answer.
 class FakeCodec : public CallCodec
 {
 public:
@@ -215,6 +216,30 @@
   int m_running = 0;
 };
 
+/// CrashReporter that records what it is told; the test calls m_onTrial for the
+/// last request.
+class FakeCrashReporter : public CrashReporter
+{
+public:
+  void ReportCrash(const CrashRecord& aRecord) override
+  {
+    m_crashes.push_back(aRecord);
+  }
+  void ReportSound(const PromptPartId& aPart, TimePoint aBegunAt) override
+  {
+    m_sound[aPart] = aBegunAt;
+  }
+  void RequestTrial(const PromptPartId& /*aPart*/,
+                    std::function<void(bool)> aDone) override
+  {
+    m_onTrial = std::move(aDone);
+  }
+
+  std::vector<CrashRecord> m_crashes;
+  std::map<PromptPartId, TimePoint> m_sound;
+  std::function<void(bool)> m_onTrial;
+};
+
 /// Returns the record of an engine that has one model loaded, or none.
 inline EngineRecord MakeEngine(const std::string& aId,
                                const std::string& aDomain,
--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -90,7 +90,7 @@
     }
     m_engines.m_time.Schedule(
       m_engines.m_time.Now() + m_engines.m_options.m_networkDelay,
-      [this, request] { m_engines.Receive(request); });
+      [&engines = m_engines, request] { engines.Receive(request); });
     return std::make_unique<Call>(request);
   }
 
@@ -259,8 +259,8 @@
                       return;
                     }
                     Notify(aRequest, [aNumber](UpstreamObserver& aObserver) {
-                      aObserver.OnUpstreamBody("id: " + std::to_string(aNumber) +
-                                               "\ndata: x\n\n");
+                      aObserver.OnUpstreamBody(
+                        "id: " + std::to_string(aNumber) + "\ndata: x\n\n");
                     });
                     SendEvent(aRequest, aNumber + 1);
                   });
@@ -278,6 +278,14 @@
   });
 }
 
+bool SimulatedEngines::IsUp(const UpstreamId& aId) const
+{
+  return std::any_of(
+    m_engines.begin(), m_engines.end(), [&](const Engine& aEngine) {
+      return aEngine.m_isUp && aEngine.m_record.m_id == aId;
+    });
+}
+
 void SimulatedEngines::Crash(size_t aIndex)
 {
   Engine& engine = m_engines[aIndex];
@@ -315,8 +323,78 @@
   }
 }
 
+SimulatedOwner::SimulatedOwner(SimulatedTime& aTime,
+                               const SimulatedEngines& aEngines,
+                               Duration aNetworkDelay)
+  : m_time(aTime)
+  , m_engines(aEngines)
+  , m_timers(aTime)
+  , m_networkDelay(aNetworkDelay)
+  , m_timer(
+      m_timers.Every(std::chrono::milliseconds(50), [this] { Publish(); }))
+{
+}
+
+void SimulatedOwner::Publish()
+{
+  m_crashes.Tick(m_time.Now());
+  const bool isNew = m_crashes.Version() != m_publishedVersion;
+  m_publishedVersion = m_crashes.Version();
+  for (SimulatedEntry* entry : m_entries) {
+    if (!entry->IsCutOff()) {
+      entry->RecordContact();
+    }
+    // Entries ask again all the time, so a list that was lost comes later.
+    if (!isNew && !entry->IsBehind(m_epoch, m_publishedVersion)) {
+      continue;
+    }
+    m_time.Schedule(m_time.Now() + m_networkDelay,
+                    [entry = entry->WeakSelf(),
+                     epoch = m_epoch,
+                     version = m_publishedVersion,
+                     parts = m_crashes.Suspects()] {
+                      if (*entry != nullptr && !(*entry)->IsCutOff()) {
+                        (*entry)->Apply(epoch, version, parts);
+                      }
+                    });
+  }
+}
+
+void SimulatedOwner::RecordCrash(const CrashRecord& aRecord)
+{
+  m_crashes.RecordCrash(aRecord, m_time.Now());
+  const TimePoint sentAt = m_time.Now();
+  m_time.Schedule(sentAt + 2 * m_networkDelay,
+                  [this, engine = aRecord.m_engine, sentAt, epoch = m_epoch] {
+                    if (epoch == m_epoch && m_engines.IsUp(engine)) {
+                      m_crashes.RecordAlive(engine, sentAt, m_time.Now());
+                    }
+                  });
+}
+
+void SimulatedOwner::Replace()
+{
+  ++m_epoch;
+  m_crashes.Clear();
+}
+
+void SimulatedOwner::Send(const SimulatedEntry& aEntry,
+                          std::function<void(SimulatedOwner&)> aMessage)
+{
+  if (aEntry.IsCutOff()) {
+    return;
+  }
+  m_time.Schedule(m_time.Now() + m_networkDelay,
+                  [this, epoch = m_epoch, message = std::move(aMessage)] {
+                    if (epoch == m_epoch) {
+                      message(*this);
+                    }
+                  });
+}
+
 SimulatedEntry::SimulatedEntry(SimulatedTime& aTime,
                                SimulatedEngines& aEngines,
+                               SimulatedOwner& aOwner,
                                const std::string& aDomain,
                                uint32_t aEntryCount,
                                uint64_t aSeed)
@@ -331,10 +409,13 @@
                  { FailureDomainId("near"), RegionId("r1") },
                  { FailureDomainId("far"), RegionId("r2") } },
                m_random)
+  , m_owner(aOwner)
+  , m_crashes(
+      { m_clock, m_timers, m_table, m_quarantine, *this, m_metrics, m_log })
   , m_domain(aDomain)
   , m_context{ m_clock,    m_timers,  *m_client, m_codec,   m_table,
                m_selector, m_retries, m_prefill, m_control, m_control,
-               m_domain,   m_metrics, m_log }
+               m_crashes,  m_domain,  m_metrics, m_log }
   , m_gateway(std::make_unique<Gateway>(m_context))
 {
   RouteConfigData data;
@@ -345,15 +426,94 @@
   std::string reason;
   m_gateway->SetConfig(RouteConfig::Make(std::move(data), reason));
   m_retries.SetEntryCount(aEntryCount);
-  aEngines.AddListener([this](const EngineRecord& aRecord, bool aIsGone) {
-    if (aIsGone) {
-      m_table.Remove(aRecord.m_id);
-    } else {
-      m_table.Update(aRecord);
-    }
+  aEngines.AddListener(
+    [self = m_self](const EngineRecord& aRecord, bool aIsGone) {
+      if (*self == nullptr) {
+        return;
+      }
+      if (aIsGone) {
+        (*self)->m_table.Remove(aRecord.m_id);
+      } else {
+        (*self)->m_table.Update(aRecord);
+      }
+    });
+  m_owner.AddEntry(*this);
+}
+
+SimulatedEntry::~SimulatedEntry()
+{
+  m_owner.RemoveEntry(*this);
+  *m_self = nullptr;
+}
+
+void SimulatedEntry::ReportCrash(const CrashRecord& aRecord)
+{
+  m_reported.push_back(aRecord);
+  m_owner.Send(
+    *this, [aRecord](SimulatedOwner& aOwner) { aOwner.RecordCrash(aRecord); });
+}
+
+void SimulatedEntry::ReportSound(const PromptPartId& aPart, TimePoint aBegunAt)
+{
+  m_owner.Send(*this, [=, &time = m_time](SimulatedOwner& aOwner) {
+    aOwner.Crashes().RecordSound(aPart, aBegunAt, time.Now());
   });
 }
 
+void SimulatedEntry::RequestTrial(const PromptPartId& aPart,
+                                  std::function<void(bool)> aDone)
+{
+  if (m_isCutOff) {
+    aDone(false);
+    return;
+  }
+  m_owner.Send(
+    *this,
+    [=, self = m_self, &time = m_time, delay = m_owner.NetworkDelay()](
+      SimulatedOwner& aOwner) {
+      const bool isPermitted =
+        aOwner.Crashes().TryStartTrial(aPart, time.Now());
+      time.Schedule(time.Now() + delay, [=] {
+        if (*self != nullptr) {
+          aDone(isPermitted);
+        }
+      });
+    });
+}
+
+bool SimulatedEntry::IsBehind(uint64_t aEpoch, uint64_t aVersion) const
+{
+  return m_quarantine.Epoch() != aEpoch || m_quarantine.Version() < aVersion;
+}
+
+void SimulatedEntry::Apply(uint64_t aEpoch,
+                           uint64_t aVersion,
+                           const CrashInvestigation::Parts& aParts)
+{
+  const uint64_t former = m_quarantine.Epoch();
+  m_quarantine.Apply(aEpoch, aVersion, aParts);
+  if (m_quarantine.Epoch() == former) {
+    return;
+  }
+  m_owner.Send(*this,
+               [carried = m_quarantine.Carried(),
+                crashes = m_reported,
+                self = m_self,
+                aEpoch,
+                &time = m_time](SimulatedOwner& aOwner) {
+                 for (const auto& [id, part] : carried) {
+                   aOwner.Crashes().Restore(part, time.Now());
+                 }
+                 for (const CrashRecord& crash : crashes) {
+                   aOwner.RecordCrash(crash);
+                 }
+                 if (*self != nullptr) {
+                   (*self)->m_quarantine.ConfirmCarried(
+                     aEpoch, aOwner.Crashes().Version());
+                 }
+               });
+}
+
 SimulatedEntry::Sent& SimulatedEntry::Call(
   const std::string& aPath,
   const std::vector<std::string>& aParts)
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -53,6 +53,8 @@
   void AddListener(RecordListener aListener);
   /// Ends an engine, as its own fault or by an operator.
   void Crash(size_t aIndex);
+  /// Returns whether the process with an id is running.
+  [[nodiscard]] bool IsUp(const UpstreamId& aId) const;
   /// Breaks off the calls of one entry on all engines, which go on.
   void ResetConnections(const UpstreamClient* aClient);
   /// Creates the client of one entry.
@@ -106,15 +108,100 @@
   std::map<std::string, std::vector<TimePoint>> m_crashes;
 };
 
+class SimulatedEntry;
+
+/// The owner of the engines, reached by entries after a network delay.
+class SimulatedOwner
+{
+public:
+  SimulatedOwner(SimulatedTime& aTime,
+                 const SimulatedEngines& aEngines,
+                 Duration aNetworkDelay);
+
+  void AddEntry(SimulatedEntry& aEntry) { m_entries.push_back(&aEntry); }
+  void RemoveEntry(const SimulatedEntry& aEntry)
+  {
+    std::erase(m_entries, &aEntry);
+  }
+  /// Replaces the owner by one that knows nothing.
+  void Replace();
+  /// Sends a message to the owner; it is lost while the entry is cut off.
+  void Send(const SimulatedEntry& aEntry,
+            std::function<void(SimulatedOwner&)> aMessage);
+  /// Records a crash, and asks the engine whether it still answers.
+  void RecordCrash(const CrashRecord& aRecord);
+  [[nodiscard]] CrashInvestigation& Crashes() { return m_crashes; }
+  [[nodiscard]] Duration NetworkDelay() const { return m_networkDelay; }
+
+private:
+  void Publish();
+
+  SimulatedTime& m_time;
+  const SimulatedEngines& m_engines;
+  SimulatedTimers m_timers;
+  Duration m_networkDelay;
+  uint64_t m_epoch = 1;
+  uint64_t m_publishedVersion = 0;
+  CrashInvestigation m_crashes;
+  std::vector<SimulatedEntry*> m_entries;
+  std::unique_ptr<Timer> m_timer;
+};
+
+/// EventLog that counts the calls refused for each part that was held back.
+class RefusalLog : public EventLog
+{
+public:
+  void Write(EventId aId, std::string_view aDetail) override
+  {
+    constexpr std::string_view kMarker = "calls with prompt part ";
+    const size_t at = aDetail.find(kMarker);
+    if (aId == EventId::CallRefused && at != std::string_view::npos) {
+      const std::string_view rest = aDetail.substr(at + kMarker.size());
+      ++m_refused[std::string(rest.substr(0, rest.find(',')))];
+    }
+  }
+
+  std::map<std::string, size_t> m_refused;
+};
+
 /// One entry before simulated engines.
-class SimulatedEntry
+class SimulatedEntry : public CrashReporter
 {
 public:
   SimulatedEntry(SimulatedTime& aTime,
                  SimulatedEngines& aEngines,
+                 SimulatedOwner& aOwner,
                  const std::string& aDomain,
                  uint32_t aEntryCount,
                  uint64_t aSeed);
+  ~SimulatedEntry() override;
+
+  void ReportCrash(const CrashRecord& aRecord) override;
+  void ReportSound(const PromptPartId& aPart, TimePoint aBegunAt) override;
+  void RequestTrial(const PromptPartId& aPart,
+                    std::function<void(bool)> aDone) override;
+  /// Receives the owner's list.
+  void Apply(uint64_t aEpoch,
+             uint64_t aVersion,
+             const CrashInvestigation::Parts& aParts);
+  /// Cuts the entry off from the owner, or ends the cut.
+  void SetCutOff(bool aIsCutOff) { m_isCutOff = aIsCutOff; }
+  void RecordContact() { m_quarantine.RecordContact(m_time.Now()); }
+  [[nodiscard]] bool IsBehind(uint64_t aEpoch, uint64_t aVersion) const;
+  [[nodiscard]] std::shared_ptr<SimulatedEntry*> WeakSelf() const
+  {
+    return m_self;
+  }
+  /// Returns whether the entry has a list of the owner.
+  [[nodiscard]] bool IsReady() const { return m_quarantine.Epoch() != 0; }
+  /// Returns how many calls were refused because a part was held back.
+  [[nodiscard]] size_t RefusedFor(const std::string& aPart) const
+  {
+    const auto found = m_log.m_refused.find(aPart);
+    return found == m_log.m_refused.end() ? 0 : found->second;
+  }
+  [[nodiscard]] bool IsCutOff() const { return m_isCutOff; }
+  [[nodiscard]] const UpstreamClient* Client() const { return m_client.get(); }
 
   /// A call of a caller and its answer.
   struct Sent
@@ -122,8 +209,8 @@
     TimePoint m_at;
     std::string m_attempt;
     std::vector<std::string> m_parts;
+    bool m_isPoison = false;
     CallerRecord m_record;
-    std::optional<TimePoint> m_endedAt;
   };
   /// Sends a call on a route with a prompt of aParts and a part of its own.
   Sent& Call(const std::string& aPath, const std::vector<std::string>& aParts);
@@ -140,11 +227,19 @@
   EngineSelector m_selector;
   RetryBudgetShare m_retries{ RetryBounds{} };
   FakeControlLink m_control;
+  SimulatedOwner& m_owner;
+  PartQuarantine m_quarantine;
   Metrics m_metrics;
-  RecordingEventLog m_log;
+  RefusalLog m_log;
+  CrashWatch m_crashes;
   PrefillEstimator m_prefill;
   FailureDomainId m_domain;
   GatewayContext m_context;
+  std::vector<CrashRecord> m_reported;
+  /// Null once the entry is destroyed.
+  std::shared_ptr<SimulatedEntry*> m_self =
+    std::make_shared<SimulatedEntry*>(this);
+  bool m_isCutOff = false;
   std::deque<Sent> m_calls;
   std::unique_ptr<Gateway> m_gateway;
 };
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -233,6 +233,43 @@
   # entries of its failure domain, and how many entries follow it.
   isRelay @7 :Bool;
   relayedEntries @8 :UInt32;
+  # The list of suspect prompt parts that the sender has.
+  suspectEpoch @9 :UInt64;
+  suspectVersion @10 :UInt64;
+}
+
+# A prompt part under which engines ended. Ages are -1 for never.
+struct SuspectPart {
+  part @0 :Text;
+  # Engines that ended since the last sound answer.
+  crashes @1 :UInt32;
+  lastCrashAgeMicros @2 :Int64;
+  soundAgeMicros @3 :Int64;
+  trialAgeMicros @4 :Int64;
+  isHeld @5 :Bool;
+}
+
+struct SuspectCall {
+  parts @0 :List(Text);
+}
+
+# An engine that ended, and the calls that may be the reason.
+struct CrashRecord {
+  engine @0 :Text;
+  ageMicros @1 :Int64;
+  calls @2 :List(SuspectCall);
+}
+
+struct SoundPart {
+  part @0 :Text;
+  ageMicros @1 :Int64;
+}
+
+struct CrashReport {
+  crashes @0 :List(CrashRecord);
+  sound @1 :List(SoundPart);
+  # Parts that an earlier owner held back.
+  carried @2 :List(SuspectPart);
 }
 
 # A control instance that answers follow calls with a directory. Entries follow
@@ -261,6 +298,11 @@
   # recent copy sets it while isLeader is false.
   hasDirectory @9 :Bool;
   relays @10 :List(RelayEntry);
+  # Whether suspects replaces the list that the sender of the request has.
+  hasSuspects @11 :Bool;
+  suspectEpoch @12 :UInt64;
+  suspectVersion @13 :UInt64;
+  suspects @14 :List(SuspectPart);
 }
 
 struct AdapterRequest {
@@ -286,6 +328,12 @@
   follow @8 (request :FollowRequest) -> (reply :FollowReply);
   # Requests that the leader loads an adapter; returns the engine that has it.
   loadAdapter @9 (request :AdapterRequest) -> (engine :Text);
+  # Reports crashes of engines to the owner; returns the version of its list of
+  # suspect parts from which on the report is taken into account.
+  reportCrashes @10 (report :CrashReport) -> (epoch :UInt64, version :UInt64);
+  # Asks the owner for permission to send one call with a part that is held
+  # back.
+  requestTrial @11 (part :Text) -> (isPermitted :Bool);
 }
 
 # Bootstrap object of a connection: gives access to the node after a proof that
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -47,6 +47,11 @@
 CAPNP_DECLARE_SCHEMA(bc108f4f24518174);
 CAPNP_DECLARE_SCHEMA(f0e77f969d615e7b);
 CAPNP_DECLARE_SCHEMA(f1be59d92bd792c1);
+CAPNP_DECLARE_SCHEMA(9658daba4af7d143);
+CAPNP_DECLARE_SCHEMA(ac8c7827523f0122);
+CAPNP_DECLARE_SCHEMA(e1cbd53c97cd1bff);
+CAPNP_DECLARE_SCHEMA(8ae04632dea07949);
+CAPNP_DECLARE_SCHEMA(bffbe173b7ba11c6);
 CAPNP_DECLARE_SCHEMA(c4e46dff17840335);
 CAPNP_DECLARE_SCHEMA(b18c2b5bed9a4a67);
 CAPNP_DECLARE_SCHEMA(f09e405c8a347459);
@@ -71,6 +76,10 @@
 CAPNP_DECLARE_SCHEMA(de7ccf983d45dc6d);
 CAPNP_DECLARE_SCHEMA(fa0b6f4b04af9766);
 CAPNP_DECLARE_SCHEMA(e588901e3fa2c9cb);
+CAPNP_DECLARE_SCHEMA(96436f5f9c6aa2b3);
+CAPNP_DECLARE_SCHEMA(a89f407444ad0c76);
+CAPNP_DECLARE_SCHEMA(e27c135082975e46);
+CAPNP_DECLARE_SCHEMA(ab88af956150ff26);
 CAPNP_DECLARE_SCHEMA(9fb1264b46c0628f);
 CAPNP_DECLARE_SCHEMA(a3114b49746f749d);
 CAPNP_DECLARE_SCHEMA(9df841755f47b9c5);
@@ -510,7 +519,82 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectPart {
+  SuspectPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9658daba4af7d143, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectCall {
+  SuspectCall() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ac8c7827523f0122, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashRecord {
+  CrashRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e1cbd53c97cd1bff, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SoundPart {
+  SoundPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ae04632dea07949, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bffbe173b7ba11c6, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -540,7 +624,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -590,6 +674,10 @@
   struct FollowResults;
   struct LoadAdapterParams;
   struct LoadAdapterResults;
+  struct ReportCrashesParams;
+  struct ReportCrashesResults;
+  struct RequestTrialParams;
+  struct RequestTrialResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -899,6 +987,66 @@
   };
 };
 
+struct ControlNode::ReportCrashesParams {
+  ReportCrashesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(96436f5f9c6aa2b3, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::ReportCrashesResults {
+  ReportCrashesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a89f407444ad0c76, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::RequestTrialParams {
+  RequestTrialParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e27c135082975e46, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::RequestTrialResults {
+  RequestTrialResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ab88af956150ff26, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -3914,6 +4062,10 @@
 
   inline  ::uint32_t getRelayedEntries() const;
 
+  inline  ::uint64_t getSuspectEpoch() const;
+
+  inline  ::uint64_t getSuspectVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3986,6 +4138,12 @@
   inline  ::uint32_t getRelayedEntries();
   inline void setRelayedEntries( ::uint32_t value);
 
+  inline  ::uint64_t getSuspectEpoch();
+  inline void setSuspectEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getSuspectVersion();
+  inline void setSuspectVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4012,9 +4170,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RelayEntry::Reader {
+class SuspectPart::Reader {
 public:
-  typedef RelayEntry Reads;
+  typedef SuspectPart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4029,11 +4187,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+  inline  ::uint32_t getCrashes() const;
+
+  inline  ::int64_t getLastCrashAgeMicros() const;
+
+  inline  ::int64_t getSoundAgeMicros() const;
+
+  inline  ::int64_t getTrialAgeMicros() const;
+
+  inline bool getIsHeld() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4047,9 +4212,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RelayEntry::Builder {
+class SuspectPart::Builder {
 public:
-  typedef RelayEntry Builds;
+  typedef SuspectPart Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4063,19 +4228,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
 
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+  inline  ::uint32_t getCrashes();
+  inline void setCrashes( ::uint32_t value);
+
+  inline  ::int64_t getLastCrashAgeMicros();
+  inline void setLastCrashAgeMicros( ::int64_t value);
+
+  inline  ::int64_t getSoundAgeMicros();
+  inline void setSoundAgeMicros( ::int64_t value);
+
+  inline  ::int64_t getTrialAgeMicros();
+  inline void setTrialAgeMicros( ::int64_t value);
+
+  inline bool getIsHeld();
+  inline void setIsHeld(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4087,9 +4260,9 @@
 };
 
 #if !CAPNP_LITE
-class RelayEntry::Pipeline {
+class SuspectPart::Pipeline {
 public:
-  typedef RelayEntry Pipelines;
+  typedef SuspectPart Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4103,9 +4276,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class FollowReply::Reader {
+class SuspectCall::Reader {
 public:
-  typedef FollowReply Reads;
+  typedef SuspectCall Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4120,32 +4293,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsLeader() const;
-
-  inline bool hasLeader() const;
-  inline  ::celeryspread::wire::ReplicaEntry::Reader getLeader() const;
-
-  inline bool hasControls() const;
-  inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader getControls() const;
-
-  inline bool hasRoutes() const;
-  inline  ::celeryspread::wire::RouteChange::Reader getRoutes() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline  ::uint64_t getDirectoryVersion() const;
-
-  inline bool getIsWhole() const;
-
-  inline bool hasEngines() const;
-  inline  ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>::Reader getEngines() const;
-
-  inline  ::uint32_t getEntryCount() const;
-
-  inline bool getHasDirectory() const;
-
-  inline bool hasRelays() const;
-  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Reader getRelays() const;
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getParts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4159,9 +4308,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FollowReply::Builder {
+class SuspectCall::Builder {
 public:
-  typedef FollowReply Builds;
+  typedef SuspectCall Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4175,58 +4324,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsLeader();
-  inline void setIsLeader(bool value);
-
-  inline bool hasLeader();
-  inline  ::celeryspread::wire::ReplicaEntry::Builder getLeader();
-  inline void setLeader( ::celeryspread::wire::ReplicaEntry::Reader value);
-  inline  ::celeryspread::wire::ReplicaEntry::Builder initLeader();
-  inline void adoptLeader(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownLeader();
-
-  inline bool hasControls();
-  inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder getControls();
-  inline void setControls( ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder initControls(unsigned int size);
-  inline void adoptControls(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>> disownControls();
-
-  inline bool hasRoutes();
-  inline  ::celeryspread::wire::RouteChange::Builder getRoutes();
-  inline void setRoutes( ::celeryspread::wire::RouteChange::Reader value);
-  inline  ::celeryspread::wire::RouteChange::Builder initRoutes();
-  inline void adoptRoutes(::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> disownRoutes();
-
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
-
-  inline  ::uint64_t getDirectoryVersion();
-  inline void setDirectoryVersion( ::uint64_t value);
-
-  inline bool getIsWhole();
-  inline void setIsWhole(bool value);
-
-  inline bool hasEngines();
-  inline  ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>::Builder getEngines();
-  inline void setEngines( ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>::Builder initEngines(unsigned int size);
-  inline void adoptEngines(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>> disownEngines();
-
-  inline  ::uint32_t getEntryCount();
-  inline void setEntryCount( ::uint32_t value);
-
-  inline bool getHasDirectory();
-  inline void setHasDirectory(bool value);
-
-  inline bool hasRelays();
-  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Builder getRelays();
-  inline void setRelays( ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Builder initRelays(unsigned int size);
-  inline void adoptRelays(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>> disownRelays();
+  inline bool hasParts();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getParts();
+  inline void setParts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownParts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4238,16 +4342,14 @@
 };
 
 #if !CAPNP_LITE
-class FollowReply::Pipeline {
+class SuspectCall::Pipeline {
 public:
-  typedef FollowReply Pipelines;
+  typedef SuspectCall Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getLeader();
-  inline  ::celeryspread::wire::RouteChange::Pipeline getRoutes();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4256,9 +4358,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AdapterRequest::Reader {
+class CrashRecord::Reader {
 public:
-  typedef AdapterRequest Reads;
+  typedef CrashRecord Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4273,21 +4375,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPool() const;
-  inline  ::capnp::Text::Reader getPool() const;
-
-  inline bool hasModel() const;
-  inline  ::capnp::Text::Reader getModel() const;
-
-  inline bool hasAdapter() const;
-  inline  ::capnp::Text::Reader getAdapter() const;
-
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
-
   inline bool hasEngine() const;
   inline  ::capnp::Text::Reader getEngine() const;
 
+  inline  ::int64_t getAgeMicros() const;
+
+  inline bool hasCalls() const;
+  inline  ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>::Reader getCalls() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4300,9 +4395,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AdapterRequest::Builder {
+class CrashRecord::Builder {
 public:
-  typedef AdapterRequest Builds;
+  typedef CrashRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4316,34 +4411,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPool();
-  inline  ::capnp::Text::Builder getPool();
-  inline void setPool( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPool();
-
-  inline bool hasModel();
-  inline  ::capnp::Text::Builder getModel();
-  inline void setModel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownModel();
-
-  inline bool hasAdapter();
-  inline  ::capnp::Text::Builder getAdapter();
-  inline void setAdapter( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAdapter(unsigned int size);
-  inline void adoptAdapter(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAdapter();
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
   inline bool hasEngine();
   inline  ::capnp::Text::Builder getEngine();
   inline void setEngine( ::capnp::Text::Reader value);
@@ -4351,6 +4418,16 @@
   inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownEngine();
 
+  inline  ::int64_t getAgeMicros();
+  inline void setAgeMicros( ::int64_t value);
+
+  inline bool hasCalls();
+  inline  ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>::Builder getCalls();
+  inline void setCalls( ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>::Builder initCalls(unsigned int size);
+  inline void adoptCalls(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>> disownCalls();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4361,9 +4438,9 @@
 };
 
 #if !CAPNP_LITE
-class AdapterRequest::Pipeline {
+class CrashRecord::Pipeline {
 public:
-  typedef AdapterRequest Pipelines;
+  typedef CrashRecord Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4377,116 +4454,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class ControlNode::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef ControlNode Calls;
-  typedef ControlNode Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::celeryspread::wire::ControlNode::PingParams,  ::celeryspread::wire::ControlNode::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::RaftParams,  ::celeryspread::wire::ControlNode::RaftResults> raftRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::FetchParams,  ::celeryspread::wire::ControlNode::FetchResults> fetchRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::AdminParams,  ::celeryspread::wire::ControlNode::AdminResults> adminRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::ClaimParams,  ::celeryspread::wire::ControlNode::ClaimResults> claimRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::CloseClaimParams,  ::celeryspread::wire::ControlNode::CloseClaimResults> closeClaimRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::JoinParams,  ::celeryspread::wire::ControlNode::JoinResults> joinRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::ReportInstancesParams,  ::celeryspread::wire::ControlNode::ReportInstancesResults> reportInstancesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::FollowParams,  ::celeryspread::wire::ControlNode::FollowResults> followRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::LoadAdapterParams,  ::celeryspread::wire::ControlNode::LoadAdapterResults> loadAdapterRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class ControlNode::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef ControlNode Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::celeryspread::wire::ControlNode::PingParams PingParams;
-  typedef  ::celeryspread::wire::ControlNode::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::celeryspread::wire::ControlNode::RaftParams RaftParams;
-  typedef  ::celeryspread::wire::ControlNode::RaftResults RaftResults;
-  typedef ::capnp::CallContext<RaftParams, RaftResults> RaftContext;
-  virtual ::kj::Promise<void> raft(RaftContext context);
-  typedef  ::celeryspread::wire::ControlNode::FetchParams FetchParams;
-  typedef  ::celeryspread::wire::ControlNode::FetchResults FetchResults;
-  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
-  virtual ::kj::Promise<void> fetch(FetchContext context);
-  typedef  ::celeryspread::wire::ControlNode::AdminParams AdminParams;
-  typedef  ::celeryspread::wire::ControlNode::AdminResults AdminResults;
-  typedef ::capnp::CallContext<AdminParams, AdminResults> AdminContext;
-  virtual ::kj::Promise<void> admin(AdminContext context);
-  typedef  ::celeryspread::wire::ControlNode::ClaimParams ClaimParams;
-  typedef  ::celeryspread::wire::ControlNode::ClaimResults ClaimResults;
-  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
-  virtual ::kj::Promise<void> claim(ClaimContext context);
-  typedef  ::celeryspread::wire::ControlNode::CloseClaimParams CloseClaimParams;
-  typedef  ::celeryspread::wire::ControlNode::CloseClaimResults CloseClaimResults;
-  typedef ::capnp::CallContext<CloseClaimParams, CloseClaimResults> CloseClaimContext;
-  virtual ::kj::Promise<void> closeClaim(CloseClaimContext context);
-  typedef  ::celeryspread::wire::ControlNode::JoinParams JoinParams;
-  typedef  ::celeryspread::wire::ControlNode::JoinResults JoinResults;
-  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
-  virtual ::kj::Promise<void> join(JoinContext context);
-  typedef  ::celeryspread::wire::ControlNode::ReportInstancesParams ReportInstancesParams;
-  typedef  ::celeryspread::wire::ControlNode::ReportInstancesResults ReportInstancesResults;
-  typedef ::capnp::CallContext<ReportInstancesParams, ReportInstancesResults> ReportInstancesContext;
-  virtual ::kj::Promise<void> reportInstances(ReportInstancesContext context);
-  typedef  ::celeryspread::wire::ControlNode::FollowParams FollowParams;
-  typedef  ::celeryspread::wire::ControlNode::FollowResults FollowResults;
-  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
-  virtual ::kj::Promise<void> follow(FollowContext context);
-  typedef  ::celeryspread::wire::ControlNode::LoadAdapterParams LoadAdapterParams;
-  typedef  ::celeryspread::wire::ControlNode::LoadAdapterResults LoadAdapterResults;
-  typedef ::capnp::CallContext<LoadAdapterParams, LoadAdapterResults> LoadAdapterContext;
-  virtual ::kj::Promise<void> loadAdapter(LoadAdapterContext context);
-
-  inline  ::celeryspread::wire::ControlNode::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::celeryspread::wire::ControlNode>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class ControlNode::PingParams::Reader {
+class SoundPart::Reader {
 public:
-  typedef PingParams Reads;
+  typedef SoundPart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4501,6 +4471,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
+
+  inline  ::int64_t getAgeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4513,9 +4488,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::PingParams::Builder {
+class SoundPart::Builder {
 public:
-  typedef PingParams Builds;
+  typedef SoundPart Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4529,6 +4504,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+
+  inline  ::int64_t getAgeMicros();
+  inline void setAgeMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4539,9 +4524,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::PingParams::Pipeline {
+class SoundPart::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef SoundPart Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4555,9 +4540,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::PingResults::Reader {
+class CrashReport::Reader {
 public:
-  typedef PingResults Reads;
+  typedef CrashReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4572,6 +4557,15 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasSound() const;
+  inline  ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader getSound() const;
+
+  inline bool hasCarried() const;
+  inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getCarried() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4584,9 +4578,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::PingResults::Builder {
+class CrashReport::Builder {
 public:
-  typedef PingResults Builds;
+  typedef CrashReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4600,6 +4594,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasSound();
+  inline  ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder getSound();
+  inline void setSound( ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder initSound(unsigned int size);
+  inline void adoptSound(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>> disownSound();
+
+  inline bool hasCarried();
+  inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getCarried();
+  inline void setCarried( ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initCarried(unsigned int size);
+  inline void adoptCarried(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>> disownCarried();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4610,9 +4625,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::PingResults::Pipeline {
+class CrashReport::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef CrashReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4626,9 +4641,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::RaftParams::Reader {
+class RelayEntry::Reader {
 public:
-  typedef RaftParams Reads;
+  typedef RelayEntry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4643,11 +4658,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline  ::celeryspread::wire::RaftMessage::Reader getMessage() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool hasFrom() const;
-  inline  ::celeryspread::wire::ReplicaEntry::Reader getFrom() const;
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4661,9 +4676,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::RaftParams::Builder {
+class RelayEntry::Builder {
 public:
-  typedef RaftParams Builds;
+  typedef RelayEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4677,19 +4692,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline  ::celeryspread::wire::RaftMessage::Builder getMessage();
-  inline void setMessage( ::celeryspread::wire::RaftMessage::Reader value);
-  inline  ::celeryspread::wire::RaftMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::celeryspread::wire::RaftMessage>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::RaftMessage> disownMessage();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline bool hasFrom();
-  inline  ::celeryspread::wire::ReplicaEntry::Builder getFrom();
-  inline void setFrom( ::celeryspread::wire::ReplicaEntry::Reader value);
-  inline  ::celeryspread::wire::ReplicaEntry::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownFrom();
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4701,16 +4716,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::RaftParams::Pipeline {
+class RelayEntry::Pipeline {
 public:
-  typedef RaftParams Pipelines;
+  typedef RelayEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::RaftMessage::Pipeline getMessage();
-  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4719,9 +4732,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::RaftResults::Reader {
+class FollowReply::Reader {
 public:
-  typedef RaftResults Reads;
+  typedef FollowReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4736,6 +4749,42 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getIsLeader() const;
+
+  inline bool hasLeader() const;
+  inline  ::celeryspread::wire::ReplicaEntry::Reader getLeader() const;
+
+  inline bool hasControls() const;
+  inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader getControls() const;
+
+  inline bool hasRoutes() const;
+  inline  ::celeryspread::wire::RouteChange::Reader getRoutes() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getDirectoryVersion() const;
+
+  inline bool getIsWhole() const;
+
+  inline bool hasEngines() const;
+  inline  ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>::Reader getEngines() const;
+
+  inline  ::uint32_t getEntryCount() const;
+
+  inline bool getHasDirectory() const;
+
+  inline bool hasRelays() const;
+  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Reader getRelays() const;
+
+  inline bool getHasSuspects() const;
+
+  inline  ::uint64_t getSuspectEpoch() const;
+
+  inline  ::uint64_t getSuspectVersion() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4748,9 +4797,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::RaftResults::Builder {
+class FollowReply::Builder {
 public:
-  typedef RaftResults Builds;
+  typedef FollowReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4764,24 +4813,95 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool getIsLeader();
+  inline void setIsLeader(bool value);
 
-#if !CAPNP_LITE
-class ControlNode::RaftResults::Pipeline {
-public:
-  typedef RaftResults Pipelines;
+  inline bool hasLeader();
+  inline  ::celeryspread::wire::ReplicaEntry::Builder getLeader();
+  inline void setLeader( ::celeryspread::wire::ReplicaEntry::Reader value);
+  inline  ::celeryspread::wire::ReplicaEntry::Builder initLeader();
+  inline void adoptLeader(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownLeader();
+
+  inline bool hasControls();
+  inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder getControls();
+  inline void setControls( ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder initControls(unsigned int size);
+  inline void adoptControls(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>> disownControls();
+
+  inline bool hasRoutes();
+  inline  ::celeryspread::wire::RouteChange::Builder getRoutes();
+  inline void setRoutes( ::celeryspread::wire::RouteChange::Reader value);
+  inline  ::celeryspread::wire::RouteChange::Builder initRoutes();
+  inline void adoptRoutes(::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> disownRoutes();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getDirectoryVersion();
+  inline void setDirectoryVersion( ::uint64_t value);
+
+  inline bool getIsWhole();
+  inline void setIsWhole(bool value);
+
+  inline bool hasEngines();
+  inline  ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>::Builder getEngines();
+  inline void setEngines( ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>::Builder initEngines(unsigned int size);
+  inline void adoptEngines(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineEntry,  ::capnp::Kind::STRUCT>> disownEngines();
+
+  inline  ::uint32_t getEntryCount();
+  inline void setEntryCount( ::uint32_t value);
+
+  inline bool getHasDirectory();
+  inline void setHasDirectory(bool value);
+
+  inline bool hasRelays();
+  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Builder getRelays();
+  inline void setRelays( ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>::Builder initRelays(unsigned int size);
+  inline void adoptRelays(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::RelayEntry,  ::capnp::Kind::STRUCT>> disownRelays();
+
+  inline bool getHasSuspects();
+  inline void setHasSuspects(bool value);
+
+  inline  ::uint64_t getSuspectEpoch();
+  inline void setSuspectEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getSuspectVersion();
+  inline void setSuspectVersion( ::uint64_t value);
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FollowReply::Pipeline {
+public:
+  typedef FollowReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getLeader();
+  inline  ::celeryspread::wire::RouteChange::Pipeline getRoutes();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4790,9 +4910,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::FetchParams::Reader {
+class AdapterRequest::Reader {
 public:
-  typedef FetchParams Reads;
+  typedef AdapterRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4807,8 +4927,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::FetchRequest::Reader getRequest() const;
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline bool hasAdapter() const;
+  inline  ::capnp::Text::Reader getAdapter() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4822,9 +4954,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::FetchParams::Builder {
+class AdapterRequest::Builder {
 public:
-  typedef FetchParams Builds;
+  typedef AdapterRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4838,12 +4970,40 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::FetchRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::FetchRequest::Reader value);
-  inline  ::celeryspread::wire::FetchRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::FetchRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::FetchRequest> disownRequest();
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline bool hasAdapter();
+  inline  ::capnp::Text::Builder getAdapter();
+  inline void setAdapter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdapter(unsigned int size);
+  inline void adoptAdapter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdapter();
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4855,15 +5015,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::FetchParams::Pipeline {
+class AdapterRequest::Pipeline {
 public:
-  typedef FetchParams Pipelines;
+  typedef AdapterRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::FetchRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4872,9 +5031,128 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::FetchResults::Reader {
+#if !CAPNP_LITE
+class ControlNode::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FetchResults Reads;
+  typedef ControlNode Calls;
+  typedef ControlNode Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::celeryspread::wire::ControlNode::PingParams,  ::celeryspread::wire::ControlNode::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::RaftParams,  ::celeryspread::wire::ControlNode::RaftResults> raftRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::FetchParams,  ::celeryspread::wire::ControlNode::FetchResults> fetchRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::AdminParams,  ::celeryspread::wire::ControlNode::AdminResults> adminRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::ClaimParams,  ::celeryspread::wire::ControlNode::ClaimResults> claimRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::CloseClaimParams,  ::celeryspread::wire::ControlNode::CloseClaimResults> closeClaimRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::JoinParams,  ::celeryspread::wire::ControlNode::JoinResults> joinRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::ReportInstancesParams,  ::celeryspread::wire::ControlNode::ReportInstancesResults> reportInstancesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::FollowParams,  ::celeryspread::wire::ControlNode::FollowResults> followRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::LoadAdapterParams,  ::celeryspread::wire::ControlNode::LoadAdapterResults> loadAdapterRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::ReportCrashesParams,  ::celeryspread::wire::ControlNode::ReportCrashesResults> reportCrashesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::RequestTrialParams,  ::celeryspread::wire::ControlNode::RequestTrialResults> requestTrialRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class ControlNode::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef ControlNode Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::celeryspread::wire::ControlNode::PingParams PingParams;
+  typedef  ::celeryspread::wire::ControlNode::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::celeryspread::wire::ControlNode::RaftParams RaftParams;
+  typedef  ::celeryspread::wire::ControlNode::RaftResults RaftResults;
+  typedef ::capnp::CallContext<RaftParams, RaftResults> RaftContext;
+  virtual ::kj::Promise<void> raft(RaftContext context);
+  typedef  ::celeryspread::wire::ControlNode::FetchParams FetchParams;
+  typedef  ::celeryspread::wire::ControlNode::FetchResults FetchResults;
+  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
+  virtual ::kj::Promise<void> fetch(FetchContext context);
+  typedef  ::celeryspread::wire::ControlNode::AdminParams AdminParams;
+  typedef  ::celeryspread::wire::ControlNode::AdminResults AdminResults;
+  typedef ::capnp::CallContext<AdminParams, AdminResults> AdminContext;
+  virtual ::kj::Promise<void> admin(AdminContext context);
+  typedef  ::celeryspread::wire::ControlNode::ClaimParams ClaimParams;
+  typedef  ::celeryspread::wire::ControlNode::ClaimResults ClaimResults;
+  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
+  virtual ::kj::Promise<void> claim(ClaimContext context);
+  typedef  ::celeryspread::wire::ControlNode::CloseClaimParams CloseClaimParams;
+  typedef  ::celeryspread::wire::ControlNode::CloseClaimResults CloseClaimResults;
+  typedef ::capnp::CallContext<CloseClaimParams, CloseClaimResults> CloseClaimContext;
+  virtual ::kj::Promise<void> closeClaim(CloseClaimContext context);
+  typedef  ::celeryspread::wire::ControlNode::JoinParams JoinParams;
+  typedef  ::celeryspread::wire::ControlNode::JoinResults JoinResults;
+  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
+  virtual ::kj::Promise<void> join(JoinContext context);
+  typedef  ::celeryspread::wire::ControlNode::ReportInstancesParams ReportInstancesParams;
+  typedef  ::celeryspread::wire::ControlNode::ReportInstancesResults ReportInstancesResults;
+  typedef ::capnp::CallContext<ReportInstancesParams, ReportInstancesResults> ReportInstancesContext;
+  virtual ::kj::Promise<void> reportInstances(ReportInstancesContext context);
+  typedef  ::celeryspread::wire::ControlNode::FollowParams FollowParams;
+  typedef  ::celeryspread::wire::ControlNode::FollowResults FollowResults;
+  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
+  virtual ::kj::Promise<void> follow(FollowContext context);
+  typedef  ::celeryspread::wire::ControlNode::LoadAdapterParams LoadAdapterParams;
+  typedef  ::celeryspread::wire::ControlNode::LoadAdapterResults LoadAdapterResults;
+  typedef ::capnp::CallContext<LoadAdapterParams, LoadAdapterResults> LoadAdapterContext;
+  virtual ::kj::Promise<void> loadAdapter(LoadAdapterContext context);
+  typedef  ::celeryspread::wire::ControlNode::ReportCrashesParams ReportCrashesParams;
+  typedef  ::celeryspread::wire::ControlNode::ReportCrashesResults ReportCrashesResults;
+  typedef ::capnp::CallContext<ReportCrashesParams, ReportCrashesResults> ReportCrashesContext;
+  virtual ::kj::Promise<void> reportCrashes(ReportCrashesContext context);
+  typedef  ::celeryspread::wire::ControlNode::RequestTrialParams RequestTrialParams;
+  typedef  ::celeryspread::wire::ControlNode::RequestTrialResults RequestTrialResults;
+  typedef ::capnp::CallContext<RequestTrialParams, RequestTrialResults> RequestTrialContext;
+  virtual ::kj::Promise<void> requestTrial(RequestTrialContext context);
+
+  inline  ::celeryspread::wire::ControlNode::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::celeryspread::wire::ControlNode>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::PingParams::Reader {
+public:
+  typedef PingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4889,9 +5167,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::celeryspread::wire::FetchReply::Reader getReply() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4904,9 +5179,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::FetchResults::Builder {
+class ControlNode::PingParams::Builder {
 public:
-  typedef FetchResults Builds;
+  typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4920,13 +5195,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::celeryspread::wire::FetchReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::FetchReply::Reader value);
-  inline  ::celeryspread::wire::FetchReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::FetchReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::FetchReply> disownReply();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4937,15 +5205,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::FetchResults::Pipeline {
+class ControlNode::PingParams::Pipeline {
 public:
-  typedef FetchResults Pipelines;
+  typedef PingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::FetchReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4954,9 +5221,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::AdminParams::Reader {
+class ControlNode::PingResults::Reader {
 public:
-  typedef AdminParams Reads;
+  typedef PingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4971,9 +5238,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::AdminRequest::Reader getRequest() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4986,9 +5250,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::AdminParams::Builder {
+class ControlNode::PingResults::Builder {
 public:
-  typedef AdminParams Builds;
+  typedef PingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5002,13 +5266,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::AdminRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::AdminRequest::Reader value);
-  inline  ::celeryspread::wire::AdminRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::AdminRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::AdminRequest> disownRequest();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5019,15 +5276,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::AdminParams::Pipeline {
+class ControlNode::PingResults::Pipeline {
 public:
-  typedef AdminParams Pipelines;
+  typedef PingResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::AdminRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5036,9 +5292,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::AdminResults::Reader {
+class ControlNode::RaftParams::Reader {
 public:
-  typedef AdminResults Reads;
+  typedef RaftParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5053,8 +5309,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::celeryspread::wire::AdminReply::Reader getReply() const;
+  inline bool hasMessage() const;
+  inline  ::celeryspread::wire::RaftMessage::Reader getMessage() const;
+
+  inline bool hasFrom() const;
+  inline  ::celeryspread::wire::ReplicaEntry::Reader getFrom() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5068,9 +5327,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::AdminResults::Builder {
+class ControlNode::RaftParams::Builder {
 public:
-  typedef AdminResults Builds;
+  typedef RaftParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5084,12 +5343,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::celeryspread::wire::AdminReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::AdminReply::Reader value);
-  inline  ::celeryspread::wire::AdminReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::AdminReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::AdminReply> disownReply();
+  inline bool hasMessage();
+  inline  ::celeryspread::wire::RaftMessage::Builder getMessage();
+  inline void setMessage( ::celeryspread::wire::RaftMessage::Reader value);
+  inline  ::celeryspread::wire::RaftMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::celeryspread::wire::RaftMessage>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::RaftMessage> disownMessage();
+
+  inline bool hasFrom();
+  inline  ::celeryspread::wire::ReplicaEntry::Builder getFrom();
+  inline void setFrom( ::celeryspread::wire::ReplicaEntry::Reader value);
+  inline  ::celeryspread::wire::ReplicaEntry::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownFrom();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5101,15 +5367,16 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::AdminResults::Pipeline {
+class ControlNode::RaftParams::Pipeline {
 public:
-  typedef AdminResults Pipelines;
+  typedef RaftParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::AdminReply::Pipeline getReply();
+  inline  ::celeryspread::wire::RaftMessage::Pipeline getMessage();
+  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5118,9 +5385,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ClaimParams::Reader {
+class ControlNode::RaftResults::Reader {
 public:
-  typedef ClaimParams Reads;
+  typedef RaftResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5135,11 +5402,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::ClaimRequest::Reader getRequest() const;
-
-  inline bool getIsForwarded() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5152,9 +5414,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ClaimParams::Builder {
+class ControlNode::RaftResults::Builder {
 public:
-  typedef ClaimParams Builds;
+  typedef RaftResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5168,16 +5430,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::ClaimRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::ClaimRequest::Reader value);
-  inline  ::celeryspread::wire::ClaimRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> disownRequest();
-
-  inline bool getIsForwarded();
-  inline void setIsForwarded(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5188,15 +5440,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ClaimParams::Pipeline {
+class ControlNode::RaftResults::Pipeline {
 public:
-  typedef ClaimParams Pipelines;
+  typedef RaftResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::ClaimRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5205,9 +5456,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ClaimResults::Reader {
+class ControlNode::FetchParams::Reader {
 public:
-  typedef ClaimResults Reads;
+  typedef FetchParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5222,8 +5473,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::celeryspread::wire::ClaimReply::Reader getReply() const;
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::FetchRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5237,9 +5488,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ClaimResults::Builder {
+class ControlNode::FetchParams::Builder {
 public:
-  typedef ClaimResults Builds;
+  typedef FetchParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5253,12 +5504,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::celeryspread::wire::ClaimReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::ClaimReply::Reader value);
-  inline  ::celeryspread::wire::ClaimReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::ClaimReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ClaimReply> disownReply();
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::FetchRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::FetchRequest::Reader value);
+  inline  ::celeryspread::wire::FetchRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::FetchRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::FetchRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5270,15 +5521,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ClaimResults::Pipeline {
+class ControlNode::FetchParams::Pipeline {
 public:
-  typedef ClaimResults Pipelines;
+  typedef FetchParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::ClaimReply::Pipeline getReply();
+  inline  ::celeryspread::wire::FetchRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5287,9 +5538,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::CloseClaimParams::Reader {
+class ControlNode::FetchResults::Reader {
 public:
-  typedef CloseClaimParams Reads;
+  typedef FetchResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5304,10 +5555,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasClose() const;
-  inline  ::celeryspread::wire::CloseClaim::Reader getClose() const;
-
-  inline bool getIsForwarded() const;
+  inline bool hasReply() const;
+  inline  ::celeryspread::wire::FetchReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5321,9 +5570,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::CloseClaimParams::Builder {
+class ControlNode::FetchResults::Builder {
 public:
-  typedef CloseClaimParams Builds;
+  typedef FetchResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5337,15 +5586,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasClose();
-  inline  ::celeryspread::wire::CloseClaim::Builder getClose();
-  inline void setClose( ::celeryspread::wire::CloseClaim::Reader value);
-  inline  ::celeryspread::wire::CloseClaim::Builder initClose();
-  inline void adoptClose(::capnp::Orphan< ::celeryspread::wire::CloseClaim>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::CloseClaim> disownClose();
-
-  inline bool getIsForwarded();
-  inline void setIsForwarded(bool value);
+  inline bool hasReply();
+  inline  ::celeryspread::wire::FetchReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::FetchReply::Reader value);
+  inline  ::celeryspread::wire::FetchReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::FetchReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::FetchReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5357,15 +5603,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::CloseClaimParams::Pipeline {
+class ControlNode::FetchResults::Pipeline {
 public:
-  typedef CloseClaimParams Pipelines;
+  typedef FetchResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::CloseClaim::Pipeline getClose();
+  inline  ::celeryspread::wire::FetchReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5374,9 +5620,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::CloseClaimResults::Reader {
+class ControlNode::AdminParams::Reader {
 public:
-  typedef CloseClaimResults Reads;
+  typedef AdminParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5391,7 +5637,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsDurable() const;
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::AdminRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5405,9 +5652,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::CloseClaimResults::Builder {
+class ControlNode::AdminParams::Builder {
 public:
-  typedef CloseClaimResults Builds;
+  typedef AdminParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5421,8 +5668,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsDurable();
-  inline void setIsDurable(bool value);
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::AdminRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::AdminRequest::Reader value);
+  inline  ::celeryspread::wire::AdminRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::AdminRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::AdminRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5434,14 +5685,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::CloseClaimResults::Pipeline {
+class ControlNode::AdminParams::Pipeline {
 public:
-  typedef CloseClaimResults Pipelines;
+  typedef AdminParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::AdminRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5450,9 +5702,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::JoinParams::Reader {
+class ControlNode::AdminResults::Reader {
 public:
-  typedef JoinParams Reads;
+  typedef AdminResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5467,8 +5719,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReplica() const;
-  inline  ::celeryspread::wire::ReplicaEntry::Reader getReplica() const;
+  inline bool hasReply() const;
+  inline  ::celeryspread::wire::AdminReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5482,9 +5734,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::JoinParams::Builder {
+class ControlNode::AdminResults::Builder {
 public:
-  typedef JoinParams Builds;
+  typedef AdminResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5498,12 +5750,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReplica();
-  inline  ::celeryspread::wire::ReplicaEntry::Builder getReplica();
-  inline void setReplica( ::celeryspread::wire::ReplicaEntry::Reader value);
-  inline  ::celeryspread::wire::ReplicaEntry::Builder initReplica();
-  inline void adoptReplica(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownReplica();
+  inline bool hasReply();
+  inline  ::celeryspread::wire::AdminReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::AdminReply::Reader value);
+  inline  ::celeryspread::wire::AdminReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::AdminReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::AdminReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5515,15 +5767,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::JoinParams::Pipeline {
+class ControlNode::AdminResults::Pipeline {
 public:
-  typedef JoinParams Pipelines;
+  typedef AdminResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getReplica();
+  inline  ::celeryspread::wire::AdminReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5532,9 +5784,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::JoinResults::Reader {
+class ControlNode::ClaimParams::Reader {
 public:
-  typedef JoinResults Reads;
+  typedef ClaimParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5549,9 +5801,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsAccepted() const;
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::ClaimRequest::Reader getRequest() const;
 
-  inline bool getIsRemoved() const;
+  inline bool getIsForwarded() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5565,9 +5818,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::JoinResults::Builder {
+class ControlNode::ClaimParams::Builder {
 public:
-  typedef JoinResults Builds;
+  typedef ClaimParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5581,11 +5834,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsAccepted();
-  inline void setIsAccepted(bool value);
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::ClaimRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::ClaimRequest::Reader value);
+  inline  ::celeryspread::wire::ClaimRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> disownRequest();
 
-  inline bool getIsRemoved();
-  inline void setIsRemoved(bool value);
+  inline bool getIsForwarded();
+  inline void setIsForwarded(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5597,14 +5854,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::JoinResults::Pipeline {
+class ControlNode::ClaimParams::Pipeline {
 public:
-  typedef JoinResults Pipelines;
+  typedef ClaimParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::ClaimRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5613,9 +5871,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ReportInstancesParams::Reader {
+class ControlNode::ClaimResults::Reader {
 public:
-  typedef ReportInstancesParams Reads;
+  typedef ClaimResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5630,9 +5888,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasInstances() const;
-  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Reader getInstances() const;
-
+  inline bool hasReply() const;
+  inline  ::celeryspread::wire::ClaimReply::Reader getReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5645,9 +5903,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ReportInstancesParams::Builder {
+class ControlNode::ClaimResults::Builder {
 public:
-  typedef ReportInstancesParams Builds;
+  typedef ClaimResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5661,12 +5919,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasInstances();
-  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Builder getInstances();
-  inline void setInstances( ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Builder initInstances(unsigned int size);
-  inline void adoptInstances(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>> disownInstances();
+  inline bool hasReply();
+  inline  ::celeryspread::wire::ClaimReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::ClaimReply::Reader value);
+  inline  ::celeryspread::wire::ClaimReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::ClaimReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ClaimReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5678,14 +5936,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ReportInstancesParams::Pipeline {
+class ControlNode::ClaimResults::Pipeline {
 public:
-  typedef ReportInstancesParams Pipelines;
+  typedef ClaimResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::ClaimReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5694,9 +5953,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ReportInstancesResults::Reader {
+class ControlNode::CloseClaimParams::Reader {
 public:
-  typedef ReportInstancesResults Reads;
+  typedef CloseClaimParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5711,6 +5970,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasClose() const;
+  inline  ::celeryspread::wire::CloseClaim::Reader getClose() const;
+
+  inline bool getIsForwarded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5723,9 +5987,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ReportInstancesResults::Builder {
+class ControlNode::CloseClaimParams::Builder {
 public:
-  typedef ReportInstancesResults Builds;
+  typedef CloseClaimParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5739,6 +6003,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasClose();
+  inline  ::celeryspread::wire::CloseClaim::Builder getClose();
+  inline void setClose( ::celeryspread::wire::CloseClaim::Reader value);
+  inline  ::celeryspread::wire::CloseClaim::Builder initClose();
+  inline void adoptClose(::capnp::Orphan< ::celeryspread::wire::CloseClaim>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::CloseClaim> disownClose();
+
+  inline bool getIsForwarded();
+  inline void setIsForwarded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5749,14 +6023,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ReportInstancesResults::Pipeline {
+class ControlNode::CloseClaimParams::Pipeline {
 public:
-  typedef ReportInstancesResults Pipelines;
+  typedef CloseClaimParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::CloseClaim::Pipeline getClose();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5765,9 +6040,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::FollowParams::Reader {
+class ControlNode::CloseClaimResults::Reader {
 public:
-  typedef FollowParams Reads;
+  typedef CloseClaimResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5782,8 +6057,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::FollowRequest::Reader getRequest() const;
+  inline bool getIsDurable() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5797,9 +6071,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::FollowParams::Builder {
+class ControlNode::CloseClaimResults::Builder {
 public:
-  typedef FollowParams Builds;
+  typedef CloseClaimResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5813,12 +6087,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::FollowRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::FollowRequest::Reader value);
-  inline  ::celeryspread::wire::FollowRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::FollowRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::FollowRequest> disownRequest();
+  inline bool getIsDurable();
+  inline void setIsDurable(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5830,15 +6100,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::FollowParams::Pipeline {
+class ControlNode::CloseClaimResults::Pipeline {
 public:
-  typedef FollowParams Pipelines;
+  typedef CloseClaimResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::FollowRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5847,9 +6116,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::FollowResults::Reader {
+class ControlNode::JoinParams::Reader {
 public:
-  typedef FollowResults Reads;
+  typedef JoinParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5864,8 +6133,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::celeryspread::wire::FollowReply::Reader getReply() const;
+  inline bool hasReplica() const;
+  inline  ::celeryspread::wire::ReplicaEntry::Reader getReplica() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5879,9 +6148,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::FollowResults::Builder {
+class ControlNode::JoinParams::Builder {
 public:
-  typedef FollowResults Builds;
+  typedef JoinParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5895,12 +6164,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::celeryspread::wire::FollowReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::FollowReply::Reader value);
-  inline  ::celeryspread::wire::FollowReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::FollowReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::FollowReply> disownReply();
+  inline bool hasReplica();
+  inline  ::celeryspread::wire::ReplicaEntry::Builder getReplica();
+  inline void setReplica( ::celeryspread::wire::ReplicaEntry::Reader value);
+  inline  ::celeryspread::wire::ReplicaEntry::Builder initReplica();
+  inline void adoptReplica(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownReplica();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5912,15 +6181,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::FollowResults::Pipeline {
+class ControlNode::JoinParams::Pipeline {
 public:
-  typedef FollowResults Pipelines;
+  typedef JoinParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::FollowReply::Pipeline getReply();
+  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getReplica();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5929,9 +6198,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::LoadAdapterParams::Reader {
+class ControlNode::JoinResults::Reader {
 public:
-  typedef LoadAdapterParams Reads;
+  typedef JoinResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5946,8 +6215,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::AdapterRequest::Reader getRequest() const;
+  inline bool getIsAccepted() const;
+
+  inline bool getIsRemoved() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5961,9 +6231,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::LoadAdapterParams::Builder {
+class ControlNode::JoinResults::Builder {
 public:
-  typedef LoadAdapterParams Builds;
+  typedef JoinResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5977,12 +6247,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::AdapterRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::AdapterRequest::Reader value);
-  inline  ::celeryspread::wire::AdapterRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::AdapterRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::AdapterRequest> disownRequest();
+  inline bool getIsAccepted();
+  inline void setIsAccepted(bool value);
+
+  inline bool getIsRemoved();
+  inline void setIsRemoved(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5994,15 +6263,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::LoadAdapterParams::Pipeline {
+class ControlNode::JoinResults::Pipeline {
 public:
-  typedef LoadAdapterParams Pipelines;
+  typedef JoinResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::AdapterRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6011,9 +6279,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::LoadAdapterResults::Reader {
+class ControlNode::ReportInstancesParams::Reader {
 public:
-  typedef LoadAdapterResults Reads;
+  typedef ReportInstancesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6028,8 +6296,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
+  inline bool hasInstances() const;
+  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Reader getInstances() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6043,9 +6311,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::LoadAdapterResults::Builder {
+class ControlNode::ReportInstancesParams::Builder {
 public:
-  typedef LoadAdapterResults Builds;
+  typedef ReportInstancesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6059,12 +6327,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+  inline bool hasInstances();
+  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Builder getInstances();
+  inline void setInstances( ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Builder initInstances(unsigned int size);
+  inline void adoptInstances(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>> disownInstances();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6076,9 +6344,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::LoadAdapterResults::Pipeline {
+class ControlNode::ReportInstancesParams::Pipeline {
 public:
-  typedef LoadAdapterResults Pipelines;
+  typedef ReportInstancesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -6092,68 +6360,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Gate::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Gate Calls;
-  typedef Gate Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::celeryspread::wire::Gate::ChallengeParams,  ::celeryspread::wire::Gate::ChallengeResults> challengeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::Gate::EnterParams,  ::celeryspread::wire::Gate::EnterResults> enterRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Gate::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Gate Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::celeryspread::wire::Gate::ChallengeParams ChallengeParams;
-  typedef  ::celeryspread::wire::Gate::ChallengeResults ChallengeResults;
-  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
-  virtual ::kj::Promise<void> challenge(ChallengeContext context);
-  typedef  ::celeryspread::wire::Gate::EnterParams EnterParams;
-  typedef  ::celeryspread::wire::Gate::EnterResults EnterResults;
-  typedef ::capnp::CallContext<EnterParams, EnterResults> EnterContext;
-  virtual ::kj::Promise<void> enter(EnterContext context);
-
-  inline  ::celeryspread::wire::Gate::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::celeryspread::wire::Gate>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Gate::ChallengeParams::Reader {
+class ControlNode::ReportInstancesResults::Reader {
 public:
-  typedef ChallengeParams Reads;
+  typedef ReportInstancesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6180,9 +6389,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::ChallengeParams::Builder {
+class ControlNode::ReportInstancesResults::Builder {
 public:
-  typedef ChallengeParams Builds;
+  typedef ReportInstancesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6206,9 +6415,9 @@
 };
 
 #if !CAPNP_LITE
-class Gate::ChallengeParams::Pipeline {
+class ControlNode::ReportInstancesResults::Pipeline {
 public:
-  typedef ChallengeParams Pipelines;
+  typedef ReportInstancesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -6222,9 +6431,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::ChallengeResults::Reader {
+class ControlNode::FollowParams::Reader {
 public:
-  typedef ChallengeResults Reads;
+  typedef FollowParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6239,8 +6448,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNonce() const;
-  inline  ::capnp::Data::Reader getNonce() const;
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::FollowRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6254,9 +6463,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::ChallengeResults::Builder {
+class ControlNode::FollowParams::Builder {
 public:
-  typedef ChallengeResults Builds;
+  typedef FollowParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6270,16 +6479,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNonce();
-  inline  ::capnp::Data::Builder getNonce();
-  inline void setNonce( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initNonce(unsigned int size);
-  inline void adoptNonce(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownNonce();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::FollowRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::FollowRequest::Reader value);
+  inline  ::celeryspread::wire::FollowRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::FollowRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::FollowRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
   template <typename, ::capnp::Kind>
@@ -6287,14 +6496,15 @@
 };
 
 #if !CAPNP_LITE
-class Gate::ChallengeResults::Pipeline {
+class ControlNode::FollowParams::Pipeline {
 public:
-  typedef ChallengeResults Pipelines;
+  typedef FollowParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::FollowRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6303,9 +6513,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::EnterParams::Reader {
+class ControlNode::FollowResults::Reader {
 public:
-  typedef EnterParams Reads;
+  typedef FollowResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6320,8 +6530,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasProof() const;
-  inline  ::capnp::Data::Reader getProof() const;
+  inline bool hasReply() const;
+  inline  ::celeryspread::wire::FollowReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6335,9 +6545,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::EnterParams::Builder {
+class ControlNode::FollowResults::Builder {
 public:
-  typedef EnterParams Builds;
+  typedef FollowResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6351,12 +6561,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasProof();
-  inline  ::capnp::Data::Builder getProof();
-  inline void setProof( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initProof(unsigned int size);
-  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownProof();
+  inline bool hasReply();
+  inline  ::celeryspread::wire::FollowReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::FollowReply::Reader value);
+  inline  ::celeryspread::wire::FollowReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::FollowReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::FollowReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6368,14 +6578,15 @@
 };
 
 #if !CAPNP_LITE
-class Gate::EnterParams::Pipeline {
+class ControlNode::FollowResults::Pipeline {
 public:
-  typedef EnterParams Pipelines;
+  typedef FollowResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::FollowReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6384,9 +6595,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::EnterResults::Reader {
+class ControlNode::LoadAdapterParams::Reader {
 public:
-  typedef EnterResults Reads;
+  typedef LoadAdapterParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6401,10 +6612,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode() const;
-#if !CAPNP_LITE
-  inline  ::celeryspread::wire::ControlNode::Client getNode() const;
-#endif  // !CAPNP_LITE
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::AdapterRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6418,9 +6627,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::EnterResults::Builder {
+class ControlNode::LoadAdapterParams::Builder {
 public:
-  typedef EnterResults Builds;
+  typedef LoadAdapterParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6434,14 +6643,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode();
-#if !CAPNP_LITE
-  inline  ::celeryspread::wire::ControlNode::Client getNode();
-  inline void setNode( ::celeryspread::wire::ControlNode::Client&& value);
-  inline void setNode( ::celeryspread::wire::ControlNode::Client& value);
-  inline void adoptNode(::capnp::Orphan< ::celeryspread::wire::ControlNode>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ControlNode> disownNode();
-#endif  // !CAPNP_LITE
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::AdapterRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::AdapterRequest::Reader value);
+  inline  ::celeryspread::wire::AdapterRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::AdapterRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::AdapterRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6453,15 +6660,15 @@
 };
 
 #if !CAPNP_LITE
-class Gate::EnterResults::Pipeline {
+class ControlNode::LoadAdapterParams::Pipeline {
 public:
-  typedef EnterResults Pipelines;
+  typedef LoadAdapterParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::ControlNode::Client getNode();
+  inline  ::celeryspread::wire::AdapterRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
