@@ -6470,3496 +6677,4677 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class ControlNode::LoadAdapterResults::Reader {
+public:
+  typedef LoadAdapterResults Reads;
 
-inline bool ReplicaEntry::Reader::hasReplica() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ReplicaEntry::Builder::hasReplica() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ReplicaEntry::Reader::getReplica() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ReplicaEntry::Builder::getReplica() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ReplicaEntry::Builder::setReplica( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ReplicaEntry::Builder::initReplica(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ReplicaEntry::Builder::adoptReplica(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ReplicaEntry::Builder::disownReplica() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool ReplicaEntry::Reader::hasInstance() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool ReplicaEntry::Builder::hasInstance() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ReplicaEntry::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ReplicaEntry::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void ReplicaEntry::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ReplicaEntry::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void ReplicaEntry::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ReplicaEntry::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool ReplicaEntry::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool ReplicaEntry::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ReplicaEntry::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ReplicaEntry::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void ReplicaEntry::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ReplicaEntry::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void ReplicaEntry::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ReplicaEntry::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint16_t ReplicaEntry::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
 
-inline  ::uint16_t ReplicaEntry::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ReplicaEntry::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline bool ReplicaSet::Reader::hasVoters() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ReplicaSet::Builder::hasVoters() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader ReplicaSet::Reader::getVoters() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder ReplicaSet::Builder::getVoters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ReplicaSet::Builder::setVoters( ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder ReplicaSet::Builder::initVoters(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ReplicaSet::Builder::adoptVoters(
-    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>> ReplicaSet::Builder::disownVoters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+class ControlNode::LoadAdapterResults::Builder {
+public:
+  typedef LoadAdapterResults Builds;
 
-inline bool ReplicaSet::Reader::hasLearners() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::LoadAdapterResults::Pipeline {
+public:
+  typedef LoadAdapterResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::ReportCrashesParams::Reader {
+public:
+  typedef ReportCrashesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::celeryspread::wire::CrashReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::ReportCrashesParams::Builder {
+public:
+  typedef ReportCrashesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::celeryspread::wire::CrashReport::Builder getReport();
+  inline void setReport( ::celeryspread::wire::CrashReport::Reader value);
+  inline  ::celeryspread::wire::CrashReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::celeryspread::wire::CrashReport>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::CrashReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::ReportCrashesParams::Pipeline {
+public:
+  typedef ReportCrashesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::celeryspread::wire::CrashReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::ReportCrashesResults::Reader {
+public:
+  typedef ReportCrashesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::ReportCrashesResults::Builder {
+public:
+  typedef ReportCrashesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::ReportCrashesResults::Pipeline {
+public:
+  typedef ReportCrashesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::RequestTrialParams::Reader {
+public:
+  typedef RequestTrialParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::RequestTrialParams::Builder {
+public:
+  typedef RequestTrialParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::RequestTrialParams::Pipeline {
+public:
+  typedef RequestTrialParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::RequestTrialResults::Reader {
+public:
+  typedef RequestTrialResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsPermitted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::RequestTrialResults::Builder {
+public:
+  typedef RequestTrialResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsPermitted();
+  inline void setIsPermitted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::RequestTrialResults::Pipeline {
+public:
+  typedef RequestTrialResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Gate::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Gate Calls;
+  typedef Gate Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::celeryspread::wire::Gate::ChallengeParams,  ::celeryspread::wire::Gate::ChallengeResults> challengeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::Gate::EnterParams,  ::celeryspread::wire::Gate::EnterResults> enterRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Gate::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Gate Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::celeryspread::wire::Gate::ChallengeParams ChallengeParams;
+  typedef  ::celeryspread::wire::Gate::ChallengeResults ChallengeResults;
+  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
+  virtual ::kj::Promise<void> challenge(ChallengeContext context);
+  typedef  ::celeryspread::wire::Gate::EnterParams EnterParams;
+  typedef  ::celeryspread::wire::Gate::EnterResults EnterResults;
+  typedef ::capnp::CallContext<EnterParams, EnterResults> EnterContext;
+  virtual ::kj::Promise<void> enter(EnterContext context);
+
+  inline  ::celeryspread::wire::Gate::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::celeryspread::wire::Gate>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Gate::ChallengeParams::Reader {
+public:
+  typedef ChallengeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Gate::ChallengeParams::Builder {
+public:
+  typedef ChallengeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Gate::ChallengeParams::Pipeline {
+public:
+  typedef ChallengeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Gate::ChallengeResults::Reader {
+public:
+  typedef ChallengeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNonce() const;
+  inline  ::capnp::Data::Reader getNonce() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Gate::ChallengeResults::Builder {
+public:
+  typedef ChallengeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNonce();
+  inline  ::capnp::Data::Builder getNonce();
+  inline void setNonce( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownNonce();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Gate::ChallengeResults::Pipeline {
+public:
+  typedef ChallengeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Gate::EnterParams::Reader {
+public:
+  typedef EnterParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProof() const;
+  inline  ::capnp::Data::Reader getProof() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Gate::EnterParams::Builder {
+public:
+  typedef EnterParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProof();
+  inline  ::capnp::Data::Builder getProof();
+  inline void setProof( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownProof();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Gate::EnterParams::Pipeline {
+public:
+  typedef EnterParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Gate::EnterResults::Reader {
+public:
+  typedef EnterResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+#if !CAPNP_LITE
+  inline  ::celeryspread::wire::ControlNode::Client getNode() const;
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Gate::EnterResults::Builder {
+public:
+  typedef EnterResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+#if !CAPNP_LITE
+  inline  ::celeryspread::wire::ControlNode::Client getNode();
+  inline void setNode( ::celeryspread::wire::ControlNode::Client&& value);
+  inline void setNode( ::celeryspread::wire::ControlNode::Client& value);
+  inline void adoptNode(::capnp::Orphan< ::celeryspread::wire::ControlNode>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ControlNode> disownNode();
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Gate::EnterResults::Pipeline {
+public:
+  typedef EnterResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::celeryspread::wire::ControlNode::Client getNode();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool ReplicaEntry::Reader::hasReplica() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaEntry::Builder::hasReplica() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaEntry::Reader::getReplica() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaEntry::Builder::getReplica() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReplicaEntry::Builder::setReplica( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaEntry::Builder::initReplica(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaEntry::Builder::adoptReplica(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaEntry::Builder::disownReplica() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ReplicaEntry::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaEntry::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaEntry::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaEntry::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ReplicaEntry::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaEntry::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaEntry::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaEntry::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ReplicaEntry::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaEntry::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaEntry::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaEntry::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ReplicaEntry::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaEntry::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaEntry::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaEntry::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t ReplicaEntry::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ReplicaEntry::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaEntry::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReplicaSet::Reader::hasVoters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaSet::Builder::hasVoters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader ReplicaSet::Reader::getVoters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder ReplicaSet::Builder::getVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReplicaSet::Builder::setVoters( ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder ReplicaSet::Builder::initVoters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaSet::Builder::adoptVoters(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>> ReplicaSet::Builder::disownVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ReplicaSet::Reader::hasLearners() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
 inline bool ReplicaSet::Builder::hasLearners() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader ReplicaSet::Reader::getLearners() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader ReplicaSet::Reader::getLearners() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder ReplicaSet::Builder::getLearners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ReplicaSet::Builder::setLearners( ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder ReplicaSet::Builder::initLearners(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaSet::Builder::adoptLearners(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>> ReplicaSet::Builder::disownLearners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ReplicaSet::Reader::hasRemoved() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaSet::Builder::hasRemoved() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ReplicaSet::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReplicaSet::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ReplicaSet::Builder::setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void ReplicaSet::Builder::setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReplicaSet::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaSet::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ReplicaSet::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LogEntry::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LogEntry::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LogEntry::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LogEntry::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t LogEntry::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t LogEntry::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LogEntry::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LogEntry::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader LogEntry::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder LogEntry::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LogEntry::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder LogEntry::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LogEntry::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LogEntry::Reader::hasReplicas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LogEntry::Builder::hasReplicas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::ReplicaSet::Reader LogEntry::Reader::getReplicas() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::ReplicaSet::Builder LogEntry::Builder::getReplicas() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::ReplicaSet::Pipeline LogEntry::Pipeline::getReplicas() {
+  return  ::celeryspread::wire::ReplicaSet::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void LogEntry::Builder::setReplicas( ::celeryspread::wire::ReplicaSet::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::ReplicaSet::Builder LogEntry::Builder::initReplicas() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LogEntry::Builder::adoptReplicas(
+    ::capnp::Orphan< ::celeryspread::wire::ReplicaSet>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::ReplicaSet> LogEntry::Builder::disownReplicas() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Snapshot::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Snapshot::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Snapshot::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Snapshot::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Snapshot::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Snapshot::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Snapshot::Reader::hasReplicas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Snapshot::Builder::hasReplicas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::ReplicaSet::Reader Snapshot::Reader::getReplicas() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::ReplicaSet::Builder Snapshot::Builder::getReplicas() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::ReplicaSet::Pipeline Snapshot::Pipeline::getReplicas() {
+  return  ::celeryspread::wire::ReplicaSet::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Snapshot::Builder::setReplicas( ::celeryspread::wire::ReplicaSet::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::ReplicaSet::Builder Snapshot::Builder::initReplicas() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Snapshot::Builder::adoptReplicas(
+    ::capnp::Orphan< ::celeryspread::wire::ReplicaSet>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::ReplicaSet> Snapshot::Builder::disownReplicas() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Snapshot::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Snapshot::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Snapshot::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Snapshot::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Snapshot::Builder::setState( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Snapshot::Builder::initState(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Snapshot::Builder::adoptState(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Snapshot::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t RaftMessage::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RaftMessage::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RaftMessage::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RaftMessage::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RaftMessage::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RaftMessage::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RaftMessage::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RaftMessage::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RaftMessage::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RaftMessage::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RaftMessage::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RaftMessage::Builder::hasTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RaftMessage::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder ReplicaSet::Builder::getLearners() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder RaftMessage::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ReplicaSet::Builder::setLearners( ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void RaftMessage::Builder::setTo( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>::Builder ReplicaSet::Builder::initLearners(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder RaftMessage::Builder::initTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ReplicaSet::Builder::adoptLearners(
-    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void RaftMessage::Builder::adoptTo(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>> ReplicaSet::Builder::disownLearners() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::ReplicaEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RaftMessage::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RaftMessage::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getIndexTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getIndexTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setIndexTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getCommit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getCommit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setCommit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RaftMessage::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RaftMessage::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader RaftMessage::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder RaftMessage::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RaftMessage::Builder::setEntries( ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder RaftMessage::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void RaftMessage::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>> RaftMessage::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RaftMessage::Reader::getIsGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool RaftMessage::Builder::getIsGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setIsGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getHint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getHint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setHint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RaftMessage::Reader::getSentAtMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RaftMessage::Builder::getSentAtMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setSentAtMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RaftMessage::Reader::hasSnapshot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RaftMessage::Builder::hasSnapshot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::Snapshot::Reader RaftMessage::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::Snapshot::Builder RaftMessage::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::Snapshot::Pipeline RaftMessage::Pipeline::getSnapshot() {
+  return  ::celeryspread::wire::Snapshot::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void RaftMessage::Builder::setSnapshot( ::celeryspread::wire::Snapshot::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::Snapshot::Builder RaftMessage::Builder::initSnapshot() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RaftMessage::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::celeryspread::wire::Snapshot>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::Snapshot> RaftMessage::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::celeryspread::wire::StoredRecord::Which StoredRecord::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::celeryspread::wire::StoredRecord::Which StoredRecord::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoredRecord::Reader::isEntry() const {
+  return which() == StoredRecord::ENTRY;
+}
+inline bool StoredRecord::Builder::isEntry() {
+  return which() == StoredRecord::ENTRY;
+}
+inline bool StoredRecord::Reader::hasEntry() const {
+  if (which() != StoredRecord::ENTRY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredRecord::Builder::hasEntry() {
+  if (which() != StoredRecord::ENTRY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::LogEntry::Reader StoredRecord::Reader::getEntry() const {
+  KJ_IREQUIRE((which() == StoredRecord::ENTRY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::LogEntry::Builder StoredRecord::Builder::getEntry() {
+  KJ_IREQUIRE((which() == StoredRecord::ENTRY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StoredRecord::Builder::setEntry( ::celeryspread::wire::LogEntry::Reader value) {
+  _builder.setDataField<StoredRecord::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::ENTRY);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::LogEntry::Builder StoredRecord::Builder::initEntry() {
+  _builder.setDataField<StoredRecord::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::ENTRY);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool ReplicaSet::Reader::hasRemoved() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline void StoredRecord::Builder::adoptEntry(
+    ::capnp::Orphan< ::celeryspread::wire::LogEntry>&& value) {
+  _builder.setDataField<StoredRecord::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::ENTRY);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool ReplicaSet::Builder::hasRemoved() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline ::capnp::Orphan< ::celeryspread::wire::LogEntry> StoredRecord::Builder::disownEntry() {
+  KJ_IREQUIRE((which() == StoredRecord::ENTRY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ReplicaSet::Reader::getRemoved() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline bool StoredRecord::Reader::isHardState() const {
+  return which() == StoredRecord::HARD_STATE;
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReplicaSet::Builder::getRemoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool StoredRecord::Builder::isHardState() {
+  return which() == StoredRecord::HARD_STATE;
 }
-inline void ReplicaSet::Builder::setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline typename StoredRecord::HardState::Reader StoredRecord::Reader::getHardState() const {
+  KJ_IREQUIRE((which() == StoredRecord::HARD_STATE),
+              "Must check which() before get()ing a union member.");
+  return typename StoredRecord::HardState::Reader(_reader);
 }
-inline void ReplicaSet::Builder::setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline typename StoredRecord::HardState::Builder StoredRecord::Builder::getHardState() {
+  KJ_IREQUIRE((which() == StoredRecord::HARD_STATE),
+              "Must check which() before get()ing a union member.");
+  return typename StoredRecord::HardState::Builder(_builder);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReplicaSet::Builder::initRemoved(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline typename StoredRecord::HardState::Builder StoredRecord::Builder::initHardState() {
+  _builder.setDataField<StoredRecord::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::HARD_STATE);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename StoredRecord::HardState::Builder(_builder);
 }
-inline void ReplicaSet::Builder::adoptRemoved(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline bool StoredRecord::Reader::isIdentity() const {
+  return which() == StoredRecord::IDENTITY;
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ReplicaSet::Builder::disownRemoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool StoredRecord::Builder::isIdentity() {
+  return which() == StoredRecord::IDENTITY;
 }
-
-inline  ::uint64_t LogEntry::Reader::getIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline typename StoredRecord::Identity::Reader StoredRecord::Reader::getIdentity() const {
+  KJ_IREQUIRE((which() == StoredRecord::IDENTITY),
+              "Must check which() before get()ing a union member.");
+  return typename StoredRecord::Identity::Reader(_reader);
 }
-
-inline  ::uint64_t LogEntry::Builder::getIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline typename StoredRecord::Identity::Builder StoredRecord::Builder::getIdentity() {
+  KJ_IREQUIRE((which() == StoredRecord::IDENTITY),
+              "Must check which() before get()ing a union member.");
+  return typename StoredRecord::Identity::Builder(_builder);
 }
-inline void LogEntry::Builder::setIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline typename StoredRecord::Identity::Builder StoredRecord::Builder::initIdentity() {
+  _builder.setDataField<StoredRecord::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::IDENTITY);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename StoredRecord::Identity::Builder(_builder);
 }
-
-inline  ::uint64_t LogEntry::Reader::getTerm() const {
+inline  ::uint64_t StoredRecord::HardState::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LogEntry::Builder::getTerm() {
+inline  ::uint64_t StoredRecord::HardState::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LogEntry::Builder::setTerm( ::uint64_t value) {
+inline void StoredRecord::HardState::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t LogEntry::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t LogEntry::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void LogEntry::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool LogEntry::Reader::hasPayload() const {
+inline bool StoredRecord::HardState::Reader::hasVotedFor() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LogEntry::Builder::hasPayload() {
+inline bool StoredRecord::HardState::Builder::hasVotedFor() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader LogEntry::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StoredRecord::HardState::Reader::getVotedFor() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder LogEntry::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StoredRecord::HardState::Builder::getVotedFor() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LogEntry::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void StoredRecord::HardState::Builder::setVotedFor( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder LogEntry::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder StoredRecord::HardState::Builder::initVotedFor(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LogEntry::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void StoredRecord::HardState::Builder::adoptVotedFor(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StoredRecord::HardState::Builder::disownVotedFor() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LogEntry::Reader::hasReplicas() const {
+inline bool StoredRecord::Identity::Reader::hasReplica() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LogEntry::Builder::hasReplicas() {
+inline bool StoredRecord::Identity::Builder::hasReplica() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celeryspread::wire::ReplicaSet::Reader LogEntry::Reader::getReplicas() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::ReplicaSet::Builder LogEntry::Builder::getReplicas() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader StoredRecord::Identity::Reader::getReplica() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::ReplicaSet::Pipeline LogEntry::Pipeline::getReplicas() {
-  return  ::celeryspread::wire::ReplicaSet::Pipeline(_typeless.getPointerField(1));
+inline  ::capnp::Text::Builder StoredRecord::Identity::Builder::getReplica() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void LogEntry::Builder::setReplicas( ::celeryspread::wire::ReplicaSet::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void StoredRecord::Identity::Builder::setReplica( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::ReplicaSet::Builder LogEntry::Builder::initReplicas() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StoredRecord::Identity::Builder::initReplica(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LogEntry::Builder::adoptReplicas(
-    ::capnp::Orphan< ::celeryspread::wire::ReplicaSet>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void StoredRecord::Identity::Builder::adoptReplica(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::ReplicaSet> LogEntry::Builder::disownReplicas() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> StoredRecord::Identity::Builder::disownReplica() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Snapshot::Reader::getIndex() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint16_t StoredAnswer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Snapshot::Builder::getIndex() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint16_t StoredAnswer::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Snapshot::Builder::setIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void StoredAnswer::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Snapshot::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Snapshot::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Snapshot::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Snapshot::Reader::hasReplicas() const {
+inline bool StoredAnswer::Reader::hasContentType() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Snapshot::Builder::hasReplicas() {
+inline bool StoredAnswer::Builder::hasContentType() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::ReplicaSet::Reader Snapshot::Reader::getReplicas() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StoredAnswer::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::ReplicaSet::Builder Snapshot::Builder::getReplicas() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StoredAnswer::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::ReplicaSet::Pipeline Snapshot::Pipeline::getReplicas() {
-  return  ::celeryspread::wire::ReplicaSet::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Snapshot::Builder::setReplicas( ::celeryspread::wire::ReplicaSet::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::set(_builder.getPointerField(
+inline void StoredAnswer::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::ReplicaSet::Builder Snapshot::Builder::initReplicas() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StoredAnswer::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Snapshot::Builder::adoptReplicas(
-    ::capnp::Orphan< ::celeryspread::wire::ReplicaSet>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::adopt(_builder.getPointerField(
+inline void StoredAnswer::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::ReplicaSet> Snapshot::Builder::disownReplicas() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ReplicaSet>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StoredAnswer::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Snapshot::Reader::hasState() const {
+inline bool StoredAnswer::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Snapshot::Builder::hasState() {
+inline bool StoredAnswer::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Snapshot::Reader::getState() const {
+inline  ::capnp::Data::Reader StoredAnswer::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Snapshot::Builder::getState() {
+inline  ::capnp::Data::Builder StoredAnswer::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Snapshot::Builder::setState( ::capnp::Data::Reader value) {
+inline void StoredAnswer::Builder::setBody( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Snapshot::Builder::initState(unsigned int size) {
+inline  ::capnp::Data::Builder StoredAnswer::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Snapshot::Builder::adoptState(
+inline void StoredAnswer::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Snapshot::Builder::disownState() {
+inline ::capnp::Orphan< ::capnp::Data> StoredAnswer::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t RaftMessage::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t RaftMessage::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool RaftMessage::Reader::hasFrom() const {
+inline bool ClaimRequest::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RaftMessage::Builder::hasFrom() {
+inline bool ClaimRequest::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RaftMessage::Reader::getFrom() const {
+inline  ::capnp::Text::Reader ClaimRequest::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RaftMessage::Builder::getFrom() {
+inline  ::capnp::Text::Builder ClaimRequest::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RaftMessage::Builder::setFrom( ::capnp::Text::Reader value) {
+inline void ClaimRequest::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RaftMessage::Builder::initFrom(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimRequest::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RaftMessage::Builder::adoptFrom(
+inline void ClaimRequest::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RaftMessage::Builder::disownFrom() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RaftMessage::Reader::hasTo() const {
+inline bool ClaimRequest::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RaftMessage::Builder::hasTo() {
+inline bool ClaimRequest::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RaftMessage::Reader::getTo() const {
+inline  ::capnp::Text::Reader ClaimRequest::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RaftMessage::Builder::getTo() {
+inline  ::capnp::Text::Builder ClaimRequest::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RaftMessage::Builder::setTo( ::capnp::Text::Reader value) {
+inline void ClaimRequest::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RaftMessage::Builder::initTo(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimRequest::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RaftMessage::Builder::adoptTo(
+inline void ClaimRequest::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RaftMessage::Builder::disownTo() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RaftMessage::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RaftMessage::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t RaftMessage::Reader::getIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RaftMessage::Builder::getIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t RaftMessage::Reader::getIndexTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RaftMessage::Builder::getIndexTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setIndexTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t RaftMessage::Reader::getCommit() const {
+inline  ::uint64_t ClaimRequest::Reader::getBodyHash() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RaftMessage::Builder::getCommit() {
+inline  ::uint64_t ClaimRequest::Builder::getBodyHash() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RaftMessage::Builder::setCommit( ::uint64_t value) {
+inline void ClaimRequest::Builder::setBodyHash( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RaftMessage::Reader::hasEntries() const {
+inline bool ClaimRequest::Reader::hasAttemptId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RaftMessage::Builder::hasEntries() {
+inline bool ClaimRequest::Builder::hasAttemptId() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader RaftMessage::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ClaimRequest::Reader::getAttemptId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder RaftMessage::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ClaimRequest::Builder::getAttemptId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RaftMessage::Builder::setEntries( ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ClaimRequest::Builder::setAttemptId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder RaftMessage::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder ClaimRequest::Builder::initAttemptId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RaftMessage::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ClaimRequest::Builder::adoptAttemptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>> RaftMessage::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::LogEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownAttemptId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool RaftMessage::Reader::getIsGranted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline bool RaftMessage::Builder::getIsGranted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setIsGranted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t RaftMessage::Reader::getHint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RaftMessage::Builder::getHint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setHint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t RaftMessage::Reader::getSentAtMicros() const {
+inline  ::int64_t ClaimRequest::Reader::getRetentionMicros() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t RaftMessage::Builder::getSentAtMicros() {
+inline  ::int64_t ClaimRequest::Builder::getRetentionMicros() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RaftMessage::Builder::setSentAtMicros( ::int64_t value) {
+inline void ClaimRequest::Builder::setRetentionMicros( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RaftMessage::Reader::hasSnapshot() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool RaftMessage::Builder::hasSnapshot() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celeryspread::wire::Snapshot::Reader RaftMessage::Reader::getSnapshot() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::celeryspread::wire::Snapshot::Builder RaftMessage::Builder::getSnapshot() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::Snapshot::Pipeline RaftMessage::Pipeline::getSnapshot() {
-  return  ::celeryspread::wire::Snapshot::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void RaftMessage::Builder::setSnapshot( ::celeryspread::wire::Snapshot::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::celeryspread::wire::Snapshot::Builder RaftMessage::Builder::initSnapshot() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void RaftMessage::Builder::adoptSnapshot(
-    ::capnp::Orphan< ::celeryspread::wire::Snapshot>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::celeryspread::wire::Command::Which Command::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::celeryspread::wire::Snapshot> RaftMessage::Builder::disownSnapshot() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::Snapshot>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::celeryspread::wire::Command::Which Command::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::celeryspread::wire::StoredRecord::Which StoredRecord::Reader::which() const {
-  return _reader.getDataField<Which>(
+inline  ::int64_t Command::Reader::getNowMicros() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::celeryspread::wire::StoredRecord::Which StoredRecord::Builder::which() {
-  return _builder.getDataField<Which>(
+
+inline  ::int64_t Command::Builder::getNowMicros() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
+inline void Command::Builder::setNowMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
-inline bool StoredRecord::Reader::isEntry() const {
-  return which() == StoredRecord::ENTRY;
+inline bool Command::Reader::isSettingsChange() const {
+  return which() == Command::SETTINGS_CHANGE;
 }
-inline bool StoredRecord::Builder::isEntry() {
-  return which() == StoredRecord::ENTRY;
+inline bool Command::Builder::isSettingsChange() {
+  return which() == Command::SETTINGS_CHANGE;
 }
-inline bool StoredRecord::Reader::hasEntry() const {
-  if (which() != StoredRecord::ENTRY) return false;
+inline bool Command::Reader::hasSettingsChange() const {
+  if (which() != Command::SETTINGS_CHANGE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredRecord::Builder::hasEntry() {
-  if (which() != StoredRecord::ENTRY) return false;
+inline bool Command::Builder::hasSettingsChange() {
+  if (which() != Command::SETTINGS_CHANGE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::LogEntry::Reader StoredRecord::Reader::getEntry() const {
-  KJ_IREQUIRE((which() == StoredRecord::ENTRY),
+inline  ::celeryspread::wire::SettingsChange::Reader Command::Reader::getSettingsChange() const {
+  KJ_IREQUIRE((which() == Command::SETTINGS_CHANGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::LogEntry::Builder StoredRecord::Builder::getEntry() {
-  KJ_IREQUIRE((which() == StoredRecord::ENTRY),
+inline  ::celeryspread::wire::SettingsChange::Builder Command::Builder::getSettingsChange() {
+  KJ_IREQUIRE((which() == Command::SETTINGS_CHANGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredRecord::Builder::setEntry( ::celeryspread::wire::LogEntry::Reader value) {
-  _builder.setDataField<StoredRecord::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::ENTRY);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::set(_builder.getPointerField(
+inline void Command::Builder::setSettingsChange( ::celeryspread::wire::SettingsChange::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTINGS_CHANGE);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::LogEntry::Builder StoredRecord::Builder::initEntry() {
-  _builder.setDataField<StoredRecord::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::ENTRY);
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::init(_builder.getPointerField(
+inline  ::celeryspread::wire::SettingsChange::Builder Command::Builder::initSettingsChange() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTINGS_CHANGE);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredRecord::Builder::adoptEntry(
-    ::capnp::Orphan< ::celeryspread::wire::LogEntry>&& value) {
-  _builder.setDataField<StoredRecord::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::ENTRY);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::adopt(_builder.getPointerField(
+inline void Command::Builder::adoptSettingsChange(
+    ::capnp::Orphan< ::celeryspread::wire::SettingsChange>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTINGS_CHANGE);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::LogEntry> StoredRecord::Builder::disownEntry() {
-  KJ_IREQUIRE((which() == StoredRecord::ENTRY),
+inline ::capnp::Orphan< ::celeryspread::wire::SettingsChange> Command::Builder::disownSettingsChange() {
+  KJ_IREQUIRE((which() == Command::SETTINGS_CHANGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::LogEntry>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StoredRecord::Reader::isHardState() const {
-  return which() == StoredRecord::HARD_STATE;
+inline bool Command::Reader::isClaim() const {
+  return which() == Command::CLAIM;
 }
-inline bool StoredRecord::Builder::isHardState() {
-  return which() == StoredRecord::HARD_STATE;
+inline bool Command::Builder::isClaim() {
+  return which() == Command::CLAIM;
 }
-inline typename StoredRecord::HardState::Reader StoredRecord::Reader::getHardState() const {
-  KJ_IREQUIRE((which() == StoredRecord::HARD_STATE),
-              "Must check which() before get()ing a union member.");
-  return typename StoredRecord::HardState::Reader(_reader);
+inline bool Command::Reader::hasClaim() const {
+  if (which() != Command::CLAIM) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline typename StoredRecord::HardState::Builder StoredRecord::Builder::getHardState() {
-  KJ_IREQUIRE((which() == StoredRecord::HARD_STATE),
+inline bool Command::Builder::hasClaim() {
+  if (which() != Command::CLAIM) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::ClaimRequest::Reader Command::Reader::getClaim() const {
+  KJ_IREQUIRE((which() == Command::CLAIM),
               "Must check which() before get()ing a union member.");
-  return typename StoredRecord::HardState::Builder(_builder);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline typename StoredRecord::HardState::Builder StoredRecord::Builder::initHardState() {
-  _builder.setDataField<StoredRecord::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::HARD_STATE);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  return typename StoredRecord::HardState::Builder(_builder);
+inline  ::celeryspread::wire::ClaimRequest::Builder Command::Builder::getClaim() {
+  KJ_IREQUIRE((which() == Command::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool StoredRecord::Reader::isIdentity() const {
-  return which() == StoredRecord::IDENTITY;
+inline void Command::Builder::setClaim( ::celeryspread::wire::ClaimRequest::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLAIM);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline bool StoredRecord::Builder::isIdentity() {
-  return which() == StoredRecord::IDENTITY;
+inline  ::celeryspread::wire::ClaimRequest::Builder Command::Builder::initClaim() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLAIM);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline typename StoredRecord::Identity::Reader StoredRecord::Reader::getIdentity() const {
-  KJ_IREQUIRE((which() == StoredRecord::IDENTITY),
-              "Must check which() before get()ing a union member.");
-  return typename StoredRecord::Identity::Reader(_reader);
+inline void Command::Builder::adoptClaim(
+    ::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLAIM);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline typename StoredRecord::Identity::Builder StoredRecord::Builder::getIdentity() {
-  KJ_IREQUIRE((which() == StoredRecord::IDENTITY),
+inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> Command::Builder::disownClaim() {
+  KJ_IREQUIRE((which() == Command::CLAIM),
               "Must check which() before get()ing a union member.");
-  return typename StoredRecord::Identity::Builder(_builder);
-}
-inline typename StoredRecord::Identity::Builder StoredRecord::Builder::initIdentity() {
-  _builder.setDataField<StoredRecord::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, StoredRecord::IDENTITY);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  return typename StoredRecord::Identity::Builder(_builder);
-}
-inline  ::uint64_t StoredRecord::HardState::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StoredRecord::HardState::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Command::Reader::isCloseClaim() const {
+  return which() == Command::CLOSE_CLAIM;
 }
-inline void StoredRecord::HardState::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool Command::Builder::isCloseClaim() {
+  return which() == Command::CLOSE_CLAIM;
 }
-
-inline bool StoredRecord::HardState::Reader::hasVotedFor() const {
+inline bool Command::Reader::hasCloseClaim() const {
+  if (which() != Command::CLOSE_CLAIM) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredRecord::HardState::Builder::hasVotedFor() {
+inline bool Command::Builder::hasCloseClaim() {
+  if (which() != Command::CLOSE_CLAIM) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredRecord::HardState::Reader::getVotedFor() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::celeryspread::wire::CloseClaim::Reader Command::Reader::getCloseClaim() const {
+  KJ_IREQUIRE((which() == Command::CLOSE_CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredRecord::HardState::Builder::getVotedFor() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::celeryspread::wire::CloseClaim::Builder Command::Builder::getCloseClaim() {
+  KJ_IREQUIRE((which() == Command::CLOSE_CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredRecord::HardState::Builder::setVotedFor( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Command::Builder::setCloseClaim( ::celeryspread::wire::CloseClaim::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLOSE_CLAIM);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredRecord::HardState::Builder::initVotedFor(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::celeryspread::wire::CloseClaim::Builder Command::Builder::initCloseClaim() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLOSE_CLAIM);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredRecord::HardState::Builder::adoptVotedFor(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Command::Builder::adoptCloseClaim(
+    ::capnp::Orphan< ::celeryspread::wire::CloseClaim>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLOSE_CLAIM);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredRecord::HardState::Builder::disownVotedFor() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::celeryspread::wire::CloseClaim> Command::Builder::disownCloseClaim() {
+  KJ_IREQUIRE((which() == Command::CLOSE_CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StoredRecord::Identity::Reader::hasReplica() const {
+inline bool Command::Reader::isSettleClaim() const {
+  return which() == Command::SETTLE_CLAIM;
+}
+inline bool Command::Builder::isSettleClaim() {
+  return which() == Command::SETTLE_CLAIM;
+}
+inline bool Command::Reader::hasSettleClaim() const {
+  if (which() != Command::SETTLE_CLAIM) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredRecord::Identity::Builder::hasReplica() {
+inline bool Command::Builder::hasSettleClaim() {
+  if (which() != Command::SETTLE_CLAIM) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredRecord::Identity::Reader::getReplica() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::celeryspread::wire::SettleClaim::Reader Command::Reader::getSettleClaim() const {
+  KJ_IREQUIRE((which() == Command::SETTLE_CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredRecord::Identity::Builder::getReplica() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::celeryspread::wire::SettleClaim::Builder Command::Builder::getSettleClaim() {
+  KJ_IREQUIRE((which() == Command::SETTLE_CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredRecord::Identity::Builder::setReplica( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Command::Builder::setSettleClaim( ::celeryspread::wire::SettleClaim::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTLE_CLAIM);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredRecord::Identity::Builder::initReplica(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void StoredRecord::Identity::Builder::adoptReplica(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StoredRecord::Identity::Builder::disownReplica() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline  ::celeryspread::wire::SettleClaim::Builder Command::Builder::initSettleClaim() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTLE_CLAIM);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t StoredAnswer::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t StoredAnswer::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Command::Builder::adoptSettleClaim(
+    ::capnp::Orphan< ::celeryspread::wire::SettleClaim>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTLE_CLAIM);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void StoredAnswer::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::celeryspread::wire::SettleClaim> Command::Builder::disownSettleClaim() {
+  KJ_IREQUIRE((which() == Command::SETTLE_CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StoredAnswer::Reader::hasContentType() const {
+inline bool Command::Reader::isRouteChange() const {
+  return which() == Command::ROUTE_CHANGE;
+}
+inline bool Command::Builder::isRouteChange() {
+  return which() == Command::ROUTE_CHANGE;
+}
+inline bool Command::Reader::hasRouteChange() const {
+  if (which() != Command::ROUTE_CHANGE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredAnswer::Builder::hasContentType() {
+inline bool Command::Builder::hasRouteChange() {
+  if (which() != Command::ROUTE_CHANGE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredAnswer::Reader::getContentType() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::celeryspread::wire::RouteChange::Reader Command::Reader::getRouteChange() const {
+  KJ_IREQUIRE((which() == Command::ROUTE_CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredAnswer::Builder::getContentType() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::celeryspread::wire::RouteChange::Builder Command::Builder::getRouteChange() {
+  KJ_IREQUIRE((which() == Command::ROUTE_CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredAnswer::Builder::setContentType( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Command::Builder::setRouteChange( ::celeryspread::wire::RouteChange::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::ROUTE_CHANGE);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredAnswer::Builder::initContentType(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::celeryspread::wire::RouteChange::Builder Command::Builder::initRouteChange() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::ROUTE_CHANGE);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredAnswer::Builder::adoptContentType(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Command::Builder::adoptRouteChange(
+    ::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::ROUTE_CHANGE);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredAnswer::Builder::disownContentType() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> Command::Builder::disownRouteChange() {
+  KJ_IREQUIRE((which() == Command::ROUTE_CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StoredAnswer::Reader::hasBody() const {
+inline  ::uint64_t RouteChange::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RouteChange::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RouteChange::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RouteChange::Reader::hasDocument() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredAnswer::Builder::hasBody() {
+inline bool RouteChange::Builder::hasDocument() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader StoredAnswer::Reader::getBody() const {
+inline  ::capnp::Data::Reader RouteChange::Reader::getDocument() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder StoredAnswer::Builder::getBody() {
+inline  ::capnp::Data::Builder RouteChange::Builder::getDocument() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredAnswer::Builder::setBody( ::capnp::Data::Reader value) {
+inline void RouteChange::Builder::setDocument( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder StoredAnswer::Builder::initBody(unsigned int size) {
+inline  ::capnp::Data::Builder RouteChange::Builder::initDocument(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StoredAnswer::Builder::adoptBody(
+inline void RouteChange::Builder::adoptDocument(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> StoredAnswer::Builder::disownBody() {
+inline ::capnp::Orphan< ::capnp::Data> RouteChange::Builder::disownDocument() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimRequest::Reader::hasService() const {
+inline bool SettingsChange::Reader::hasChangeId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasService() {
+inline bool SettingsChange::Builder::hasChangeId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getService() const {
+inline  ::capnp::Text::Reader SettingsChange::Reader::getChangeId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getService() {
+inline  ::capnp::Text::Builder SettingsChange::Builder::getChangeId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setService( ::capnp::Text::Reader value) {
+inline void SettingsChange::Builder::setChangeId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder SettingsChange::Builder::initChangeId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptService(
+inline void SettingsChange::Builder::adoptChangeId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> SettingsChange::Builder::disownChangeId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimRequest::Reader::hasKey() const {
+inline bool SettingsChange::Reader::hasOperator() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasKey() {
+inline bool SettingsChange::Builder::hasOperator() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getKey() const {
+inline  ::capnp::Text::Reader SettingsChange::Reader::getOperator() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getKey() {
+inline  ::capnp::Text::Builder SettingsChange::Builder::getOperator() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setKey( ::capnp::Text::Reader value) {
+inline void SettingsChange::Builder::setOperator( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initKey(unsigned int size) {
+inline  ::capnp::Text::Builder SettingsChange::Builder::initOperator(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptKey(
+inline void SettingsChange::Builder::adoptOperator(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Text> SettingsChange::Builder::disownOperator() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ClaimRequest::Reader::getBodyHash() const {
+inline  ::uint64_t SettingsChange::Reader::getExpectedRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ClaimRequest::Builder::getBodyHash() {
+inline  ::uint64_t SettingsChange::Builder::getExpectedRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimRequest::Builder::setBodyHash( ::uint64_t value) {
+inline void SettingsChange::Builder::setExpectedRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimRequest::Reader::hasAttemptId() const {
+inline bool SettingsChange::Reader::hasPatch() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasAttemptId() {
+inline bool SettingsChange::Builder::hasPatch() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getAttemptId() const {
+inline  ::capnp::Text::Reader SettingsChange::Reader::getPatch() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getAttemptId() {
+inline  ::capnp::Text::Builder SettingsChange::Builder::getPatch() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setAttemptId( ::capnp::Text::Reader value) {
+inline void SettingsChange::Builder::setPatch( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initAttemptId(unsigned int size) {
+inline  ::capnp::Text::Builder SettingsChange::Builder::initPatch(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptAttemptId(
+inline void SettingsChange::Builder::adoptPatch(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownAttemptId() {
+inline ::capnp::Orphan< ::capnp::Text> SettingsChange::Builder::disownPatch() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t ClaimRequest::Reader::getRetentionMicros() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool CloseClaim::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t ClaimRequest::Builder::getRetentionMicros() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool CloseClaim::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ClaimRequest::Builder::setRetentionMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::celeryspread::wire::ClaimRequest::Reader CloseClaim::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::celeryspread::wire::Command::Which Command::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::celeryspread::wire::ClaimRequest::Builder CloseClaim::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::Command::Which Command::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::ClaimRequest::Pipeline CloseClaim::Pipeline::getRequest() {
+  return  ::celeryspread::wire::ClaimRequest::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void CloseClaim::Builder::setRequest( ::celeryspread::wire::ClaimRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::ClaimRequest::Builder CloseClaim::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CloseClaim::Builder::adoptRequest(
+    ::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> CloseClaim::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Command::Reader::getNowMicros() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint8_t CloseClaim::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Command::Builder::getNowMicros() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint8_t CloseClaim::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Command::Builder::setNowMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void CloseClaim::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Command::Reader::isSettingsChange() const {
-  return which() == Command::SETTINGS_CHANGE;
+inline bool CloseClaim::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Command::Builder::isSettingsChange() {
-  return which() == Command::SETTINGS_CHANGE;
+inline bool CloseClaim::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Command::Reader::hasSettingsChange() const {
-  if (which() != Command::SETTINGS_CHANGE) return false;
+inline  ::celeryspread::wire::StoredAnswer::Reader CloseClaim::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::StoredAnswer::Builder CloseClaim::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::StoredAnswer::Pipeline CloseClaim::Pipeline::getAnswer() {
+  return  ::celeryspread::wire::StoredAnswer::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void CloseClaim::Builder::setAnswer( ::celeryspread::wire::StoredAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::StoredAnswer::Builder CloseClaim::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CloseClaim::Builder::adoptAnswer(
+    ::capnp::Orphan< ::celeryspread::wire::StoredAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::StoredAnswer> CloseClaim::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SettleClaim::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Command::Builder::hasSettingsChange() {
-  if (which() != Command::SETTINGS_CHANGE) return false;
+inline bool SettleClaim::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::SettingsChange::Reader Command::Reader::getSettingsChange() const {
-  KJ_IREQUIRE((which() == Command::SETTINGS_CHANGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader SettleClaim::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::SettingsChange::Builder Command::Builder::getSettingsChange() {
-  KJ_IREQUIRE((which() == Command::SETTINGS_CHANGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder SettleClaim::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Command::Builder::setSettingsChange( ::celeryspread::wire::SettingsChange::Reader value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTINGS_CHANGE);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::set(_builder.getPointerField(
+inline void SettleClaim::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::SettingsChange::Builder Command::Builder::initSettingsChange() {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTINGS_CHANGE);
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SettleClaim::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Command::Builder::adoptSettingsChange(
-    ::capnp::Orphan< ::celeryspread::wire::SettingsChange>&& value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTINGS_CHANGE);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::adopt(_builder.getPointerField(
+inline void SettleClaim::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::SettingsChange> Command::Builder::disownSettingsChange() {
-  KJ_IREQUIRE((which() == Command::SETTINGS_CHANGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettingsChange>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> SettleClaim::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Command::Reader::isClaim() const {
-  return which() == Command::CLAIM;
-}
-inline bool Command::Builder::isClaim() {
-  return which() == Command::CLAIM;
-}
-inline bool Command::Reader::hasClaim() const {
-  if (which() != Command::CLAIM) return false;
+inline bool SettleClaim::Reader::hasKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Command::Builder::hasClaim() {
-  if (which() != Command::CLAIM) return false;
+inline bool SettleClaim::Builder::hasKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::ClaimRequest::Reader Command::Reader::getClaim() const {
-  KJ_IREQUIRE((which() == Command::CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader SettleClaim::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::ClaimRequest::Builder Command::Builder::getClaim() {
-  KJ_IREQUIRE((which() == Command::CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SettleClaim::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Command::Builder::setClaim( ::celeryspread::wire::ClaimRequest::Reader value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLAIM);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SettleClaim::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::ClaimRequest::Builder Command::Builder::initClaim() {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLAIM);
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SettleClaim::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Command::Builder::adoptClaim(
-    ::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLAIM);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void SettleClaim::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> Command::Builder::disownClaim() {
-  KJ_IREQUIRE((which() == Command::CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SettleClaim::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Command::Reader::isCloseClaim() const {
-  return which() == Command::CLOSE_CLAIM;
-}
-inline bool Command::Builder::isCloseClaim() {
-  return which() == Command::CLOSE_CLAIM;
-}
-inline bool Command::Reader::hasCloseClaim() const {
-  if (which() != Command::CLOSE_CLAIM) return false;
+inline bool SettleClaim::Reader::hasOperator() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Command::Builder::hasCloseClaim() {
-  if (which() != Command::CLOSE_CLAIM) return false;
+inline bool SettleClaim::Builder::hasOperator() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::CloseClaim::Reader Command::Reader::getCloseClaim() const {
-  KJ_IREQUIRE((which() == Command::CLOSE_CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader SettleClaim::Reader::getOperator() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::CloseClaim::Builder Command::Builder::getCloseClaim() {
-  KJ_IREQUIRE((which() == Command::CLOSE_CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SettleClaim::Builder::getOperator() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Command::Builder::setCloseClaim( ::celeryspread::wire::CloseClaim::Reader value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLOSE_CLAIM);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SettleClaim::Builder::setOperator( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::CloseClaim::Builder Command::Builder::initCloseClaim() {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLOSE_CLAIM);
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SettleClaim::Builder::initOperator(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Command::Builder::adoptCloseClaim(
-    ::capnp::Orphan< ::celeryspread::wire::CloseClaim>&& value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::CLOSE_CLAIM);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void SettleClaim::Builder::adoptOperator(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::CloseClaim> Command::Builder::disownCloseClaim() {
-  KJ_IREQUIRE((which() == Command::CLOSE_CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CloseClaim>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SettleClaim::Builder::disownOperator() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Command::Reader::isSettleClaim() const {
-  return which() == Command::SETTLE_CLAIM;
-}
-inline bool Command::Builder::isSettleClaim() {
-  return which() == Command::SETTLE_CLAIM;
-}
-inline bool Command::Reader::hasSettleClaim() const {
-  if (which() != Command::SETTLE_CLAIM) return false;
+inline bool SettleClaim::Reader::hasReason() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Command::Builder::hasSettleClaim() {
-  if (which() != Command::SETTLE_CLAIM) return false;
+inline bool SettleClaim::Builder::hasReason() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::SettleClaim::Reader Command::Reader::getSettleClaim() const {
-  KJ_IREQUIRE((which() == Command::SETTLE_CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader SettleClaim::Reader::getReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::SettleClaim::Builder Command::Builder::getSettleClaim() {
-  KJ_IREQUIRE((which() == Command::SETTLE_CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SettleClaim::Builder::getReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Command::Builder::setSettleClaim( ::celeryspread::wire::SettleClaim::Reader value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTLE_CLAIM);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SettleClaim::Builder::setReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::SettleClaim::Builder Command::Builder::initSettleClaim() {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTLE_CLAIM);
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SettleClaim::Builder::initReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Command::Builder::adoptSettleClaim(
-    ::capnp::Orphan< ::celeryspread::wire::SettleClaim>&& value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::SETTLE_CLAIM);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void SettleClaim::Builder::adoptReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::SettleClaim> Command::Builder::disownSettleClaim() {
-  KJ_IREQUIRE((which() == Command::SETTLE_CLAIM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::SettleClaim>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SettleClaim::Builder::disownReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Command::Reader::isRouteChange() const {
-  return which() == Command::ROUTE_CHANGE;
+inline bool SettleClaim::Reader::getHasRun() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Command::Builder::isRouteChange() {
-  return which() == Command::ROUTE_CHANGE;
+
+inline bool SettleClaim::Builder::getHasRun() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SettleClaim::Builder::setHasRun(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline bool Command::Reader::hasRouteChange() const {
-  if (which() != Command::ROUTE_CHANGE) return false;
+
+inline bool StoredChange::Reader::hasChangeId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Command::Builder::hasRouteChange() {
-  if (which() != Command::ROUTE_CHANGE) return false;
+inline bool StoredChange::Builder::hasChangeId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::RouteChange::Reader Command::Reader::getRouteChange() const {
-  KJ_IREQUIRE((which() == Command::ROUTE_CHANGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StoredChange::Reader::getChangeId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::RouteChange::Builder Command::Builder::getRouteChange() {
-  KJ_IREQUIRE((which() == Command::ROUTE_CHANGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StoredChange::Builder::getChangeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Command::Builder::setRouteChange( ::celeryspread::wire::RouteChange::Reader value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::ROUTE_CHANGE);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::set(_builder.getPointerField(
+inline void StoredChange::Builder::setChangeId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::RouteChange::Builder Command::Builder::initRouteChange() {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::ROUTE_CHANGE);
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StoredChange::Builder::initChangeId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Command::Builder::adoptRouteChange(
-    ::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value) {
-  _builder.setDataField<Command::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::ROUTE_CHANGE);
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::adopt(_builder.getPointerField(
+inline void StoredChange::Builder::adoptChangeId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> Command::Builder::disownRouteChange() {
-  KJ_IREQUIRE((which() == Command::ROUTE_CHANGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StoredChange::Builder::disownChangeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RouteChange::Reader::getVersion() const {
+inline bool StoredChange::Reader::hasOperator() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredChange::Builder::hasOperator() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoredChange::Reader::getOperator() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoredChange::Builder::getOperator() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StoredChange::Builder::setOperator( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoredChange::Builder::initOperator(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StoredChange::Builder::adoptOperator(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoredChange::Builder::disownOperator() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StoredChange::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RouteChange::Builder::getVersion() {
+inline  ::uint64_t StoredChange::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RouteChange::Builder::setVersion( ::uint64_t value) {
+inline void StoredChange::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RouteChange::Reader::hasDocument() const {
+inline bool StoredChange::Reader::hasPatch() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouteChange::Builder::hasDocument() {
+inline bool StoredChange::Builder::hasPatch() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader RouteChange::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader StoredChange::Reader::getPatch() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder RouteChange::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StoredChange::Builder::getPatch() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RouteChange::Builder::setDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StoredChange::Builder::setPatch( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder RouteChange::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder StoredChange::Builder::initPatch(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RouteChange::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void StoredChange::Builder::adoptPatch(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> RouteChange::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> StoredChange::Builder::disownPatch() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool SettingsChange::Reader::hasChangeId() const {
+inline  ::int64_t StoredChange::Reader::getAtMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StoredChange::Builder::getAtMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StoredChange::Builder::setAtMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoredClaim::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettingsChange::Builder::hasChangeId() {
+inline bool StoredClaim::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettingsChange::Reader::getChangeId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::celeryspread::wire::ClaimRequest::Reader StoredClaim::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettingsChange::Builder::getChangeId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::celeryspread::wire::ClaimRequest::Builder StoredClaim::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettingsChange::Builder::setChangeId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::ClaimRequest::Pipeline StoredClaim::Pipeline::getRequest() {
+  return  ::celeryspread::wire::ClaimRequest::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StoredClaim::Builder::setRequest( ::celeryspread::wire::ClaimRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettingsChange::Builder::initChangeId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::celeryspread::wire::ClaimRequest::Builder StoredClaim::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettingsChange::Builder::adoptChangeId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StoredClaim::Builder::adoptRequest(
+    ::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettingsChange::Builder::disownChangeId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> StoredClaim::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SettingsChange::Reader::hasOperator() const {
+inline  ::uint8_t StoredClaim::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t StoredClaim::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoredClaim::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoredClaim::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettingsChange::Builder::hasOperator() {
+inline bool StoredClaim::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettingsChange::Reader::getOperator() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::celeryspread::wire::StoredAnswer::Reader StoredClaim::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettingsChange::Builder::getOperator() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::celeryspread::wire::StoredAnswer::Builder StoredClaim::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SettingsChange::Builder::setOperator( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::StoredAnswer::Pipeline StoredClaim::Pipeline::getAnswer() {
+  return  ::celeryspread::wire::StoredAnswer::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void StoredClaim::Builder::setAnswer( ::celeryspread::wire::StoredAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettingsChange::Builder::initOperator(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::celeryspread::wire::StoredAnswer::Builder StoredClaim::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SettingsChange::Builder::adoptOperator(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StoredClaim::Builder::adoptAnswer(
+    ::capnp::Orphan< ::celeryspread::wire::StoredAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettingsChange::Builder::disownOperator() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::celeryspread::wire::StoredAnswer> StoredClaim::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SettingsChange::Reader::getExpectedRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t StoredClaim::Reader::getExpiresAtMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SettingsChange::Builder::getExpectedRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t StoredClaim::Builder::getExpiresAtMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SettingsChange::Builder::setExpectedRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void StoredClaim::Builder::setExpiresAtMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SettingsChange::Reader::hasPatch() const {
+inline bool StoredClaim::Reader::hasSettledBy() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettingsChange::Builder::hasPatch() {
+inline bool StoredClaim::Builder::hasSettledBy() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettingsChange::Reader::getPatch() const {
+inline  ::capnp::Text::Reader StoredClaim::Reader::getSettledBy() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettingsChange::Builder::getPatch() {
+inline  ::capnp::Text::Builder StoredClaim::Builder::getSettledBy() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SettingsChange::Builder::setPatch( ::capnp::Text::Reader value) {
+inline void StoredClaim::Builder::setSettledBy( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettingsChange::Builder::initPatch(unsigned int size) {
+inline  ::capnp::Text::Builder StoredClaim::Builder::initSettledBy(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void SettingsChange::Builder::adoptPatch(
+inline void StoredClaim::Builder::adoptSettledBy(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettingsChange::Builder::disownPatch() {
+inline ::capnp::Orphan< ::capnp::Text> StoredClaim::Builder::disownSettledBy() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool CloseClaim::Reader::hasRequest() const {
+inline bool StoredClaim::Reader::hasSettledReason() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool CloseClaim::Builder::hasRequest() {
+inline bool StoredClaim::Builder::hasSettledReason() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celeryspread::wire::ClaimRequest::Reader CloseClaim::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::ClaimRequest::Builder CloseClaim::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader StoredClaim::Reader::getSettledReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::ClaimRequest::Pipeline CloseClaim::Pipeline::getRequest() {
-  return  ::celeryspread::wire::ClaimRequest::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Text::Builder StoredClaim::Builder::getSettledReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void CloseClaim::Builder::setRequest( ::celeryspread::wire::ClaimRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StoredClaim::Builder::setSettledReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::ClaimRequest::Builder CloseClaim::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StoredClaim::Builder::initSettledReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void CloseClaim::Builder::adoptRequest(
-    ::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void StoredClaim::Builder::adoptSettledReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> CloseClaim::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> StoredClaim::Builder::disownSettledReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t CloseClaim::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::uint64_t StateImage::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t CloseClaim::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::uint64_t StateImage::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CloseClaim::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void StateImage::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CloseClaim::Reader::hasAnswer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool CloseClaim::Builder::hasAnswer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celeryspread::wire::StoredAnswer::Reader CloseClaim::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::celeryspread::wire::StoredAnswer::Builder CloseClaim::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::StoredAnswer::Pipeline CloseClaim::Pipeline::getAnswer() {
-  return  ::celeryspread::wire::StoredAnswer::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void CloseClaim::Builder::setAnswer( ::celeryspread::wire::StoredAnswer::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::celeryspread::wire::StoredAnswer::Builder CloseClaim::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void CloseClaim::Builder::adoptAnswer(
-    ::capnp::Orphan< ::celeryspread::wire::StoredAnswer>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::celeryspread::wire::StoredAnswer> CloseClaim::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool SettleClaim::Reader::hasService() const {
+inline bool StateImage::Reader::hasTree() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleClaim::Builder::hasService() {
+inline bool StateImage::Builder::hasTree() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettleClaim::Reader::getService() const {
+inline  ::capnp::Text::Reader StateImage::Reader::getTree() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettleClaim::Builder::getService() {
+inline  ::capnp::Text::Builder StateImage::Builder::getTree() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettleClaim::Builder::setService( ::capnp::Text::Reader value) {
+inline void StateImage::Builder::setTree( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettleClaim::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder StateImage::Builder::initTree(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SettleClaim::Builder::adoptService(
+inline void StateImage::Builder::adoptTree(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettleClaim::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> StateImage::Builder::disownTree() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SettleClaim::Reader::hasKey() const {
+inline bool StateImage::Reader::hasChanges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleClaim::Builder::hasKey() {
+inline bool StateImage::Builder::hasChanges() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettleClaim::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Reader StateImage::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettleClaim::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SettleClaim::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void StateImage::Builder::setChanges( ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettleClaim::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SettleClaim::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StateImage::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettleClaim::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>> StateImage::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SettleClaim::Reader::hasOperator() const {
+inline bool StateImage::Reader::hasClaims() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleClaim::Builder::hasOperator() {
+inline bool StateImage::Builder::hasClaims() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettleClaim::Reader::getOperator() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>::Reader StateImage::Reader::getClaims() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettleClaim::Builder::getOperator() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::getClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SettleClaim::Builder::setOperator( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void StateImage::Builder::setClaims( ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettleClaim::Builder::initOperator(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::initClaims(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void SettleClaim::Builder::adoptOperator(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StateImage::Builder::adoptClaims(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettleClaim::Builder::disownOperator() {
