-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>> StateImage::Builder::disownClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool SettleClaim::Reader::hasReason() const {
+inline  ::int64_t StateImage::Reader::getExpiredUpToMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StateImage::Builder::getExpiredUpToMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StateImage::Builder::setExpiredUpToMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StateImage::Reader::hasRoutes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleClaim::Builder::hasReason() {
+inline bool StateImage::Builder::hasRoutes() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettleClaim::Reader::getReason() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::celeryspread::wire::RouteChange::Reader StateImage::Reader::getRoutes() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettleClaim::Builder::getReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::celeryspread::wire::RouteChange::Builder StateImage::Builder::getRoutes() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void SettleClaim::Builder::setReason( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::RouteChange::Pipeline StateImage::Pipeline::getRoutes() {
+  return  ::celeryspread::wire::RouteChange::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void StateImage::Builder::setRoutes( ::celeryspread::wire::RouteChange::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettleClaim::Builder::initReason(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::celeryspread::wire::RouteChange::Builder StateImage::Builder::initRoutes() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void SettleClaim::Builder::adoptReason(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StateImage::Builder::adoptRoutes(
+    ::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettleClaim::Builder::disownReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> StateImage::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool SettleClaim::Reader::getHasRun() const {
+inline  ::uint64_t FetchRequest::Reader::getAfterRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FetchRequest::Builder::getAfterRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FetchRequest::Builder::setAfterRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FetchRequest::Reader::getMustBeLatest() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool SettleClaim::Builder::getHasRun() {
+inline bool FetchRequest::Builder::getMustBeLatest() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void SettleClaim::Builder::setHasRun(bool value) {
+inline void FetchRequest::Builder::setMustBeLatest(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StoredChange::Reader::hasChangeId() const {
+inline bool FetchRequest::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredChange::Builder::hasChangeId() {
+inline bool FetchRequest::Builder::hasInstance() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredChange::Reader::getChangeId() const {
+inline  ::capnp::Text::Reader FetchRequest::Reader::getInstance() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredChange::Builder::getChangeId() {
+inline  ::capnp::Text::Builder FetchRequest::Builder::getInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredChange::Builder::setChangeId( ::capnp::Text::Reader value) {
+inline void FetchRequest::Builder::setInstance( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredChange::Builder::initChangeId(unsigned int size) {
+inline  ::capnp::Text::Builder FetchRequest::Builder::initInstance(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StoredChange::Builder::adoptChangeId(
+inline void FetchRequest::Builder::adoptInstance(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredChange::Builder::disownChangeId() {
+inline ::capnp::Orphan< ::capnp::Text> FetchRequest::Builder::disownInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StoredChange::Reader::hasOperator() const {
+inline bool FetchRequest::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredChange::Builder::hasOperator() {
+inline bool FetchRequest::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredChange::Reader::getOperator() const {
+inline  ::capnp::Text::Reader FetchRequest::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredChange::Builder::getOperator() {
+inline  ::capnp::Text::Builder FetchRequest::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StoredChange::Builder::setOperator( ::capnp::Text::Reader value) {
+inline void FetchRequest::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredChange::Builder::initOperator(unsigned int size) {
+inline  ::capnp::Text::Builder FetchRequest::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StoredChange::Builder::adoptOperator(
+inline void FetchRequest::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredChange::Builder::disownOperator() {
+inline ::capnp::Orphan< ::capnp::Text> FetchRequest::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StoredChange::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool FetchReply::Reader::getIsCurrent() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StoredChange::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool FetchReply::Builder::getIsCurrent() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StoredChange::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void FetchReply::Builder::setIsCurrent(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StoredChange::Reader::hasPatch() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool StoredChange::Builder::hasPatch() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StoredChange::Reader::getPatch() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StoredChange::Builder::getPatch() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void StoredChange::Builder::setPatch( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StoredChange::Builder::initPatch(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void StoredChange::Builder::adoptPatch(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StoredChange::Builder::disownPatch() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t StoredChange::Reader::getAtMicros() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t FetchReply::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t StoredChange::Builder::getAtMicros() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t FetchReply::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StoredChange::Builder::setAtMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void FetchReply::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StoredClaim::Reader::hasRequest() const {
+inline bool FetchReply::Reader::hasChanges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredClaim::Builder::hasRequest() {
+inline bool FetchReply::Builder::hasChanges() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::ClaimRequest::Reader StoredClaim::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_reader.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Reader FetchReply::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::ClaimRequest::Builder StoredClaim::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::get(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Builder FetchReply::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::ClaimRequest::Pipeline StoredClaim::Pipeline::getRequest() {
-  return  ::celeryspread::wire::ClaimRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void StoredClaim::Builder::setRequest( ::celeryspread::wire::ClaimRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::set(_builder.getPointerField(
+inline void FetchReply::Builder::setChanges( ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::ClaimRequest::Builder StoredClaim::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Builder FetchReply::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StoredClaim::Builder::adoptRequest(
-    ::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::adopt(_builder.getPointerField(
+inline void FetchReply::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> StoredClaim::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::ClaimRequest>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>> FetchReply::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t StoredClaim::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t StoredClaim::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StoredClaim::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StoredClaim::Reader::hasAnswer() const {
+inline bool FetchReply::Reader::hasTree() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredClaim::Builder::hasAnswer() {
+inline bool FetchReply::Builder::hasTree() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::StoredAnswer::Reader StoredClaim::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::celeryspread::wire::StoredAnswer::Builder StoredClaim::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::StoredAnswer::Pipeline StoredClaim::Pipeline::getAnswer() {
-  return  ::celeryspread::wire::StoredAnswer::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void StoredClaim::Builder::setAnswer( ::celeryspread::wire::StoredAnswer::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::celeryspread::wire::StoredAnswer::Builder StoredClaim::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StoredClaim::Builder::adoptAnswer(
-    ::capnp::Orphan< ::celeryspread::wire::StoredAnswer>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::celeryspread::wire::StoredAnswer> StoredClaim::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t StoredClaim::Reader::getExpiresAtMicros() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t StoredClaim::Builder::getExpiresAtMicros() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void StoredClaim::Builder::setExpiresAtMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StoredClaim::Reader::hasSettledBy() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool StoredClaim::Builder::hasSettledBy() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StoredClaim::Reader::getSettledBy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StoredClaim::Builder::getSettledBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void StoredClaim::Builder::setSettledBy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StoredClaim::Builder::initSettledBy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void StoredClaim::Builder::adoptSettledBy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StoredClaim::Builder::disownSettledBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool StoredClaim::Reader::hasSettledReason() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool StoredClaim::Builder::hasSettledReason() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StoredClaim::Reader::getSettledReason() const {
+inline  ::capnp::Text::Reader FetchReply::Reader::getTree() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredClaim::Builder::getSettledReason() {
+inline  ::capnp::Text::Builder FetchReply::Builder::getTree() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StoredClaim::Builder::setSettledReason( ::capnp::Text::Reader value) {
+inline void FetchReply::Builder::setTree( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredClaim::Builder::initSettledReason(unsigned int size) {
+inline  ::capnp::Text::Builder FetchReply::Builder::initTree(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StoredClaim::Builder::adoptSettledReason(
+inline void FetchReply::Builder::adoptTree(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredClaim::Builder::disownSettledReason() {
+inline ::capnp::Orphan< ::capnp::Text> FetchReply::Builder::disownTree() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t StateImage::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t StateImage::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StateImage::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StateImage::Reader::hasTree() const {
+inline bool AdminRequest::Reader::hasMethod() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StateImage::Builder::hasTree() {
+inline bool AdminRequest::Builder::hasMethod() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StateImage::Reader::getTree() const {
+inline  ::capnp::Text::Reader AdminRequest::Reader::getMethod() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StateImage::Builder::getTree() {
+inline  ::capnp::Text::Builder AdminRequest::Builder::getMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StateImage::Builder::setTree( ::capnp::Text::Reader value) {
+inline void AdminRequest::Builder::setMethod( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StateImage::Builder::initTree(unsigned int size) {
+inline  ::capnp::Text::Builder AdminRequest::Builder::initMethod(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StateImage::Builder::adoptTree(
+inline void AdminRequest::Builder::adoptMethod(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StateImage::Builder::disownTree() {
+inline ::capnp::Orphan< ::capnp::Text> AdminRequest::Builder::disownMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StateImage::Reader::hasChanges() const {
+inline bool AdminRequest::Reader::hasPath() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StateImage::Builder::hasChanges() {
+inline bool AdminRequest::Builder::hasPath() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Reader StateImage::Reader::getChanges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader AdminRequest::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::getChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder AdminRequest::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StateImage::Builder::setChanges( ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void AdminRequest::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::initChanges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder AdminRequest::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StateImage::Builder::adoptChanges(
-    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void AdminRequest::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>> StateImage::Builder::disownChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> AdminRequest::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StateImage::Reader::hasClaims() const {
+inline bool AdminRequest::Reader::hasQuery() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool StateImage::Builder::hasClaims() {
+inline bool AdminRequest::Builder::hasQuery() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>::Reader StateImage::Reader::getClaims() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader AdminRequest::Reader::getQuery() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::getClaims() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder AdminRequest::Builder::getQuery() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void StateImage::Builder::setClaims( ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void AdminRequest::Builder::setQuery( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::initClaims(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder AdminRequest::Builder::initQuery(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void StateImage::Builder::adoptClaims(
-    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void AdminRequest::Builder::adoptQuery(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>> StateImage::Builder::disownClaims() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredClaim,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> AdminRequest::Builder::disownQuery() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t StateImage::Reader::getExpiredUpToMicros() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t StateImage::Builder::getExpiredUpToMicros() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void StateImage::Builder::setExpiredUpToMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StateImage::Reader::hasRoutes() const {
+inline bool AdminRequest::Reader::hasAuthorization() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool StateImage::Builder::hasRoutes() {
+inline bool AdminRequest::Builder::hasAuthorization() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::RouteChange::Reader StateImage::Reader::getRoutes() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader AdminRequest::Reader::getAuthorization() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::celeryspread::wire::RouteChange::Builder StateImage::Builder::getRoutes() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder AdminRequest::Builder::getAuthorization() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::RouteChange::Pipeline StateImage::Pipeline::getRoutes() {
-  return  ::celeryspread::wire::RouteChange::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void StateImage::Builder::setRoutes( ::celeryspread::wire::RouteChange::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::set(_builder.getPointerField(
+inline void AdminRequest::Builder::setAuthorization( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::RouteChange::Builder StateImage::Builder::initRoutes() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AdminRequest::Builder::initAuthorization(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void StateImage::Builder::adoptRoutes(
-    ::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::adopt(_builder.getPointerField(
+inline void AdminRequest::Builder::adoptAuthorization(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> StateImage::Builder::disownRoutes() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> AdminRequest::Builder::disownAuthorization() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t FetchRequest::Reader::getAfterRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool AdminRequest::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdminRequest::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AdminRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AdminRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void AdminRequest::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AdminRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void AdminRequest::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AdminRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool AdminRequest::Reader::getIsForwarded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool AdminRequest::Builder::getIsForwarded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AdminRequest::Builder::setIsForwarded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t AdminReply::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t AdminReply::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AdminReply::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AdminReply::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdminReply::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AdminReply::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AdminReply::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AdminReply::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AdminReply::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AdminReply::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AdminReply::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t ClaimReply::Reader::getVerdict() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FetchRequest::Builder::getAfterRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t ClaimReply::Builder::getVerdict() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FetchRequest::Builder::setAfterRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ClaimReply::Builder::setVerdict( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FetchRequest::Reader::getMustBeLatest() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool ClaimReply::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool FetchRequest::Builder::getMustBeLatest() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool ClaimReply::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void FetchRequest::Builder::setMustBeLatest(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline  ::celeryspread::wire::StoredAnswer::Reader ClaimReply::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::StoredAnswer::Builder ClaimReply::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::StoredAnswer::Pipeline ClaimReply::Pipeline::getAnswer() {
+  return  ::celeryspread::wire::StoredAnswer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ClaimReply::Builder::setAnswer( ::celeryspread::wire::StoredAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::StoredAnswer::Builder ClaimReply::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimReply::Builder::adoptAnswer(
+    ::capnp::Orphan< ::celeryspread::wire::StoredAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::StoredAnswer> ClaimReply::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FetchRequest::Reader::hasInstance() const {
+inline bool KnownInstance::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FetchRequest::Builder::hasInstance() {
+inline bool KnownInstance::Builder::hasInstance() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FetchRequest::Reader::getInstance() const {
+inline  ::capnp::Text::Reader KnownInstance::Reader::getInstance() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FetchRequest::Builder::getInstance() {
+inline  ::capnp::Text::Builder KnownInstance::Builder::getInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FetchRequest::Builder::setInstance( ::capnp::Text::Reader value) {
+inline void KnownInstance::Builder::setInstance( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FetchRequest::Builder::initInstance(unsigned int size) {
+inline  ::capnp::Text::Builder KnownInstance::Builder::initInstance(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FetchRequest::Builder::adoptInstance(
+inline void KnownInstance::Builder::adoptInstance(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FetchRequest::Builder::disownInstance() {
+inline ::capnp::Orphan< ::capnp::Text> KnownInstance::Builder::disownInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FetchRequest::Reader::hasFailureDomain() const {
+inline bool KnownInstance::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FetchRequest::Builder::hasFailureDomain() {
+inline bool KnownInstance::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FetchRequest::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader KnownInstance::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FetchRequest::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder KnownInstance::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FetchRequest::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void KnownInstance::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FetchRequest::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder KnownInstance::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FetchRequest::Builder::adoptFailureDomain(
+inline void KnownInstance::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FetchRequest::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> KnownInstance::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FetchReply::Reader::getIsCurrent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool FetchReply::Builder::getIsCurrent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void FetchReply::Builder::setIsCurrent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FetchReply::Reader::getRevision() const {
+inline  ::uint64_t KnownInstance::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FetchReply::Builder::getRevision() {
+inline  ::uint64_t KnownInstance::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FetchReply::Builder::setRevision( ::uint64_t value) {
+inline void KnownInstance::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FetchReply::Reader::hasChanges() const {
+inline bool EngineModel::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FetchReply::Builder::hasChanges() {
+inline bool EngineModel::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Reader FetchReply::Reader::getChanges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader EngineModel::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Builder FetchReply::Builder::getChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder EngineModel::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FetchReply::Builder::setChanges( ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EngineModel::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>::Builder FetchReply::Builder::initChanges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder EngineModel::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FetchReply::Builder::adoptChanges(
-    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EngineModel::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>> FetchReply::Builder::disownChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StoredChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> EngineModel::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FetchReply::Reader::hasTree() const {
+inline  ::uint64_t EngineModel::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EngineModel::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineModel::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EngineModel::Reader::hasAdapters() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FetchReply::Builder::hasTree() {
+inline bool EngineModel::Builder::hasAdapters() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FetchReply::Reader::getTree() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader EngineModel::Reader::getAdapters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FetchReply::Builder::getTree() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EngineModel::Builder::getAdapters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FetchReply::Builder::setTree( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void EngineModel::Builder::setAdapters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FetchReply::Builder::initTree(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void EngineModel::Builder::setAdapters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EngineModel::Builder::initAdapters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FetchReply::Builder::adoptTree(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void EngineModel::Builder::adoptAdapters(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FetchReply::Builder::disownTree() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> EngineModel::Builder::disownAdapters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AdminRequest::Reader::hasMethod() const {
+inline bool EngineEntry::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AdminRequest::Builder::hasMethod() {
+inline bool EngineEntry::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AdminRequest::Reader::getMethod() const {
+inline  ::capnp::Text::Reader EngineEntry::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AdminRequest::Builder::getMethod() {
+inline  ::capnp::Text::Builder EngineEntry::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AdminRequest::Builder::setMethod( ::capnp::Text::Reader value) {
+inline void EngineEntry::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AdminRequest::Builder::initMethod(unsigned int size) {
+inline  ::capnp::Text::Builder EngineEntry::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AdminRequest::Builder::adoptMethod(
+inline void EngineEntry::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AdminRequest::Builder::disownMethod() {
+inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AdminRequest::Reader::hasPath() const {
+inline bool EngineEntry::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AdminRequest::Builder::hasPath() {
+inline bool EngineEntry::Builder::hasPool() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AdminRequest::Reader::getPath() const {
+inline  ::capnp::Text::Reader EngineEntry::Reader::getPool() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AdminRequest::Builder::getPath() {
+inline  ::capnp::Text::Builder EngineEntry::Builder::getPool() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AdminRequest::Builder::setPath( ::capnp::Text::Reader value) {
+inline void EngineEntry::Builder::setPool( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AdminRequest::Builder::initPath(unsigned int size) {
+inline  ::capnp::Text::Builder EngineEntry::Builder::initPool(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AdminRequest::Builder::adoptPath(
+inline void EngineEntry::Builder::adoptPool(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AdminRequest::Builder::disownPath() {
+inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownPool() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AdminRequest::Reader::hasQuery() const {
+inline bool EngineEntry::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AdminRequest::Builder::hasQuery() {
+inline bool EngineEntry::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AdminRequest::Reader::getQuery() const {
+inline  ::capnp::Text::Reader EngineEntry::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AdminRequest::Builder::getQuery() {
+inline  ::capnp::Text::Builder EngineEntry::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AdminRequest::Builder::setQuery( ::capnp::Text::Reader value) {
+inline void EngineEntry::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AdminRequest::Builder::initQuery(unsigned int size) {
+inline  ::capnp::Text::Builder EngineEntry::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AdminRequest::Builder::adoptQuery(
+inline void EngineEntry::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AdminRequest::Builder::disownQuery() {
+inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool AdminRequest::Reader::hasAuthorization() const {
+inline  ::uint16_t EngineEntry::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t EngineEntry::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineEntry::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EngineEntry::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool AdminRequest::Builder::hasAuthorization() {
+inline bool EngineEntry::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AdminRequest::Reader::getAuthorization() const {
+inline  ::capnp::Text::Reader EngineEntry::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AdminRequest::Builder::getAuthorization() {
+inline  ::capnp::Text::Builder EngineEntry::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void AdminRequest::Builder::setAuthorization( ::capnp::Text::Reader value) {
+inline void EngineEntry::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AdminRequest::Builder::initAuthorization(unsigned int size) {
+inline  ::capnp::Text::Builder EngineEntry::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void AdminRequest::Builder::adoptAuthorization(
+inline void EngineEntry::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AdminRequest::Builder::disownAuthorization() {
+inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool AdminRequest::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool AdminRequest::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader AdminRequest::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder AdminRequest::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void AdminRequest::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder AdminRequest::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::uint32_t EngineEntry::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AdminRequest::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t EngineEntry::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> AdminRequest::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void EngineEntry::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AdminRequest::Reader::getIsForwarded() const {
+inline bool EngineEntry::Reader::getIsLeaving() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool AdminRequest::Builder::getIsForwarded() {
+inline bool EngineEntry::Builder::getIsLeaving() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void AdminRequest::Builder::setIsForwarded(bool value) {
+inline void EngineEntry::Builder::setIsLeaving(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t AdminReply::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t AdminReply::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AdminReply::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AdminReply::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AdminReply::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader AdminReply::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder AdminReply::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AdminReply::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder AdminReply::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void AdminReply::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> AdminReply::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t ClaimReply::Reader::getVerdict() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool EngineEntry::Reader::getIsGone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ClaimReply::Builder::getVerdict() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool EngineEntry::Builder::getIsGone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
-inline void ClaimReply::Builder::setVerdict( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void EngineEntry::Builder::setIsGone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimReply::Reader::hasAnswer() const {
+inline bool EngineEntry::Reader::hasModels() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimReply::Builder::hasAnswer() {
+inline bool EngineEntry::Builder::hasModels() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celeryspread::wire::StoredAnswer::Reader ClaimReply::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celeryspread::wire::StoredAnswer::Builder ClaimReply::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Reader EngineEntry::Reader::getModels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::celeryspread::wire::StoredAnswer::Pipeline ClaimReply::Pipeline::getAnswer() {
-  return  ::celeryspread::wire::StoredAnswer::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Builder EngineEntry::Builder::getModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void ClaimReply::Builder::setAnswer( ::celeryspread::wire::StoredAnswer::Reader value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void EngineEntry::Builder::setModels( ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::StoredAnswer::Builder ClaimReply::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Builder EngineEntry::Builder::initModels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ClaimReply::Builder::adoptAnswer(
-    ::capnp::Orphan< ::celeryspread::wire::StoredAnswer>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void EngineEntry::Builder::adoptModels(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celeryspread::wire::StoredAnswer> ClaimReply::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StoredAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>> EngineEntry::Builder::disownModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool KnownInstance::Reader::hasInstance() const {
+inline bool DemandEntry::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KnownInstance::Builder::hasInstance() {
+inline bool DemandEntry::Builder::hasPool() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader KnownInstance::Reader::getInstance() const {
+inline  ::capnp::Text::Reader DemandEntry::Reader::getPool() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder KnownInstance::Builder::getInstance() {
+inline  ::capnp::Text::Builder DemandEntry::Builder::getPool() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void KnownInstance::Builder::setInstance( ::capnp::Text::Reader value) {
+inline void DemandEntry::Builder::setPool( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder KnownInstance::Builder::initInstance(unsigned int size) {
+inline  ::capnp::Text::Builder DemandEntry::Builder::initPool(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void KnownInstance::Builder::adoptInstance(
+inline void DemandEntry::Builder::adoptPool(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> KnownInstance::Builder::disownInstance() {
+inline ::capnp::Orphan< ::capnp::Text> DemandEntry::Builder::disownPool() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool KnownInstance::Reader::hasFailureDomain() const {
+inline bool DemandEntry::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool KnownInstance::Builder::hasFailureDomain() {
+inline bool DemandEntry::Builder::hasModel() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader KnownInstance::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader DemandEntry::Reader::getModel() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder KnownInstance::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder DemandEntry::Builder::getModel() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void KnownInstance::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void DemandEntry::Builder::setModel( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder KnownInstance::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder DemandEntry::Builder::initModel(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void KnownInstance::Builder::adoptFailureDomain(
+inline void DemandEntry::Builder::adoptModel(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> KnownInstance::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> DemandEntry::Builder::disownModel() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t KnownInstance::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KnownInstance::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KnownInstance::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EngineModel::Reader::hasName() const {
+inline bool DemandEntry::Reader::hasAdapter() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool EngineModel::Builder::hasName() {
+inline bool DemandEntry::Builder::hasAdapter() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EngineModel::Reader::getName() const {
+inline  ::capnp::Text::Reader DemandEntry::Reader::getAdapter() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EngineModel::Builder::getName() {
+inline  ::capnp::Text::Builder DemandEntry::Builder::getAdapter() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void EngineModel::Builder::setName( ::capnp::Text::Reader value) {
+inline void DemandEntry::Builder::setAdapter( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EngineModel::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder DemandEntry::Builder::initAdapter(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void EngineModel::Builder::adoptName(
+inline void DemandEntry::Builder::adoptAdapter(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EngineModel::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> DemandEntry::Builder::disownAdapter() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t EngineModel::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t DemandEntry::Reader::getCalls() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EngineModel::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t DemandEntry::Builder::getCalls() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EngineModel::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void DemandEntry::Builder::setCalls( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EngineModel::Reader::hasAdapters() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool EngineModel::Builder::hasAdapters() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader EngineModel::Reader::getAdapters() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EngineModel::Builder::getAdapters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::uint64_t DemandEntry::Reader::getWorkMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EngineModel::Builder::setAdapters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t DemandEntry::Builder::getWorkMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EngineModel::Builder::setAdapters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void DemandEntry::Builder::setWorkMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EngineModel::Builder::initAdapters(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t DemandEntry::Reader::getPrefillMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EngineModel::Builder::adoptAdapters(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t DemandEntry::Builder::getPrefillMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> EngineModel::Builder::disownAdapters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void DemandEntry::Builder::setPrefillMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EngineEntry::Reader::hasId() const {
+inline bool FollowRequest::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EngineEntry::Builder::hasId() {
+inline bool FollowRequest::Builder::hasInstance() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EngineEntry::Reader::getId() const {
+inline  ::capnp::Text::Reader FollowRequest::Reader::getInstance() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EngineEntry::Builder::getId() {
+inline  ::capnp::Text::Builder FollowRequest::Builder::getInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EngineEntry::Builder::setId( ::capnp::Text::Reader value) {
+inline void FollowRequest::Builder::setInstance( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EngineEntry::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder FollowRequest::Builder::initInstance(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EngineEntry::Builder::adoptId(
+inline void FollowRequest::Builder::adoptInstance(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> FollowRequest::Builder::disownInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EngineEntry::Reader::hasPool() const {
+inline bool FollowRequest::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EngineEntry::Builder::hasPool() {
+inline bool FollowRequest::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EngineEntry::Reader::getPool() const {
+inline  ::capnp::Text::Reader FollowRequest::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EngineEntry::Builder::getPool() {
+inline  ::capnp::Text::Builder FollowRequest::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EngineEntry::Builder::setPool( ::capnp::Text::Reader value) {
+inline void FollowRequest::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EngineEntry::Builder::initPool(unsigned int size) {
+inline  ::capnp::Text::Builder FollowRequest::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EngineEntry::Builder::adoptPool(
+inline void FollowRequest::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownPool() {
+inline ::capnp::Orphan< ::capnp::Text> FollowRequest::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool EngineEntry::Reader::hasAddress() const {
+inline  ::uint64_t FollowRequest::Reader::getRouteVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getRouteVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setRouteVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowRequest::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowRequest::Reader::getDirectoryVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getDirectoryVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setDirectoryVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowRequest::Reader::hasDemand() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool EngineEntry::Builder::hasAddress() {
+inline bool FollowRequest::Builder::hasDemand() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EngineEntry::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Reader FollowRequest::Reader::getDemand() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EngineEntry::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::getDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void EngineEntry::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FollowRequest::Builder::setDemand( ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EngineEntry::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::initDemand(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void EngineEntry::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FollowRequest::Builder::adoptDemand(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>> FollowRequest::Builder::disownDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t EngineEntry::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t EngineEntry::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void EngineEntry::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EngineEntry::Reader::hasFailureDomain() const {
+inline bool FollowRequest::Reader::hasFailingEngines() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool EngineEntry::Builder::hasFailureDomain() {
+inline bool FollowRequest::Builder::hasFailingEngines() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EngineEntry::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FollowRequest::Reader::getFailingEngines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EngineEntry::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowRequest::Builder::getFailingEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void EngineEntry::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FollowRequest::Builder::setFailingEngines( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EngineEntry::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void FollowRequest::Builder::setFailingEngines(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowRequest::Builder::initFailingEngines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void EngineEntry::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FollowRequest::Builder::adoptFailingEngines(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FollowRequest::Builder::disownFailingEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EngineEntry::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t EngineEntry::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void EngineEntry::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EngineEntry::Reader::getIsLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-
-inline bool EngineEntry::Builder::getIsLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void EngineEntry::Builder::setIsLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EngineEntry::Reader::getIsGone() const {
+inline bool FollowRequest::Reader::getIsRelay() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
-inline bool EngineEntry::Builder::getIsGone() {
+inline bool FollowRequest::Builder::getIsRelay() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
-inline void EngineEntry::Builder::setIsGone(bool value) {
+inline void FollowRequest::Builder::setIsRelay(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EngineEntry::Reader::hasModels() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t FollowRequest::Reader::getRelayedEntries() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline bool EngineEntry::Builder::hasModels() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t FollowRequest::Builder::getRelayedEntries() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Reader EngineEntry::Reader::getModels() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void FollowRequest::Builder::setRelayedEntries( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Builder EngineEntry::Builder::getModels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint64_t FollowRequest::Reader::getSuspectEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void EngineEntry::Builder::setModels( ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t FollowRequest::Builder::getSuspectEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Builder EngineEntry::Builder::initModels(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline void FollowRequest::Builder::setSuspectEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline void EngineEntry::Builder::adoptModels(
-    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t FollowRequest::Reader::getSuspectVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>> EngineEntry::Builder::disownModels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint64_t FollowRequest::Builder::getSuspectVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setSuspectVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool DemandEntry::Reader::hasPool() const {
+inline bool SuspectPart::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool DemandEntry::Builder::hasPool() {
+inline bool SuspectPart::Builder::hasPart() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader DemandEntry::Reader::getPool() const {
+inline  ::capnp::Text::Reader SuspectPart::Reader::getPart() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder DemandEntry::Builder::getPool() {
+inline  ::capnp::Text::Builder SuspectPart::Builder::getPart() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DemandEntry::Builder::setPool( ::capnp::Text::Reader value) {
+inline void SuspectPart::Builder::setPart( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder DemandEntry::Builder::initPool(unsigned int size) {
+inline  ::capnp::Text::Builder SuspectPart::Builder::initPart(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void DemandEntry::Builder::adoptPool(
+inline void SuspectPart::Builder::adoptPart(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> DemandEntry::Builder::disownPool() {
+inline ::capnp::Orphan< ::capnp::Text> SuspectPart::Builder::disownPart() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool DemandEntry::Reader::hasModel() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool DemandEntry::Builder::hasModel() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader DemandEntry::Reader::getModel() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder DemandEntry::Builder::getModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void DemandEntry::Builder::setModel( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder DemandEntry::Builder::initModel(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void DemandEntry::Builder::adoptModel(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> DemandEntry::Builder::disownModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool DemandEntry::Reader::hasAdapter() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool DemandEntry::Builder::hasAdapter() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader DemandEntry::Reader::getAdapter() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder DemandEntry::Builder::getAdapter() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void DemandEntry::Builder::setAdapter( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder DemandEntry::Builder::initAdapter(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void DemandEntry::Builder::adoptAdapter(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> DemandEntry::Builder::disownAdapter() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t DemandEntry::Reader::getCalls() const {
+inline  ::uint32_t SuspectPart::Reader::getCrashes() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t DemandEntry::Builder::getCalls() {
+inline  ::uint32_t SuspectPart::Builder::getCrashes() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void DemandEntry::Builder::setCalls( ::uint32_t value) {
+inline void SuspectPart::Builder::setCrashes( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t DemandEntry::Reader::getWorkMicros() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t SuspectPart::Reader::getLastCrashAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t DemandEntry::Builder::getWorkMicros() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t SuspectPart::Builder::getLastCrashAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void DemandEntry::Builder::setWorkMicros( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void SuspectPart::Builder::setLastCrashAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t DemandEntry::Reader::getPrefillMicros() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t SuspectPart::Reader::getSoundAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t DemandEntry::Builder::getPrefillMicros() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t SuspectPart::Builder::getSoundAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void DemandEntry::Builder::setPrefillMicros( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void SuspectPart::Builder::setSoundAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FollowRequest::Reader::hasInstance() const {
+inline  ::int64_t SuspectPart::Reader::getTrialAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SuspectPart::Builder::getTrialAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setTrialAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectPart::Reader::getIsHeld() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool SuspectPart::Builder::getIsHeld() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setIsHeld(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectCall::Reader::hasParts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FollowRequest::Builder::hasInstance() {
+inline bool SuspectCall::Builder::hasParts() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FollowRequest::Reader::getInstance() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SuspectCall::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SuspectCall::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SuspectCall::Builder::setParts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void SuspectCall::Builder::setParts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SuspectCall::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SuspectCall::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SuspectCall::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashRecord::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashRecord::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashRecord::Reader::getEngine() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FollowRequest::Builder::getInstance() {
+inline  ::capnp::Text::Builder CrashRecord::Builder::getEngine() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FollowRequest::Builder::setInstance( ::capnp::Text::Reader value) {
+inline void CrashRecord::Builder::setEngine( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FollowRequest::Builder::initInstance(unsigned int size) {
+inline  ::capnp::Text::Builder CrashRecord::Builder::initEngine(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FollowRequest::Builder::adoptInstance(
+inline void CrashRecord::Builder::adoptEngine(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FollowRequest::Builder::disownInstance() {
+inline ::capnp::Orphan< ::capnp::Text> CrashRecord::Builder::disownEngine() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FollowRequest::Reader::hasFailureDomain() const {
+inline  ::int64_t CrashRecord::Reader::getAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CrashRecord::Builder::getAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashRecord::Builder::setAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashRecord::Reader::hasCalls() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FollowRequest::Builder::hasFailureDomain() {
+inline bool CrashRecord::Builder::hasCalls() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FollowRequest::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>::Reader CrashRecord::Reader::getCalls() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FollowRequest::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>::Builder CrashRecord::Builder::getCalls() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FollowRequest::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void CrashRecord::Builder::setCalls( ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FollowRequest::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>::Builder CrashRecord::Builder::initCalls(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FollowRequest::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void CrashRecord::Builder::adoptCalls(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FollowRequest::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>> CrashRecord::Builder::disownCalls() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectCall,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t FollowRequest::Reader::getRouteVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SoundPart::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t FollowRequest::Builder::getRouteVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SoundPart::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void FollowRequest::Builder::setRouteVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader SoundPart::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t FollowRequest::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder SoundPart::Builder::getPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SoundPart::Builder::setPart( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t FollowRequest::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder SoundPart::Builder::initPart(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FollowRequest::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void SoundPart::Builder::adoptPart(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SoundPart::Builder::disownPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t FollowRequest::Reader::getDirectoryVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t SoundPart::Reader::getAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FollowRequest::Builder::getDirectoryVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t SoundPart::Builder::getAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FollowRequest::Builder::setDirectoryVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void SoundPart::Builder::setAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FollowRequest::Reader::hasDemand() const {
+inline bool CrashReport::Reader::hasCrashes() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FollowRequest::Builder::hasDemand() {
+inline bool CrashReport::Builder::hasCrashes() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Reader FollowRequest::Reader::getDemand() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::getDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FollowRequest::Builder::setDemand( ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void CrashReport::Builder::setCrashes( ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::initDemand(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FollowRequest::Builder::adoptDemand(
-    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void CrashReport::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>> FollowRequest::Builder::disownDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::DemandEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FollowRequest::Reader::hasFailingEngines() const {
+inline bool CrashReport::Reader::hasSound() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FollowRequest::Builder::hasFailingEngines() {
+inline bool CrashReport::Builder::hasSound() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FollowRequest::Reader::getFailingEngines() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowRequest::Builder::getFailingEngines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getSound() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FollowRequest::Builder::setFailingEngines( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getSound() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FollowRequest::Builder::setFailingEngines(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void CrashReport::Builder::setSound( ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowRequest::Builder::initFailingEngines(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initSound(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FollowRequest::Builder::adoptFailingEngines(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void CrashReport::Builder::adoptSound(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FollowRequest::Builder::disownFailingEngines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownSound() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SoundPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FollowRequest::Reader::getIsRelay() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Reader::hasCarried() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool FollowRequest::Builder::getIsRelay() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Builder::hasCarried() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void FollowRequest::Builder::setIsRelay(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getCarried() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t FollowRequest::Reader::getRelayedEntries() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getCarried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t FollowRequest::Builder::getRelayedEntries() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline void CrashReport::Builder::setCarried( ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void FollowRequest::Builder::setRelayedEntries( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initCarried(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptCarried(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownCarried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool RelayEntry::Reader::hasAddress() const {
@@ -10294,6 +11682,82 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool FollowReply::Reader::getHasSuspects() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowReply::Builder::getHasSuspects() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setHasSuspects(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowReply::Reader::getSuspectEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getSuspectEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setSuspectEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowReply::Reader::getSuspectVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getSuspectVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setSuspectVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowReply::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setSuspects( ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool AdapterRequest::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -11133,6 +12597,121 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ControlNode::ReportCrashesParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlNode::ReportCrashesParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::CrashReport::Reader ControlNode::ReportCrashesParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CrashReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::CrashReport::Builder ControlNode::ReportCrashesParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CrashReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::CrashReport::Pipeline ControlNode::ReportCrashesParams::Pipeline::getReport() {
+  return  ::celeryspread::wire::CrashReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ControlNode::ReportCrashesParams::Builder::setReport( ::celeryspread::wire::CrashReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::CrashReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::CrashReport::Builder ControlNode::ReportCrashesParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CrashReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ControlNode::ReportCrashesParams::Builder::adoptReport(
+    ::capnp::Orphan< ::celeryspread::wire::CrashReport>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::CrashReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::CrashReport> ControlNode::ReportCrashesParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::CrashReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ControlNode::ReportCrashesResults::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ControlNode::ReportCrashesResults::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::ReportCrashesResults::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ControlNode::ReportCrashesResults::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ControlNode::ReportCrashesResults::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::ReportCrashesResults::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ControlNode::RequestTrialParams::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlNode::RequestTrialParams::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ControlNode::RequestTrialParams::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ControlNode::RequestTrialParams::Builder::getPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ControlNode::RequestTrialParams::Builder::setPart( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ControlNode::RequestTrialParams::Builder::initPart(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ControlNode::RequestTrialParams::Builder::adoptPart(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ControlNode::RequestTrialParams::Builder::disownPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ControlNode::RequestTrialResults::Reader::getIsPermitted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ControlNode::RequestTrialResults::Builder::getIsPermitted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::RequestTrialResults::Builder::setIsPermitted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
