A stream that ends before its first event is broken off

If its engine ended before the first event, the caller got an empty stream that looked whole.

Cause: the end of the connection counted as the end of the stream.

Change: a stream without any event, not even before a resume, is broken off. Also tests of calls whose prompt parts are held back.

Result: GatewayTest.StreamWithoutAnyEventIsNotWhole failed before and passes.

--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -435,6 +435,11 @@
       HandleBrokenAnswer("the stream ended inside an event");
       return;
     }
+    // A stream that ends with its connection may end early without an error.
+    if (m_events.LastId().empty() && !m_lastEventAt) {
+      HandleBrokenAnswer("the stream ended before its first event");
+      return;
+    }
     RecordSound();
     CloseAttempt(AttemptOutcome::Answered);
     m_input.m_caller->EndStream();
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -62,6 +62,16 @@
     Answer(aIndex, 503, { { "id", "a1" }, { "not-run", "1" } });
     Attempt(aIndex).m_observer->OnUpstreamEnd();
   }
+  /// Applies a list of the owner that holds back a part.
+  void HoldPart(const std::string& aPart, uint32_t aCrashes)
+  {
+    SuspectPart part;
+    part.m_part = PromptPartId(aPart);
+    part.m_crashes = aCrashes;
+    part.m_lastCrashAt = m_clock.Now();
+    part.m_isHeld = true;
+    m_quarantine.Apply(1, ++m_listVersion, { { part.m_part, part } });
+  }
   void LoseConnection(size_t aIndex)
   {
     Attempt(aIndex).m_observer->OnUpstreamFailed(
@@ -87,6 +97,8 @@
   RecordingEventLog m_log;
   PrefillEstimator m_prefill;
   const FailureDomainId m_domain{ "here" };
+  uint64_t m_listVersion = 0;
+  CallerRecord m_otherCaller;
   PartQuarantine m_quarantine;
   FakeCrashReporter m_reporter;
   CrashWatch m_crashes{
@@ -240,6 +252,29 @@
   EXPECT_EQ(m_caller.m_body, "id: 1\ndata: x\n\n");
 }
 
+/// Where a stream ends with its connection, the end of the engine before its
+/// first event looked like an empty answer that is whole.
+TEST_F(GatewayTest, StreamWithoutAnyEventIsNotWhole)
+{
+  Call("/chat/1", { { "model", "m" } });
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamEnd();
+  EXPECT_TRUE(m_caller.m_isAborted);
+  EXPECT_FALSE(m_caller.m_isEnded);
+}
+
+/// The stream was broken off after its last event and resumed there.
+TEST_F(GatewayTest, ResumedStreamMayEndWithoutAnotherEvent)
+{
+  Call("/report/1", { { "model", "m" } });
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+  LoseConnection(0);
+  Answer(1, 200, m_good);
+  Attempt(1).m_observer->OnUpstreamEnd();
+  EXPECT_TRUE(m_caller.m_isEnded);
+}
+
 /// An upstream in trouble sends bytes that are no answer until its connection
 /// is closed. All of them were held in memory until the deadline.
 TEST_F(GatewayTest, GivesUpAnAnswerWithoutEnd)
@@ -344,6 +379,117 @@
   EXPECT_TRUE(m_client.m_attempts.empty());
 }
 
+TEST_F(GatewayTest, RefusesACallWithAHeldPartAtOnce)
+{
+  HoldPart("bad", 2);
+  Call("/chat/1", { { "model", "m" }, { "parts", "first,bad,own" } });
+  EXPECT_EQ(m_caller.m_status, 503);
+  EXPECT_TRUE(m_client.m_attempts.empty());
+  EXPECT_EQ(m_control.m_calls, 0);
+  // The caller is asked to return when the next trial is due.
+  EXPECT_EQ(m_caller.m_headers.front().m_value, "15000000");
+}
+
+TEST_F(GatewayTest, SendsOneTrialCallWhenTheOwnerPermitsIt)
+{
+  HoldPart("bad", 2);
+  m_time.RunFor(std::chrono::seconds(16));
+  Call("/chat/1", { { "model", "m" }, { "parts", "bad,own" } });
+  EXPECT_TRUE(m_client.m_attempts.empty());
+  ASSERT_TRUE(m_reporter.m_onTrial);
+  m_reporter.m_onTrial(true);
+  ASSERT_EQ(m_client.m_attempts.size(), 1U);
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+  Attempt(0).m_observer->OnUpstreamEnd();
+  EXPECT_TRUE(m_reporter.m_sound.contains(PromptPartId("bad")));
+}
+
+TEST_F(GatewayTest, RefusesACallWhoseTrialTheOwnerDenies)
+{
+  HoldPart("bad", 2);
+  m_time.RunFor(std::chrono::seconds(16));
+  Call("/chat/1", { { "model", "m" }, { "parts", "bad,own" } });
+  m_reporter.m_onTrial(false);
+  EXPECT_EQ(m_caller.m_status, 503);
+  EXPECT_TRUE(m_client.m_attempts.empty());
+}
+
+/// A call that waits at an engine would end it as soon as its answer begins.
+TEST_F(GatewayTest, WithdrawsACallThatWaitsWhenItsPartIsHeldBack)
+{
+  Call("/chat/1", { { "model", "m" }, { "parts", "bad,own" } });
+  HoldPart("bad", 3);
+  EXPECT_TRUE(Attempt(0).m_isCancelled);
+  // It may have run.
+  EXPECT_EQ(m_caller.m_status, 502);
+}
+
+TEST_F(GatewayTest, KeepsACallWhoseAnswerHasBegunWhenItsPartIsHeldBack)
+{
+  Call("/chat/1", { { "model", "m" }, { "parts", "bad,own" } });
+  Answer(0, 200, m_good);
+  HoldPart("bad", 3);
+  EXPECT_FALSE(Attempt(0).m_isCancelled);
+}
+
+TEST_F(GatewayTest, CallThatWaitsForAnAdapterIsRefusedOnceItsPartIsHeldBack)
+{
+  Call("/chat/1",
+       { { "model", "m" }, { "adapter", "a1" }, { "parts", "bad,own" } });
+  HoldPart("bad", 2);
+  m_control.m_onLoaded(UpstreamId("e2"));
+  EXPECT_EQ(m_caller.m_status, 503);
+  EXPECT_TRUE(m_client.m_attempts.empty());
+}
+
+TEST_F(GatewayTest, ReportsThePartsOfAnAnswerThatJustBegan)
+{
+  Call("/chat/1", { { "model", "m" }, { "parts", "first,bad,own" } });
+  Answer(0, 200, m_good);
+  LoseConnection(0);
+  EXPECT_TRUE(m_caller.m_isAborted);
+  m_time.RunFor(std::chrono::milliseconds(50));
+  ASSERT_EQ(m_reporter.m_crashes.size(), 1U);
+  EXPECT_EQ(m_reporter.m_crashes[0].m_calls,
+            (std::vector<PromptParts>{
+              { PromptPartId("first"), PromptPartId("bad") } }));
+}
+
+/// The call that broke off is resumed, as its engine goes on with another one.
+TEST_F(GatewayTest, LostConnectionOfALivingEngineIsNoCrash)
+{
+  m_table.Remove(UpstreamId("e2"));
+  Call("/chat/1", { { "model", "m" }, { "parts", "first,own" } });
+  m_gateway.OnCall(
+    std::make_unique<FakeCallerCall>(m_otherCaller,
+                                     "POST",
+                                     "/report/1",
+                                     HttpHeaders{ { "Host", "shop.example" },
+                                                  { "id", "a1" },
+                                                  { "model", "m" },
+                                                  { "parts", "bad,own" } }));
+  m_table.Update(MakeEngine("e2", "far", "m"));
+  Answer(1, 200, m_good);
+  LoseConnection(1);
+  m_time.RunFor(std::chrono::milliseconds(50));
+  EXPECT_TRUE(m_reporter.m_crashes.empty());
+  EXPECT_EQ(m_client.m_attempts.size(), 3U);
+}
+
+/// An engine that was announced to leave breaks off what outlasts its notice.
+TEST_F(GatewayTest, EndOfALeavingEngineIsNoCrash)
+{
+  Call("/chat/1", { { "model", "m" }, { "parts", "first,own" } });
+  EngineRecord leaving = MakeEngine("e1", "here", "m");
+  leaving.m_isLeaving = true;
+  m_table.Update(leaving);
+  Answer(0, 200, m_good);
+  LoseConnection(0);
+  m_time.RunFor(std::chrono::milliseconds(50));
+  EXPECT_TRUE(m_reporter.m_crashes.empty());
+}
+
 TEST_F(GatewayTest, CountsTheDemandForAMissingModel)
 {
   Call("/chat/1", { { "model", "unknown" } });
