Engines that end together count as one crash

Cause: two calls with the part had begun their answers on two of the engines, so one event counted as two crashes.

Change: crashes within 50 ms count once for a part.

Why it works: two poisonous calls end their engines at different moments.

--- a/quarantine/crash_investigation.cpp
+++ b/quarantine/crash_investigation.cpp
@@ -11,7 +11,11 @@
 constexpr Duration kSameCrashTime = std::chrono::seconds(2);
 /// Time for entries to hear of a crash and to report sound answers.
 constexpr Duration kGraceTime = std::chrono::milliseconds(250);
-/// Crashes with one suspect part that are enough to hold it back.
+/// Engines that end within this time end together, as with their rack; two
+/// poisonous calls end theirs at different moments.
+constexpr Duration kSameMomentTime = std::chrono::milliseconds(50);
+/// Crashes at different moments with one suspect part that are enough to hold
+/// it back.
 constexpr size_t kCrashesToHold = 2;
 /// Crashes and sound answers older than this count no more.
 constexpr Duration kCrashMemory = std::chrono::minutes(5);
@@ -197,6 +201,7 @@
     bool m_isNeverSound = false;
     size_t m_crashes = 0;
     size_t m_position = 0;
+    TimePoint m_countedAt;
     auto operator<=>(const Candidate&) const = default;
   };
   for (;;) {
@@ -209,7 +214,10 @@
         Candidate& candidate = candidates[part];
         candidate.m_isNeverSound = !SoundAt(part);
         candidate.m_position = std::max(candidate.m_position, position);
-        ++candidate.m_crashes;
+        if (crash.m_at >= candidate.m_countedAt + kSameMomentTime) {
+          candidate.m_countedAt = crash.m_at;
+          ++candidate.m_crashes;
+        }
       }
     }
     std::erase_if(candidates, [](const auto& aCandidate) {
--- a/tests/quarantine/crash_investigation_test.cpp
+++ b/tests/quarantine/crash_investigation_test.cpp
@@ -29,6 +29,8 @@
     }
     m_crashes.RecordCrash(record, m_now);
   }
+  /// Lets the time pass after which another crash has another cause.
+  void NextMoment() { m_now += std::chrono::milliseconds(100); }
   void Sound(const std::string& aPart)
   {
     m_crashes.RecordSound(PromptPartId(aPart), m_now, m_now);
@@ -65,6 +67,17 @@
   EXPECT_FALSE(IsHeld("b"));
 }
 
+/// The engines of a rack end together. Calls with a sound part may have begun
+/// their answers on several of them.
+TEST_F(CrashInvestigationTest, EnginesThatEndTogetherCountOnce)
+{
+  Crash("e1", { { "a" } });
+  m_now += std::chrono::milliseconds(30);
+  Crash("e2", { { "a" } });
+  Wait(kGrace);
+  EXPECT_FALSE(IsHeld("a"));
+}
+
 /// Each entry sees only its own calls of an engine.
 TEST_F(CrashInvestigationTest, JoinsTheReportsOfOneCrash)
 {
@@ -80,6 +93,7 @@
 {
   Sound("first");
   Crash("e1", { { "first", "bad" } });
+  NextMoment();
   Crash("e2", { { "first", "bad" } });
   Wait(kGrace);
   EXPECT_TRUE(IsHeld("bad"));
@@ -92,7 +106,9 @@
   Sound("first");
   Wait(std::chrono::seconds(10));
   Crash("e1", { { "first", "bad1" } });
+  NextMoment();
   Crash("e2", { { "first", "bad2" } });
+  NextMoment();
   Crash("e3", { { "first", "bad1" } });
   Wait(kGrace);
   EXPECT_TRUE(IsHeld("bad1"));
@@ -109,6 +125,7 @@
 TEST_F(CrashInvestigationTest, BlamesThePartFurthestBackWhenNothingElseIsKnown)
 {
   Crash("e1", { { "first", "bad" } });
+  NextMoment();
   Crash("e2", { { "first", "bad" } });
   Wait(kGrace);
   EXPECT_TRUE(IsHeld("bad"));
@@ -118,6 +135,7 @@
 TEST_F(CrashInvestigationTest, BlamesTheFirstPartIfTheOthersDiffer)
 {
   Crash("e1", { { "bad", "a" } });
+  NextMoment();
   Crash("e2", { { "bad", "b" } });
   Wait(kGrace);
   EXPECT_TRUE(IsHeld("bad"));
@@ -129,6 +147,7 @@
   Sound("bad");
   Wait(std::chrono::seconds(5));
   Crash("e1", { { "bad" } });
+  NextMoment();
   Crash("e2", { { "bad" } });
   Wait(kGrace);
   EXPECT_TRUE(IsHeld("bad"));
@@ -137,6 +156,7 @@
 TEST_F(CrashInvestigationTest, SoundAnswerAfterTheCrashReleasesThePart)
 {
   Crash("e1", { { "a" } });
+  NextMoment();
   Crash("e2", { { "a" } });
   Wait(kGrace);
   EXPECT_TRUE(IsHeld("a"));
@@ -151,6 +171,7 @@
 TEST_F(CrashInvestigationTest, ReleasedPartIsHeldAgainAfterNewCrashes)
 {
   Crash("e1", { { "a" } });
+  NextMoment();
   Crash("e2", { { "a" } });
   Wait(kGrace);
   Sound("a");
@@ -168,6 +189,7 @@
 TEST_F(CrashInvestigationTest, EngineThatAnswersHasNotEnded)
 {
   Crash("e1", { { "a" } });
+  NextMoment();
   Crash("e2", { { "a" } });
   const TimePoint sentAt = m_now + std::chrono::milliseconds(20);
   m_crashes.RecordAlive(UpstreamId("e1"), sentAt, sentAt);
@@ -191,6 +213,7 @@
   const PromptPartId part("a");
   EXPECT_TRUE(m_crashes.TryStartTrial(part, m_now));
   Crash("e1", { { "a" } });
+  NextMoment();
   Crash("e2", { { "a" } });
   Wait(kGrace);
   EXPECT_FALSE(m_crashes.TryStartTrial(part, m_now));
@@ -209,6 +232,7 @@
 {
   EXPECT_FALSE(m_crashes.Release(PromptPartId("a"), m_now));
   Crash("e1", { { "a" } });
+  NextMoment();
   Crash("e2", { { "a" } });
   Wait(kGrace);
   EXPECT_TRUE(m_crashes.Release(PromptPartId("a"), m_now));
@@ -251,6 +275,7 @@
 TEST_F(CrashInvestigationTest, VersionStaysWhenNothingChanges)
 {
   Crash("e1", { { "a" } });
+  NextMoment();
   Crash("e2", { { "a" } });
   Wait(kGrace);
   const uint64_t version = m_crashes.Version();
