Failing test: engines get more requests than they said they take

Cause: engines in need name the requests a second that they take from all entries; nothing reads it.

--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -221,9 +221,13 @@
     return;
   }
   aRequest->m_arrival->m_hasBegun = true;
-  Notify(aRequest, [aRequest](UpstreamObserver& aObserver) {
-    aObserver.OnUpstreamHeaders(
-      200, { { "id", aRequest->m_attempt }, { "signed", "x" } });
+  HttpHeaders headers = { { "id", aRequest->m_attempt }, { "signed", "x" } };
+  const auto limit = m_limits.find(aIndex);
+  if (limit != m_limits.end()) {
+    headers.push_back({ "limit", std::to_string(limit->second) });
+  }
+  Notify(aRequest, [headers](UpstreamObserver& aObserver) {
+    aObserver.OnUpstreamHeaders(200, headers);
   });
   const std::string poison = FirstPoison(*aRequest, m_poisonParts);
   if (poison.empty()) {
@@ -312,6 +316,33 @@
   }
 }
 
+double SimulatedEngines::WorstExcess(TimePoint aSince, Duration aWindow) const
+{
+  constexpr double kTolerance = 1.5;
+  constexpr double kSlack = 5;
+  constexpr double kMicrosPerSecond = 1e6;
+  double worst = -kSlack;
+  for (const auto& [index, limit] : m_limits) {
+    const double allowed = kTolerance * limit *
+                             static_cast<double>(aWindow.count()) /
+                             kMicrosPerSecond +
+                           kSlack;
+    std::deque<TimePoint> window;
+    for (const auto& arrival : m_arrivals) {
+      if (arrival->m_engine != m_engines[index].m_record.m_id ||
+          arrival->m_at < aSince) {
+        continue;
+      }
+      window.push_back(arrival->m_at);
+      while (window.front() <= arrival->m_at - aWindow) {
+        window.pop_front();
+      }
+      worst = std::max(worst, static_cast<double>(window.size()) - allowed);
+    }
+  }
+  return worst;
+}
+
 void SimulatedEngines::ResetConnections(const UpstreamClient* aClient)
 {
   for (Engine& engine : m_engines) {
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -74,7 +74,13 @@
   [[nodiscard]] size_t ArrivalsAfter(const std::string& aPart,
                                      TimePoint aAfter) const;
 
+  /// Returns the most requests above what its limit allows that an engine got
+  /// in some window of aWindow from aSince on; negative if none got too many.
+  [[nodiscard]] double WorstExcess(TimePoint aSince, Duration aWindow) const;
+
   std::set<std::string> m_poisonParts;
+  /// Requests a second that engines take, by index; they name it in answers.
+  std::map<size_t, double> m_limits;
 
 private:
   class Client;
