Test of a cut-off entry: two crashes at different moments

Cause: since engines that end together count as one crash, two crashes at the same time are no longer enough.

Change: the second crash comes 200 ms later. What is checked is as before.

--- a/tests/quarantine/part_quarantine_test.cpp
+++ b/tests/quarantine/part_quarantine_test.cpp
@@ -74,10 +74,9 @@
 TEST_F(PartQuarantineTest, ActsOnOwnCrashesOnlyWhileNoOwnerAnswers)
 {
   m_quarantine.RecordContact(m_now);
-  for (const char* engine : { "e1", "e2" }) {
-    m_quarantine.RecordCrash({ UpstreamId(engine), m_now, { { kBad } } },
-                             m_now);
-  }
+  m_quarantine.RecordCrash({ UpstreamId("e1"), m_now, { { kBad } } }, m_now);
+  const TimePoint later = m_now + std::chrono::milliseconds(200);
+  m_quarantine.RecordCrash({ UpstreamId("e2"), later, { { kBad } } }, later);
   EXPECT_EQ(Check(std::chrono::seconds(1)), Kind::Free);
   EXPECT_EQ(Check(std::chrono::seconds(3)), Kind::Held);
 }
