--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -351,6 +351,24 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> ControlService::takeRate(TakeRateContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  const auto params = aContext.getParams();
+  const EngineRates::Grant grant = m_fleet->TakeRate(
+    UpstreamId(TextOf(params.getEngine())), params.getRateLimit());
+  aContext.getResults().setIsGranted(grant.m_isGranted);
+  aContext.getResults().setRetryAfterMicros(grant.m_retryAfter.count());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::endRateLimit(EndRateLimitContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  m_fleet->EndRateLimit(UpstreamId(TextOf(aContext.getParams().getEngine())));
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> ControlService::join(JoinContext aContext)
 {
   const auto replica = aContext.getParams().getReplica();
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -43,6 +43,8 @@
   kj::Promise<void> loadAdapter(LoadAdapterContext aContext) override;
   kj::Promise<void> reportCrashes(ReportCrashesContext aContext) override;
   kj::Promise<void> requestTrial(RequestTrialContext aContext) override;
+  kj::Promise<void> takeRate(TakeRateContext aContext) override;
+  kj::Promise<void> endRateLimit(EndRateLimitContext aContext) override;
 
 private:
   /// Returns the link to the leader; null when it is down, when no leader is
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -390,6 +390,22 @@
   return m_deps.m_owner.TryStartTrial(aPart);
 }
 
+EngineRates::Grant FleetService::TakeRate(const UpstreamId& aEngine,
+                                          double aRequestsPerSecond)
+{
+  KJ_REQUIRE(m_deps.m_owner.Term().has_value(),
+             "the instance does not own the engines");
+  KJ_REQUIRE(aRequestsPerSecond > 0, "no rate");
+  return m_deps.m_owner.TakeRate(aEngine, aRequestsPerSecond);
+}
+
+void FleetService::EndRateLimit(const UpstreamId& aEngine)
+{
+  KJ_REQUIRE(m_deps.m_owner.Term().has_value(),
+             "the instance does not own the engines");
+  m_deps.m_owner.EndRateLimit(aEngine);
+}
+
 kj::Promise<std::string> FleetService::LoadAdapter(
   wire::AdapterRequest::Reader aRequest)
 {
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -53,6 +53,13 @@
   /// Returns whether one call with a part that is held back may be sent.
   /// @pre none. @error throws unless this instance owns the engines.
   [[nodiscard]] bool RequestTrial(const PromptPartId& aPart);
+  /// Takes one request from the rate of an engine. @pre none.
+  /// @error throws unless this instance owns the engines and the rate is valid.
+  [[nodiscard]] EngineRates::Grant TakeRate(const UpstreamId& aEngine,
+                                            double aRequestsPerSecond);
+  /// Records that an engine no longer limits its requests. @pre none.
+  /// @error throws unless this instance owns the engines.
+  void EndRateLimit(const UpstreamId& aEngine);
 
 private:
   /// What the sender of a follow call has.
--- a/fleet/demand_tracker.cpp
+++ b/fleet/demand_tracker.cpp
@@ -61,6 +61,15 @@
   }
 }
 
+double DemandTracker::TotalCallRate(const PoolId& aPool) const
+{
+  double rate = 0;
+  for (const auto& [key, state] : m_states) {
+    rate += key.m_pool == aPool ? state.m_rate : 0;
+  }
+  return rate;
+}
+
 double DemandTracker::CallRate(const Key& aKey) const
 {
   const auto found = m_states.find(aKey);
--- a/fleet/demand_tracker.h
+++ b/fleet/demand_tracker.h
@@ -28,6 +28,8 @@
   void Tick(TimePoint aNow);
   /// Returns the calls per second for a target. @pre none.
   [[nodiscard]] double CallRate(const Key& aKey) const;
+  /// Returns the calls per second for all targets of a pool. @pre none.
+  [[nodiscard]] double TotalCallRate(const PoolId& aPool) const;
   /// Returns the calls in progress for a target, smoothed. @pre none.
   [[nodiscard]] double CallsInProgress(const Key& aKey) const;
   /// Returns how many engines a model and its adapters keep busy: the use of
--- a/fleet/engine_directory.cpp
+++ b/fleet/engine_directory.cpp
@@ -85,6 +85,8 @@
     // return an older state.
     record.m_isLeaving =
       record.m_isLeaving || (!isRestarted && entry.m_record.m_isLeaving);
+    // Engines name it in their answers; the list doesn't.
+    record.m_rateLimit = isNew ? 0 : entry.m_record.m_rateLimit;
     ApplyOrderEffects(record, aNow);
     const bool isChanged = isNew || !record.IsSameForEntries(entry.m_record);
     entry.m_record = std::move(record);
@@ -158,4 +160,16 @@
   }
 }
 
+void EngineDirectory::RecordRateLimit(const UpstreamId& aId,
+                                      double aRequestsPerSecond)
+{
+  const auto found = m_entries.find(aId);
+  if (found == m_entries.end() || found->second.m_isGone ||
+      found->second.m_record.m_rateLimit == aRequestsPerSecond) {
+    return;
+  }
+  found->second.m_record.m_rateLimit = aRequestsPerSecond;
+  MarkChanged(found->second);
+}
+
 } // namespace celeryspread
--- a/fleet/engine_directory.h
+++ b/fleet/engine_directory.h
@@ -56,6 +56,10 @@
                   bool aIsHeld,
                   TimePoint aNow);
 
+  /// Records the requests a second that an engine takes; 0 for no limit.
+  /// @pre none.
+  void RecordRateLimit(const UpstreamId& aId, double aRequestsPerSecond);
+
   /// Returns whether a list has been applied. @pre none.
   [[nodiscard]] bool HasList() const { return m_hasList; }
   /// Returns the version of the last change. @pre none.
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet_owner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace celeryspread {
 
@@ -29,6 +30,17 @@
 /// evicted.
 constexpr uint32_t kMaxAdapterEvictions = 3;
 
+/// Entries may name a rate that has ended until they have heard of its end.
+constexpr Duration kStaleRateTime = std::chrono::milliseconds(500);
+
+/// Returns whether entries have to know of a new rate; engines may name
+/// slightly different ones from answer to answer.
+bool IsOtherRate(double aKnown, double aNamed)
+{
+  constexpr double kTolerance = 0.05;
+  return std::abs(aNamed - aKnown) > kTolerance * aKnown;
+}
+
 } // namespace
 
 FleetOwner::FleetOwner(Dependencies aDependencies,
@@ -85,6 +97,8 @@
   m_demand.Clear();
   m_crashes.Clear();
   m_crashChecks.clear();
+  m_rates.Clear();
+  m_rateEndedAt.clear();
   m_heldParts.clear();
 }
 
@@ -153,6 +167,8 @@
     }
     for (const UpstreamId& id : changes.m_gone) {
       m_orders.Forget(id);
+      m_rates.Forget(id);
+      m_rateEndedAt.erase(id);
       m_deps.m_log.Write(EventId::EngineGone, "engine=" + id.Value());
     }
   });
@@ -219,6 +235,38 @@
   return isPermitted;
 }
 
+EngineRates::Grant FleetOwner::TakeRate(const UpstreamId& aEngine,
+                                        double aRequestsPerSecond)
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  const auto ended = m_rateEndedAt.find(aEngine);
+  if (ended != m_rateEndedAt.end() && now < ended->second + kStaleRateTime) {
+    return { true, Duration::zero() };
+  }
+  const EngineRecord* record = m_directory.Find(aEngine);
+  if (record != nullptr &&
+      IsOtherRate(record->m_rateLimit, aRequestsPerSecond)) {
+    m_directory.RecordRateLimit(aEngine, aRequestsPerSecond);
+    m_deps.m_log.Write(EventId::EngineLimited,
+                       "engine=" + aEngine.Value() + " requests_per_second=" +
+                         std::to_string(aRequestsPerSecond));
+  }
+  return m_rates.TryTake(aEngine, aRequestsPerSecond, now);
+}
+
+void FleetOwner::EndRateLimit(const UpstreamId& aEngine)
+{
+  const EngineRecord* record = m_directory.Find(aEngine);
+  if (record == nullptr || record->m_rateLimit == 0) {
+    return;
+  }
+  m_directory.RecordRateLimit(aEngine, 0);
+  m_rates.Forget(aEngine);
+  m_rateEndedAt[aEngine] = m_deps.m_clock.Now();
+  m_deps.m_log.Write(EventId::EngineLimited,
+                     "engine=" + aEngine.Value() + " requests_per_second=none");
+}
+
 void FleetOwner::LogHeldParts()
 {
   for (const auto& [id, part] : m_crashes.Suspects()) {
@@ -281,6 +329,7 @@
     loads[name] = m_demand.EngineLoad(
       aPool.m_id, name, std::max<uint32_t>(1, aPool.m_engine->m_slots));
   }
+  SetUnusableLoads(aPool, loads, engines);
   PlanLimits limits;
   limits.m_storeLoads = budget.RemainingLoads(aNow);
   limits.m_balancingCopies =
@@ -302,6 +351,28 @@
   }
 }
 
+void FleetOwner::SetUnusableLoads(const Pool& aPool,
+                                  const std::map<std::string, double>& aLoads,
+                                  std::vector<PlannedEngine>& aEngines) const
+{
+  double load = 0;
+  for (const auto& [name, modelLoad] : aLoads) {
+    load += modelLoad;
+  }
+  const double callsPerSecond = m_demand.TotalCallRate(aPool.m_id);
+  if (callsPerSecond <= 0) {
+    return;
+  }
+  for (PlannedEngine& engine : aEngines) {
+    const EngineRecord* record = m_directory.Find(engine.m_id);
+    if (record != nullptr && record->m_rateLimit > 0) {
+      // A call takes this much of an engine on average.
+      const double usable = record->m_rateLimit * load / callsPerSecond;
+      engine.m_unusableLoad = std::max(0.0, 1 - usable);
+    }
+  }
+}
+
 size_t FleetOwner::StandbyLoads(const std::vector<PlannedEngine>& aEngines,
                                 StoreBudget& aBudget,
                                 TimePoint aNow)
@@ -321,14 +392,20 @@
 
 const EngineRecord* FleetOwner::FindHolder(const DemandTracker::Key& aKey) const
 {
+  const EngineRecord* holder = nullptr;
   for (const auto& [id, entry] : m_directory.All()) {
     const EngineRecord& record = entry.m_record;
-    if (!entry.m_isGone && !record.m_isLeaving &&
-        record.m_pool == aKey.m_pool && record.Holds(aKey.m_target)) {
-      return &record;
+    const bool isHolder = !entry.m_isGone && !record.m_isLeaving &&
+                          record.m_pool == aKey.m_pool &&
+                          record.Holds(aKey.m_target);
+    const bool isBetter =
+      holder == nullptr || record.m_rateLimit < holder->m_rateLimit;
+    // No limit is 0, which comes first; between limits either will do.
+    if (isHolder && isBetter) {
+      holder = &record;
     }
   }
-  return nullptr;
+  return holder;
 }
 
 const EngineRecord* FleetOwner::ChooseForAdapter(
@@ -339,6 +416,7 @@
   struct Rank
   {
     bool m_isBusy;
+    bool m_isLimited;
     bool m_isFull;
     bool m_isInOtherDomain;
     size_t m_adapters;
@@ -355,6 +433,7 @@
       continue;
     }
     const Rank rank{ !m_orders.IsResponsive(id),
+                     record.m_rateLimit > 0,
                      !m_orders.HasFreeAdapterSlot(record),
                      record.m_domain != aDomain,
                      m_orders.AdaptersAfterUnloads(record).size() };
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "admission/engine_rates.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/engine_orders.h"
 #include "fleet/model_planner.h"
@@ -84,6 +85,12 @@
   /// Returns whether one call with a part that is held back may be sent now.
   /// @pre none.
   [[nodiscard]] bool TryStartTrial(const PromptPartId& aPart);
+  /// Takes one request from the rate of an engine, which an entry learned from
+  /// the engine's answer. @pre aRequestsPerSecond > 0.
+  [[nodiscard]] EngineRates::Grant TakeRate(const UpstreamId& aEngine,
+                                            double aRequestsPerSecond);
+  /// Records that an engine no longer limits its requests. @pre none.
+  void EndRateLimit(const UpstreamId& aEngine);
   /// Returns what is known about parts that may end engines. @pre none.
   [[nodiscard]] const CrashInvestigation& Crashes() const { return m_crashes; }
   /// Returns the engines as this owner knows them. @pre none.
@@ -107,6 +114,10 @@
   void LogHeldParts();
   void Plan(TimePoint aNow);
   void PlanPool(const Pool& aPool, TimePoint aNow);
+  /// Sets the part of each limited engine that the calls of the pool can't use.
+  void SetUnusableLoads(const Pool& aPool,
+                        const std::map<std::string, double>& aLoads,
+                        std::vector<PlannedEngine>& aEngines) const;
   /// Returns how many standby copies may be loaded from the weight store now.
   [[nodiscard]] static size_t StandbyLoads(
     const std::vector<PlannedEngine>& aEngines,
@@ -142,6 +153,8 @@
   DemandTracker m_demand;
   EngineOrders m_orders;
   CrashInvestigation m_crashes;
+  EngineRates m_rates;
+  std::map<UpstreamId, TimePoint> m_rateEndedAt;
   /// Engines that are asked whether they still answer after a crash.
   std::set<UpstreamId> m_crashChecks;
   std::set<PromptPartId> m_heldParts;
--- a/fleet/model_planner.cpp
+++ b/fleet/model_planner.cpp
@@ -86,6 +86,9 @@
                            static_cast<double>(m_shares.CopyCount(i)) +
                          m_demand.back());
     }
+    for (size_t engine = 0; engine < m_engines.size(); ++engine) {
+      m_shares.SetBaseLoad(engine, m_engines[engine].m_unusableLoad);
+    }
     m_isScarce = IsMemoryScarce(aSpec);
     m_shares.Distribute();
   }
--- a/fleet/model_planner.h
+++ b/fleet/model_planner.h
@@ -23,6 +23,9 @@
   /// Models whose weights it has cached in memory or on disk.
   std::set<std::string> m_cachedWeights;
   int64_t m_freeMegabytes = 0;
+  /// Part of the engine's capacity that calls can't use, as the engine limits
+  /// its requests.
+  double m_unusableLoad = 0;
   /// It gets no order in this plan.
   bool m_isBusy = false;
   /// It stops soon, or it does not answer: it gets no order, and its copies do
--- a/fleet/model_shares.h
+++ b/fleet/model_shares.h
@@ -20,6 +20,12 @@
 
   /// Sets the load of a model. @pre aModel is known.
   void SetLoad(size_t aModel, double aLoad);
+  /// Sets a load that an engine has besides its models'. @pre before the first
+  /// Distribute(); the engine is known.
+  void SetBaseLoad(size_t aEngine, double aLoad)
+  {
+    m_engineLoads[aEngine] = aLoad;
+  }
   /// Adds a copy without load. @pre the engine does not hold the model.
   void AddCopy(size_t aModel, size_t aEngine);
   /// Removes a copy; its load is missing until Distribute(). @pre the engine
--- a/gateway/call_fields.h
+++ b/gateway/call_fields.h
@@ -48,6 +48,8 @@
   /// The answer carries the upstream's signature, so the upstream computed it.
   bool m_isSigned = false;
   std::optional<LoadReading> m_load;
+  /// Requests a second that the upstream takes from all entries together.
+  std::optional<double> m_rateLimit;
 };
 
 /// What an attempt adds to the caller's request.
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -19,6 +19,10 @@
 constexpr Duration kRelayRetryDelay = std::chrono::seconds(3);
 /// Delay before the next follow request after a failed one.
 constexpr int64_t kRetryDelayMicros = 100'000;
+/// A call waits this long for the owner to grant a request.
+constexpr Duration kRateTimeout = std::chrono::milliseconds(400);
+/// Entries that are assumed to share a rate while their number is not known.
+constexpr uint32_t kAssumedEntryCount = 100;
 constexpr Duration kReportTimeout = std::chrono::milliseconds(1000);
 /// Crashes that a new owner is told of.
 constexpr size_t kMaxCrashes = 32;
@@ -210,6 +214,9 @@
     LinkTo(m_ownerAddress);
   }
   m_deps.m_retries.SetEntryCount(aReply.getEntryCount());
+  if (aReply.getEntryCount() != 0) {
+    m_entryCount = aReply.getEntryCount();
+  }
   ApplySuspects(aReply);
   if (aReply.getHasDirectory()) {
     ApplyEngines(aReply);
@@ -429,6 +436,52 @@
     .detach([](kj::Exception&&) {});
 }
 
+EngineRates::Grant DirectoryLink::TakeOwnRate(const UpstreamId& aEngine,
+                                              double aRequestsPerSecond)
+{
+  const uint32_t entries =
+    m_entryCount == 0 ? kAssumedEntryCount : m_entryCount;
+  return m_ownRates.TryTake(
+    aEngine, aRequestsPerSecond / entries, m_deps.m_clock.Now());
+}
+
+void DirectoryLink::RequestRate(const UpstreamId& aEngine,
+                                double aRequestsPerSecond,
+                                RateGranter::Done aDone)
+{
+  WireLink* link = OwnerLink();
+  if (link == nullptr) {
+    aDone(TakeOwnRate(aEngine, aRequestsPerSecond));
+    return;
+  }
+  auto call = link->Node().takeRateRequest();
+  call.setEngine(aEngine.Value());
+  call.setRateLimit(aRequestsPerSecond);
+  auto reply = call.send().then([](auto&& aResponse) {
+    return EngineRates::Grant{ aResponse.getIsGranted(),
+                               Duration(aResponse.getRetryAfterMicros()) };
+  });
+  link->WithTimeout<EngineRates::Grant>(kj::mv(reply), kRateTimeout)
+    .then([aDone](EngineRates::Grant&& aGrant) { aDone(aGrant); },
+          [this, aEngine, aRequestsPerSecond, aDone](kj::Exception&&) {
+            aDone(TakeOwnRate(aEngine, aRequestsPerSecond));
+          })
+    .detach([](kj::Exception&&) {});
+}
+
+void DirectoryLink::ReportRateLimitEnd(const UpstreamId& aEngine)
+{
+  m_ownRates.Forget(aEngine);
+  WireLink* link = OwnerLink();
+  if (link == nullptr) {
+    return;
+  }
+  auto call = link->Node().endRateLimitRequest();
+  call.setEngine(aEngine.Value());
+  link->WithTimeout<void>(call.send().ignoreResult(), kReportTimeout)
+    .detach([](kj::Exception&&) {});
+}
+
 void DirectoryLink::RecordDemand(const PoolId& aPool,
                                  const ModelTarget& aTarget,
                                  Duration aPrefill)
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -25,6 +25,7 @@
   : public AdapterLoader
   , public DemandRecorder
   , public CrashReporter
+  , public RateGranter
 {
 public:
   /// Called with the operator's document when a newer route configuration
@@ -70,6 +71,10 @@
   void ReportSound(const PromptPartId& aPart, TimePoint aBegunAt) override;
   void RequestTrial(const PromptPartId& aPart,
                     std::function<void(bool)> aDone) override;
+  void RequestRate(const UpstreamId& aEngine,
+                   double aRequestsPerSecond,
+                   RateGranter::Done aDone) override;
+  void ReportRateLimitEnd(const UpstreamId& aEngine) override;
 
 private:
   struct Demand
@@ -133,6 +138,14 @@
   using LoadKey = std::pair<DemandKey, UpstreamId>;
   std::map<LoadKey, std::vector<std::function<void(UpstreamId)>>>
     m_pendingLoads;
+  /// Takes a request from this entry's own share of an engine's rate, as no
+  /// owner can be asked.
+  EngineRates::Grant TakeOwnRate(const UpstreamId& aEngine,
+                                 double aRequestsPerSecond);
+
+  /// Entries that share the rates of engines, 0 while unknown.
+  uint32_t m_entryCount = 0;
+  EngineRates m_ownRates;
   /// Crashes that this entry saw lately, the newest last. A new owner needs
   /// them all.
   std::deque<CrashRecord> m_crashes;
--- a/gateway/engine_selector.cpp
+++ b/gateway/engine_selector.cpp
@@ -24,6 +24,9 @@
 /// Time to load an adapter on request, including the round trip to the owner,
 /// plus a charge for the delay of other calls.
 constexpr Duration kAdapterLoadCost = std::chrono::milliseconds(400);
+/// Round trip to the owner, which grants each request to a limited engine. Each
+/// request that was not granted lately makes the next one less likely.
+constexpr Duration kRateRequestCost = std::chrono::milliseconds(60);
 /// Upper bound of a random cost that spreads calls over upstreams of nearly
 /// equal cost.
 constexpr uint64_t kMaxJitterMicros = 10'000;
@@ -74,6 +77,9 @@
   cost += kEventGapWeight * aState.EventGap(aNow);
   cost += kPrefillWeight * aState.m_pendingPrefill;
   cost += DistanceCost(aState.m_record.m_domain);
+  if (aState.m_record.m_rateLimit > 0) {
+    cost += kRateRequestCost * (1 + aState.m_rateDenials);
+  }
   if (aNow < aState.m_avoidUntil || aState.IsUnresponsive(aNow)) {
     cost += kUnhealthyCost;
   }
@@ -86,7 +92,13 @@
 {
   SelectQuery query = aQuery;
   query.m_target.m_adapter.clear();
+  // An adapter on an engine that limits its requests helps few calls.
+  query.m_skipsLimited = true;
   const EngineState* other = Choose(query, aNow);
+  if (other == nullptr) {
+    query.m_skipsLimited = aQuery.m_skipsLimited;
+    other = Choose(query, aNow);
+  }
   if (other == nullptr || aHolder == nullptr) {
     m_lastError = other == nullptr ? m_lastError : SelectError::AdapterMissing;
     return other;
@@ -100,6 +112,7 @@
                                           TimePoint aNow)
 {
   m_lastError = SelectError::NoUpstream;
+  m_rateAvailableAt = TimePoint::max();
   const EngineState* best = nullptr;
   Duration bestCost{};
   for (const EngineState* state : m_table.InPool(aQuery.m_pool)) {
@@ -120,6 +133,16 @@
         continue;
       }
     }
+    const bool isAtLimit =
+      record.m_rateLimit > 0 &&
+      (aQuery.m_skipsLimited || aNow < state->m_rateDeniedUntil);
+    if (isAtLimit) {
+      m_rateAvailableAt = std::min(m_rateAvailableAt, state->m_rateDeniedUntil);
+      if (m_lastError != SelectError::AdapterMissing) {
+        m_lastError = SelectError::RateLimited;
+      }
+      continue;
+    }
     const Duration cost =
       Cost(*state, aNow) +
       Duration(static_cast<int64_t>(m_random.Below(kMaxJitterMicros)));
--- a/gateway/engine_selector.h
+++ b/gateway/engine_selector.h
@@ -20,7 +20,10 @@
   /// No upstream has the model loaded.
   ModelMissing,
   /// An upstream has the model loaded, but none has the adapter.
-  AdapterMissing
+  AdapterMissing,
+  /// Every upstream that could serve the call has reached the limit on requests
+  /// that it named.
+  RateLimited
 };
 
 /// Call that an upstream is chosen for.
@@ -31,6 +34,8 @@
   ModelTarget m_target;
   /// Upstreams of earlier attempts of the call; they are not chosen again.
   std::set<UpstreamId> m_tried;
+  /// Upstreams that limit requests are left out.
+  bool m_skipsLimited = false;
 };
 
 /// Chooses the upstream where a call is expected to start earliest and to delay
@@ -67,6 +72,9 @@
                                              TimePoint aNow);
   /// Returns why the last Choose() failed. @pre it failed.
   [[nodiscard]] SelectError LastError() const { return m_lastError; }
+  /// Returns when one of the upstreams takes a request again.
+  /// @pre LastError() is RateLimited.
+  [[nodiscard]] TimePoint RateAvailableAt() const { return m_rateAvailableAt; }
 
 private:
   [[nodiscard]] Duration Cost(const EngineState& aState, TimePoint aNow) const;
@@ -78,6 +86,7 @@
   DomainRegions m_regions;
   RandomSource& m_random;
   SelectError m_lastError = SelectError::NoUpstream;
+  TimePoint m_rateAvailableAt;
 };
 
 } // namespace celeryspread
--- a/gateway/engine_table.cpp
+++ b/gateway/engine_table.cpp
@@ -21,6 +21,9 @@
 constexpr uint32_t kFailuresToAvoid = 3;
 /// Consecutive failures after which the owner is asked to check an engine.
 constexpr uint32_t kFailuresToReport = 2;
+/// Answers of one engine on different connections may arrive out of order by
+/// this much.
+constexpr Duration kMaxAnswerDisorder = std::chrono::milliseconds(500);
 constexpr Duration kInitialAvoidance = std::chrono::milliseconds(500);
 constexpr uint32_t kMaxAvoidanceDoublings = 4;
 
@@ -73,7 +76,14 @@
     state = std::make_unique<EngineState>();
   }
   const bool isMoved = state->m_record.m_pool != aRecord.m_pool;
+  const double known = state->m_record.m_rateLimit;
+  const bool isSameLimit =
+    !isNew && aRecord.m_rateLimit == state->m_listedRateLimit;
   state->m_record = aRecord;
+  state->m_listedRateLimit = aRecord.m_rateLimit;
+  if (isSameLimit) {
+    state->m_record.m_rateLimit = known;
+  }
   if (isNew || isMoved) {
     Reindex();
   }
@@ -179,6 +189,48 @@
   state->m_changesSinceReading = 0;
 }
 
+bool EngineTable::RecordRateLimit(
+  const UpstreamId& aId,
+  const std::optional<double>& aRequestsPerSecond,
+  TimePoint aNow)
+{
+  EngineState* state = FindMutable(aId);
+  if (state == nullptr) {
+    return false;
+  }
+  double& limit = state->m_record.m_rateLimit;
+  if (aRequestsPerSecond) {
+    limit = *aRequestsPerSecond;
+    state->m_rateLimitSeenAt = aNow;
+    return false;
+  }
+  const bool hasEnded =
+    limit != 0 && aNow > state->m_rateLimitSeenAt + kMaxAnswerDisorder;
+  if (hasEnded) {
+    limit = 0;
+    state->m_rateDeniedUntil = aNow;
+  }
+  return hasEnded;
+}
+
+void EngineTable::RecordRateDenied(const UpstreamId& aId, TimePoint aUntil)
+{
+  EngineState* state = FindMutable(aId);
+  if (state != nullptr) {
+    state->m_rateDeniedUntil = std::max(state->m_rateDeniedUntil, aUntil);
+    state->m_rateDenials =
+      std::min(state->m_rateDenials + 1, EngineState::kMaxRateDenials);
+  }
+}
+
+void EngineTable::RecordRateGranted(const UpstreamId& aId)
+{
+  EngineState* state = FindMutable(aId);
+  if (state != nullptr) {
+    state->m_rateDenials = 0;
+  }
+}
+
 void EngineTable::RecordMissing(const UpstreamId& aId,
                                 const ModelTarget& aTarget)
 {
--- a/gateway/engine_table.h
+++ b/gateway/engine_table.h
@@ -43,6 +43,17 @@
   TimePoint m_lastByteAt;
   uint32_t m_consecutiveFailures = 0;
   TimePoint m_avoidUntil;
+  /// Limit in the owner's last record. The entry may know a newer one from an
+  /// answer; that one stands in m_record.
+  double m_listedRateLimit = 0;
+  /// When an answer to this entry named the limit last.
+  TimePoint m_rateLimitSeenAt;
+  /// No request is granted before this.
+  TimePoint m_rateDeniedUntil;
+  /// Requests that were not granted since the last one that was, up to
+  /// kMaxRateDenials.
+  uint32_t m_rateDenials = 0;
+  static constexpr uint32_t kMaxRateDenials = 4;
 
   /// Smoothed time between events of this entry's streams, as of m_eventGapAt.
   Duration m_eventGap{};
@@ -89,6 +100,16 @@
   void RecordLoad(const UpstreamId& aId,
                   const LoadReading& aReading,
                   TimePoint aNow);
+  /// Records the limit that an answer named, or that it named none.
+  /// @pre none. @return whether a known limit has ended.
+  bool RecordRateLimit(const UpstreamId& aId,
+                       const std::optional<double>& aRequestsPerSecond,
+                       TimePoint aNow);
+  /// Records that no request to an upstream is granted before aUntil.
+  /// @pre none.
+  void RecordRateDenied(const UpstreamId& aId, TimePoint aUntil);
+  /// Records that a request to an upstream was granted. @pre none.
+  void RecordRateGranted(const UpstreamId& aId);
   /// Records that an upstream rejected a call because the target is not loaded.
   /// @pre none.
   void RecordMissing(const UpstreamId& aId, const ModelTarget& aTarget);
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -12,6 +12,9 @@
 /// Attempts of one call, rejected ones included; more of them would only use up
 /// the retry budget.
 constexpr uint32_t kMaxDispatches = 3;
+/// Denials of requests to limited engines after which a call goes to another
+/// engine or is refused; each one costs a round trip to the owner.
+constexpr uint32_t kMaxRateDenials = 2;
 /// After this time some calls of a full batch have ended.
 constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(400);
 /// Time in which a missing model or adapter is usually loaded.
@@ -95,11 +98,13 @@
   }
   const SelectQuery query{ m_input.m_pool,
                            m_input.m_callFields.m_target,
-                           m_tried };
+                           m_tried,
+                           m_rateDenials >= kMaxRateDenials };
   const EngineState* state = m_context.m_selector.Choose(query, now);
   const bool isMiss = state == nullptr && m_context.m_selector.LastError() !=
                                             SelectError::NoUpstream;
-  if (m_dispatches == 0 && !m_hasRequestedAdapter) {
+  if (!m_isDemandRecorded) {
+    m_isDemandRecorded = true;
     m_context.m_demand.RecordDemand(
       m_input.m_pool,
       m_input.m_callFields.m_target,
@@ -127,7 +132,7 @@
     return;
   }
   if (state != nullptr) {
-    Dispatch(*state);
+    DispatchWithinLimit(*state);
     return;
   }
   switch (m_context.m_selector.LastError()) {
@@ -137,6 +142,11 @@
     case SelectError::ModelMissing:
       Refuse("no engine has the model loaded", kMissingRetryAfter);
       return;
+    case SelectError::RateLimited:
+      Refuse("all engines with the model are at the limits that they named",
+             std::max(kBusyRetryAfter,
+                      m_context.m_selector.RateAvailableAt() - now));
+      return;
     case SelectError::NoUpstream:
       Refuse("no upstream of the pool accepts new calls", kBusyRetryAfter);
       return;
@@ -213,6 +223,47 @@
     });
 }
 
+void GatewayCall::DispatchWithinLimit(const EngineState& aState)
+{
+  if (aState.m_record.m_rateLimit <= 0) {
+    Dispatch(aState);
+    return;
+  }
+  const UpstreamId engine = aState.m_record.m_id;
+  m_context.m_rates.RequestRate(
+    engine,
+    aState.m_record.m_rateLimit,
+    [this, isAlive = m_isAlive, engine](const EngineRates::Grant& aGrant) {
+      if (*isAlive && !m_isFinished) {
+        HandleRateGrant(engine, aGrant);
+      }
+    });
+}
+
+void GatewayCall::HandleRateGrant(const UpstreamId& aEngine,
+                                  const EngineRates::Grant& aGrant)
+{
+  const TimePoint now = m_context.m_clock.Now();
+  const EngineState* state = m_context.m_table.Find(aEngine);
+  if (aGrant.m_isGranted) {
+    m_context.m_table.RecordRateGranted(aEngine);
+  }
+  const bool isUsable = aGrant.m_isGranted && state != nullptr &&
+                        !state->m_record.m_isLeaving &&
+                        m_input.m_deadline - now >= kMinTimeLeft;
+  if (isUsable) {
+    if (!RefuseIfHeld()) {
+      Dispatch(*state);
+    }
+    return;
+  }
+  if (!aGrant.m_isGranted) {
+    m_context.m_table.RecordRateDenied(aEngine, now + aGrant.m_retryAfter);
+    ++m_rateDenials;
+  }
+  ChooseAndDispatch();
+}
+
 void GatewayCall::Dispatch(const EngineState& aState)
 {
   const TimePoint now = m_context.m_clock.Now();
@@ -340,6 +391,12 @@
   const bool isForeign =
     !m_answer.m_attempt.IsEmpty() && m_answer.m_attempt != own;
   m_isRejected = m_answer.m_hasNotRun && !isForeign;
+  const bool namesLimits =
+    m_answer.m_attempt == own && (m_answer.m_rateLimit || IsSuccess(aStatus));
+  if (namesLimits && m_context.m_table.RecordRateLimit(
+                       m_upstream, m_answer.m_rateLimit, now)) {
+    m_context.m_rates.ReportRateLimitEnd(m_upstream);
+  }
   if (m_isRejected) {
     return;
   }
@@ -587,7 +644,8 @@
   }
   const SelectQuery query{ m_input.m_pool,
                            m_input.m_callFields.m_target,
-                           m_tried };
+                           m_tried,
+                           m_rateDenials >= kMaxRateDenials };
   const EngineState* state = m_context.m_selector.Choose(query, now);
   const bool isLoadable =
     state == nullptr && !m_hasRequestedAdapter &&
@@ -605,7 +663,7 @@
   if (isLoadable) {
     RequestAdapter(UpstreamId());
   } else {
-    Dispatch(*state);
+    DispatchWithinLimit(*state);
   }
   return true;
 }
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -75,6 +75,11 @@
   /// may be the trial call. @return whether it did either.
   bool RefuseIfHeld();
   void RequestAdapter(const UpstreamId& aPreferred);
+  /// Dispatches the call to an upstream, after a request to it was granted if
+  /// the upstream limits them.
+  void DispatchWithinLimit(const EngineState& aState);
+  void HandleRateGrant(const UpstreamId& aEngine,
+                       const EngineRates::Grant& aGrant);
   void Dispatch(const EngineState& aState);
   /// Retries the call after an attempt that ended without a usable answer.
   /// @return false if a retry is not allowed or no upstream is available.
@@ -134,6 +139,9 @@
   uint32_t m_dispatches = 0;
   bool m_mayHaveRun = false;
   bool m_hasRequestedAdapter = false;
+  bool m_isDemandRecorded = false;
+  /// Requests to limited upstreams that were not granted.
+  uint32_t m_rateDenials = 0;
   /// The call may be sent although a part of its prompt is held back.
   bool m_isTrial = false;
   bool m_isAwaitingTrial = false;
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 
+#include "admission/engine_rates.h"
 #include "core/timers.h"
 #include "gateway/call_fields.h"
 #include "gateway/crash_watch.h"
@@ -29,6 +30,24 @@
                            std::function<void(UpstreamId)> aDone) = 0;
 };
 
+/// Asks whether requests may be sent to engines that limit them.
+class RateGranter
+{
+public:
+  using Done = std::function<void(const EngineRates::Grant&)>;
+  virtual ~RateGranter() = default;
+  /// Asks for one request to an engine that takes aRequestsPerSecond from all
+  /// entries together. aDone may be called at once. @pre aRequestsPerSecond >
+  /// 0.
+  /// @thread loop.
+  virtual void RequestRate(const UpstreamId& aEngine,
+                           double aRequestsPerSecond,
+                           Done aDone) = 0;
+  /// Reports that an engine no longer limits its requests. @pre none.
+  /// @thread loop.
+  virtual void ReportRateLimitEnd(const UpstreamId& aEngine) = 0;
+};
+
 /// Counts the demand of callers for models and adapters.
 class DemandRecorder
 {
@@ -60,6 +79,7 @@
   AdapterLoader& m_adapters;
   DemandRecorder& m_demand;
   CrashWatch& m_crashes;
+  RateGranter& m_rates;
   /// The entry's own failure domain.
   const FailureDomainId& m_domain;
   Metrics& m_metrics;
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -97,13 +97,21 @@
                   m_directory,
                   m_metrics,
                   m_log })
-    , m_context{ m_clock,     m_timers,
-                 m_client,    *m_platform.m_codec,
-                 m_table,     m_selector,
-                 m_retries,   m_prefill,
-                 m_directory, m_directory,
-                 m_crashes,   m_settings.m_failureDomain,
-                 m_metrics,   m_log }
+    , m_context{ m_clock,
+                 m_timers,
+                 m_client,
+                 *m_platform.m_codec,
+                 m_table,
+                 m_selector,
+                 m_retries,
+                 m_prefill,
+                 m_directory,
+                 m_directory,
+                 m_crashes,
+                 m_directory,
+                 m_settings.m_failureDomain,
+                 m_metrics,
+                 m_log }
     , m_gateway(m_context)
     , m_probes(
         m_platform.m_readyPath,
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -42,6 +42,7 @@
   PlatformEntryUnreadable = 307,
   EngineReachability = 308,
   EngineEnded = 309,
+  EngineLimited = 310,
   CallFailed = 400,
   StreamBroken = 401,
   CallRefused = 402,
--- a/tests/fleet/model_planner_test.cpp
+++ b/tests/fleet/model_planner_test.cpp
@@ -274,6 +274,26 @@
                 .empty());
 }
 
+/// An engine that limits its requests can't serve the demand for its model,
+/// which has to move to engines without a limit.
+TEST(ModelPlannerTest, ModelOfALimitedEngineGetsACopyElsewhere)
+{
+  const EngineSpec spec = MakeSpec(3);
+  std::vector<PlannedEngine> engines = { MakeEngine("a", { "m0", "m1" }),
+                                         MakeEngine("b", { "m1", "m2" }) };
+  const std::map<std::string, double> loads = { { "m0", 0.25 } };
+  const auto movesModel = [&] {
+    const auto orders = ModelPlanner::Plan(spec, engines, loads, StoreLoads(4));
+    return std::any_of(
+      orders.begin(), orders.end(), [](const PlannedOrder& aOrder) {
+        return aOrder.m_engine == UpstreamId("b");
+      });
+  };
+  EXPECT_FALSE(movesModel());
+  engines[0].m_unusableLoad = 0.9;
+  EXPECT_TRUE(movesModel());
+}
+
 /// A copy with calls was drained for a small gain; until its calls had ended
 /// the engine was busy and the other holders got the new calls.
 TEST(ModelPlannerTest, CopyWithCallsIsNotDrainedForASmallGain)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -78,6 +78,14 @@
       { UpstreamFailureKind::ConnectionLost, true, "lost" });
   }
 
+  /// Headers of a good answer that names a limit of four requests a second.
+  HttpHeaders LimitedAnswer() const
+  {
+    HttpHeaders headers = m_good;
+    headers.push_back({ "limit", "4" });
+    return headers;
+  }
+
   const HttpHeaders m_good = { { "id", "a1" }, { "signed", "x" } };
   SimulatedTime m_time;
   SkewedClock m_clock{ m_time, 0 };
@@ -101,13 +109,14 @@
   CallerRecord m_otherCaller;
   PartQuarantine m_quarantine;
   FakeCrashReporter m_reporter;
+  FakeRateGranter m_rates;
   CrashWatch m_crashes{
     { m_clock, m_timers, m_table, m_quarantine, m_reporter, m_metrics, m_log }
   };
   GatewayContext m_context{ m_clock,   m_timers,   m_client,  m_codec,
                             m_table,   m_selector, m_retries, m_prefill,
-                            m_control, m_control,  m_crashes, m_domain,
-                            m_metrics, m_log };
+                            m_control, m_control,  m_crashes, m_rates,
+                            m_domain,  m_metrics,  m_log };
   Gateway m_gateway{ m_context };
   CallerRecord m_caller;
 };
@@ -490,6 +499,87 @@
   EXPECT_TRUE(m_reporter.m_crashes.empty());
 }
 
+TEST_F(GatewayTest, AsksBeforeEachRequestToALimitedEngine)
+{
+  m_table.Remove(UpstreamId("e2"));
+  Call("/chat/1", { { "model", "m" } });
+  EXPECT_TRUE(m_rates.m_requested.empty());
+  Answer(0, 200, LimitedAnswer());
+  Call("/chat/1", { { "model", "m" } });
+  EXPECT_EQ(m_rates.m_requested, std::vector{ UpstreamId("e1") });
+  EXPECT_EQ(m_client.m_attempts.size(), 2U);
+}
+
+TEST_F(GatewayTest, CallGoesToAnotherEngineWhenOneIsAtItsLimit)
+{
+  Call("/chat/1", { { "model", "m" } });
+  Answer(0, 200, LimitedAnswer());
+  m_rates.m_denied = { UpstreamId("e1") };
+  Call("/chat/1", { { "model", "m" } });
+  ASSERT_EQ(m_client.m_attempts.size(), 2U);
+  EXPECT_EQ(m_codec.m_lastFields.m_upstream, UpstreamId("e2"));
+}
+
+TEST_F(GatewayTest, RefusesAtOnceWhenAllEnginesAreAtTheirLimits)
+{
+  m_table.Remove(UpstreamId("e2"));
+  Call("/chat/1", { { "model", "m" } });
+  Answer(0, 200, LimitedAnswer());
+  m_rates.m_denied = { UpstreamId("e1") };
+  Call("/chat/1", { { "model", "m" } });
+  EXPECT_EQ(m_caller.m_status, 503);
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+  // The engine takes a request again then.
+  EXPECT_EQ(m_caller.m_headers.front().m_value, "2000000");
+}
+
+TEST_F(GatewayTest, LimitEndsWithAnAnswerThatNamesNone)
+{
+  m_table.Remove(UpstreamId("e2"));
+  Call("/chat/1", { { "model", "m" } });
+  Answer(0, 200, LimitedAnswer());
+  Call("/chat/1", { { "model", "m" } });
+  // An answer that was sent before the limit began may arrive a moment later.
+  Answer(1, 200, m_good);
+  EXPECT_TRUE(m_rates.m_ended.empty());
+  m_time.RunFor(std::chrono::seconds(1));
+  Call("/chat/1", { { "model", "m" } });
+  Answer(2, 200, m_good);
+  EXPECT_EQ(m_rates.m_ended, std::vector{ UpstreamId("e1") });
+  const size_t requested = m_rates.m_requested.size();
+  Call("/chat/1", { { "model", "m" } });
+  EXPECT_EQ(m_rates.m_requested.size(), requested);
+}
+
+/// The answer of another call may be an old one, or another engine's.
+TEST_F(GatewayTest, IgnoresTheLimitInTheAnswerToAnotherCall)
+{
+  Call("/pay/1");
+  Answer(0, 200, { { "id", "other" }, { "signed", "x" }, { "limit", "1" } });
+  EXPECT_EQ(m_table.Find(UpstreamId("e1"))->m_record.m_rateLimit, 0);
+}
+
+/// An engine whose limit the owner lists limits this entry's calls too, before
+/// any of its answers arrived here.
+TEST_F(GatewayTest, KeepsALimitThatTheOwnerLists)
+{
+  m_table.Remove(UpstreamId("e2"));
+  EngineRecord limited = MakeEngine("e1", "here", "m");
+  limited.m_rateLimit = 2;
+  m_table.Update(limited);
+  Call("/chat/1", { { "model", "m" } });
+  EXPECT_EQ(m_rates.m_requested.size(), 1U);
+}
+
+/// The owner's record may be older than the answer that named the limit.
+TEST_F(GatewayTest, RecordWithoutNewsKeepsTheLimitOfAnAnswer)
+{
+  Call("/chat/1", { { "model", "m" } });
+  Answer(0, 200, LimitedAnswer());
+  m_table.Update(MakeEngine("e1", "here", "m"));
+  EXPECT_EQ(m_table.Find(UpstreamId("e1"))->m_record.m_rateLimit, 4);
+}
+
 TEST_F(GatewayTest, CountsTheDemandForAMissingModel)
 {
   Call("/chat/1", { { "model", "unknown" } });
--- a/tests/gateway/rate_limit_test.cpp
+++ b/tests/gateway/rate_limit_test.cpp
@@ -80,4 +80,40 @@
   EXPECT_GE(ServedShare(limitedAt + kContactTime), 0.95);
 }
 
+/// A new owner does not know what its predecessor granted, and entries that
+/// reach no owner decide for themselves.
+TEST_F(RateLimitTest, HoldsWithNewOwnersAndEntriesThatAreCutOff)
+{
+  const TimePoint end = m_time.Now() + std::chrono::seconds(30);
+  SendCalls(std::chrono::milliseconds(6), end);
+  m_time.RunFor(std::chrono::seconds(5));
+  const TimePoint limitedAt = m_time.Now();
+  for (size_t i = 0; i < 13; ++i) {
+    m_engines.m_limits[i] = 4.8;
+  }
+  for (size_t i = 0; i < 6; ++i) {
+    m_entries[i]->SetCutOff(true);
+    m_time.RunFor(std::chrono::seconds(2));
+    m_entries[i]->SetCutOff(false);
+    m_owner.Replace();
+    m_time.RunFor(std::chrono::seconds(2));
+  }
+  EXPECT_LE(m_engines.WorstExcess(limitedAt + kContactTime, kWindow), 0.0);
+}
+
+TEST_F(RateLimitTest, AllCallsAreServedOnceTheLimitsEnd)
+{
+  const TimePoint end = m_time.Now() + std::chrono::seconds(30);
+  SendCalls(std::chrono::milliseconds(6), end);
+  for (size_t i = 0; i < 18; ++i) {
+    m_engines.m_limits[i] = 2;
+  }
+  m_time.RunFor(std::chrono::seconds(10));
+  m_engines.m_limits.clear();
+  m_time.RunFor(std::chrono::seconds(3));
+  const TimePoint endedAt = m_time.Now();
+  m_time.RunFor(std::chrono::seconds(15));
+  EXPECT_GE(ServedShare(endedAt), 0.99);
+}
+
 } // namespace celeryspread::test
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -175,6 +175,19 @@
     (std::vector<PromptPartId>{ PromptPartId("5c"), PromptPartId("91") }));
 }
 
+TEST(CallCodecTest, ReadsTheLimitOnRequests)
+{
+  EXPECT_EQ(platform::ParseRateLimit("4.8"), 4.8);
+  EXPECT_EQ(platform::ParseRateLimit(" 12 "), 12);
+  EXPECT_GT(platform::ParseRateLimit("0"), 0);
+  for (const char* text : { "", "x", "-1", "nan", "inf", "4.8x", "1e999" }) {
+    EXPECT_FALSE(platform::ParseRateLimit(text)) << text;
+  }
+  const auto answer = platform::PlatformCallCodec().ReadAnswer(
+    200, { { "Attempt-Id", "1" }, { "server-limit", "2.5" } });
+  EXPECT_EQ(answer.m_rateLimit, 2.5);
+}
+
 TEST(CallCodecTest, RejectsMalformedHeaders)
 {
   platform::PlatformCallCodec codec;
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -161,6 +161,9 @@
       }
       answerFields.m_hasNotRun =
         answerFields.m_hasNotRun || header.m_name == "not-run";
+      if (header.m_name == "limit") {
+        answerFields.m_rateLimit = std::stod(header.m_value);
+      }
       answerFields.m_isSigned =
         answerFields.m_isSigned || header.m_name == "signed";
     }
@@ -216,6 +219,29 @@
   int m_running = 0;
 };
 
+/// RateGranter that grants requests as the test says.
+class FakeRateGranter : public RateGranter
+{
+public:
+  void RequestRate(const UpstreamId& aEngine,
+                   double /*aRequestsPerSecond*/,
+                   Done aDone) override
+  {
+    m_requested.push_back(aEngine);
+    aDone(m_denied.contains(aEngine)
+            ? EngineRates::Grant{ false, std::chrono::seconds(2) }
+            : EngineRates::Grant{ true, Duration::zero() });
+  }
+  void ReportRateLimitEnd(const UpstreamId& aEngine) override
+  {
+    m_ended.push_back(aEngine);
+  }
+
+  std::vector<UpstreamId> m_requested;
+  std::vector<UpstreamId> m_ended;
+  std::set<UpstreamId> m_denied;
+};
+
 /// CrashReporter that records what it is told; the test calls m_onTrial for the
 /// last request.
 class FakeCrashReporter : public CrashReporter
--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -407,6 +407,7 @@
 {
   ++m_epoch;
   m_crashes.Clear();
+  m_rates.Clear();
 }
 
 void SimulatedOwner::Send(const SimulatedEntry& aEntry,
@@ -441,12 +442,13 @@
                  { FailureDomainId("far"), RegionId("r2") } },
                m_random)
   , m_owner(aOwner)
+  , m_entryCount(aEntryCount)
   , m_crashes(
       { m_clock, m_timers, m_table, m_quarantine, *this, m_metrics, m_log })
   , m_domain(aDomain)
   , m_context{ m_clock,    m_timers,  *m_client, m_codec,   m_table,
                m_selector, m_retries, m_prefill, m_control, m_control,
-               m_crashes,  m_domain,  m_metrics, m_log }
+               m_crashes,  *this,     m_domain,  m_metrics, m_log }
   , m_gateway(std::make_unique<Gateway>(m_context))
 {
   RouteConfigData data;
@@ -512,6 +514,36 @@
     });
 }
 
+void SimulatedEntry::RequestRate(const UpstreamId& aEngine,
+                                 double aRequestsPerSecond,
+                                 Done aDone)
+{
+  if (m_isCutOff) {
+    aDone(m_ownRates.TryTake(
+      aEngine, aRequestsPerSecond / m_entryCount, m_time.Now()));
+    return;
+  }
+  m_owner.Send(
+    *this,
+    [=, self = m_self, &time = m_time, delay = m_owner.NetworkDelay()](
+      SimulatedOwner& aOwner) {
+      const EngineRates::Grant grant =
+        aOwner.Rates().TryTake(aEngine, aRequestsPerSecond, time.Now());
+      time.Schedule(time.Now() + delay, [=] {
+        if (*self != nullptr) {
+          aDone(grant);
+        }
+      });
+    });
+}
+
+void SimulatedEntry::ReportRateLimitEnd(const UpstreamId& aEngine)
+{
+  m_owner.Send(*this, [aEngine](SimulatedOwner& aOwner) {
+    aOwner.Rates().Forget(aEngine);
+  });
+}
+
 bool SimulatedEntry::IsBehind(uint64_t aEpoch, uint64_t aVersion) const
 {
   return m_quarantine.Epoch() != aEpoch || m_quarantine.Version() < aVersion;
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -137,6 +137,7 @@
   /// Records a crash, and asks the engine whether it still answers.
   void RecordCrash(const CrashRecord& aRecord);
   [[nodiscard]] CrashInvestigation& Crashes() { return m_crashes; }
+  [[nodiscard]] EngineRates& Rates() { return m_rates; }
   [[nodiscard]] Duration NetworkDelay() const { return m_networkDelay; }
 
 private:
@@ -149,6 +150,7 @@
   uint64_t m_epoch = 1;
   uint64_t m_publishedVersion = 0;
   CrashInvestigation m_crashes;
+  EngineRates m_rates;
   std::vector<SimulatedEntry*> m_entries;
   std::unique_ptr<Timer> m_timer;
 };
@@ -171,7 +173,9 @@
 };
 
 /// One entry before simulated engines.
-class SimulatedEntry : public CrashReporter
+class SimulatedEntry
+  : public CrashReporter
+  , public RateGranter
 {
 public:
   SimulatedEntry(SimulatedTime& aTime,
@@ -186,6 +190,10 @@
   void ReportSound(const PromptPartId& aPart, TimePoint aBegunAt) override;
   void RequestTrial(const PromptPartId& aPart,
                     std::function<void(bool)> aDone) override;
+  void RequestRate(const UpstreamId& aEngine,
+                   double aRequestsPerSecond,
+                   Done aDone) override;
+  void ReportRateLimitEnd(const UpstreamId& aEngine) override;
   /// Receives the owner's list.
   void Apply(uint64_t aEpoch,
              uint64_t aVersion,
@@ -234,6 +242,8 @@
   RetryBudgetShare m_retries{ RetryBounds{} };
   FakeControlLink m_control;
   SimulatedOwner& m_owner;
+  uint32_t m_entryCount;
+  EngineRates m_ownRates;
   PartQuarantine m_quarantine;
   Metrics m_metrics;
   RefusalLog m_log;
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -204,6 +204,8 @@
   isLeaving @6 :Bool;
   isGone @7 :Bool;
   models @8 :List(EngineModel);
+  # Requests a second that the engine takes from all entries; 0 for no limit.
+  rateLimit @9 :Float64;
 }
 
 # Demand for one model or adapter since the last report.
@@ -334,6 +336,12 @@
   # Asks the owner for permission to send one call with a part that is held
   # back.
   requestTrial @11 (part :Text) -> (isPermitted :Bool);
+  # Asks the owner whether one request may be sent to an engine that takes
+  # rateLimit requests a second from all entries.
+  takeRate @12 (engine :Text, rateLimit :Float64)
+    -> (isGranted :Bool, retryAfterMicros :Int64);
+  # Tells the owner that an engine no longer limits its requests.
+  endRateLimit @13 (engine :Text) -> ();
 }
 
 # Bootstrap object of a connection: gives access to the node after a proof that
--- a/wire/celeryspread.capnp.c++
+++ b/wire/celeryspread.capnp.c++
@@ -2415,17 +2415,17 @@
   0, 3, i_fdd2ed56288ea999, nullptr, nullptr, { &s_fdd2ed56288ea999, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<160> b_bc108f4f24518174 = {
+static const ::capnp::_::AlignedData<176> b_bc108f4f24518174 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     116, 129,  81,  36,  79, 143,  16, 188,
-     24,   0,   0,   0,   1,   0,   1,   0,
+     24,   0,   0,   0,   1,   0,   2,   0,
       8,  86, 227, 167, 201, 241, 210, 180,
       5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  34,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0, 255,   1,   0,   0,
+     33,   0,   0,   0,  55,   2,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  47,  99, 101, 108,
@@ -2434,70 +2434,77 @@
      69, 110, 103, 105, 110, 101,  69, 110,
     116, 114, 121,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     36,   0,   0,   0,   3,   0,   4,   0,
+     40,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    237,   0,   0,   0,  26,   0,   0,   0,
+      9,   1,   0,   0,  26,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    232,   0,   0,   0,   3,   0,   1,   0,
-    244,   0,   0,   0,   2,   0,   1,   0,
+      4,   1,   0,   0,   3,   0,   1,   0,
+     16,   1,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    241,   0,   0,   0,  42,   0,   0,   0,
+     13,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    236,   0,   0,   0,   3,   0,   1,   0,
-    248,   0,   0,   0,   2,   0,   1,   0,
+      8,   1,   0,   0,   3,   0,   1,   0,
+     20,   1,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    245,   0,   0,   0,  66,   0,   0,   0,
+     17,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    240,   0,   0,   0,   3,   0,   1,   0,
-    252,   0,   0,   0,   2,   0,   1,   0,
+     12,   1,   0,   0,   3,   0,   1,   0,
+     24,   1,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    249,   0,   0,   0,  42,   0,   0,   0,
+     21,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    244,   0,   0,   0,   3,   0,   1,   0,
-      0,   1,   0,   0,   2,   0,   1,   0,
+     16,   1,   0,   0,   3,   0,   1,   0,
+     28,   1,   0,   0,   2,   0,   1,   0,
       4,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    253,   0,   0,   0, 114,   0,   0,   0,
+     25,   1,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    252,   0,   0,   0,   3,   0,   1,   0,
-      8,   1,   0,   0,   2,   0,   1,   0,
+     24,   1,   0,   0,   3,   0,   1,   0,
+     36,   1,   0,   0,   2,   0,   1,   0,
       5,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   1,   0,   0,  50,   0,   0,   0,
+     33,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   1,   0,   0,   3,   0,   1,   0,
-     12,   1,   0,   0,   2,   0,   1,   0,
+     28,   1,   0,   0,   3,   0,   1,   0,
+     40,   1,   0,   0,   2,   0,   1,   0,
       6,   0,   0,   0,  16,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   1,   0,   0,  82,   0,   0,   0,
+     37,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   1,   0,   0,   3,   0,   1,   0,
-     20,   1,   0,   0,   2,   0,   1,   0,
+     36,   1,   0,   0,   3,   0,   1,   0,
+     48,   1,   0,   0,   2,   0,   1,   0,
       7,   0,   0,   0,  17,   0,   0,   0,
       0,   0,   1,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   1,   0,   0,  58,   0,   0,   0,
+     45,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   1,   0,   0,   3,   0,   1,   0,
-     24,   1,   0,   0,   2,   0,   1,   0,
+     40,   1,   0,   0,   3,   0,   1,   0,
+     52,   1,   0,   0,   2,   0,   1,   0,
       8,   0,   0,   0,   4,   0,   0,   0,
       0,   0,   1,   0,   8,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   1,   0,   0,  58,   0,   0,   0,
+     49,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   1,   0,   0,   3,   0,   1,   0,
-     44,   1,   0,   0,   2,   0,   1,   0,
+     44,   1,   0,   0,   3,   0,   1,   0,
+     72,   1,   0,   0,   2,   0,   1,   0,
+      9,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   9,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   1,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   1,   0,   0,   3,   0,   1,   0,
+     80,   1,   0,   0,   2,   0,   1,   0,
     105, 100,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2574,6 +2581,15 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114,  97, 116, 101,  76, 105, 109, 105,
+    116,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -2582,11 +2598,11 @@
 static const ::capnp::_::RawSchema* const d_bc108f4f24518174[] = {
   &s_fdd2ed56288ea999,
 };
-static const uint16_t m_bc108f4f24518174[] = {2, 4, 0, 7, 6, 8, 1, 3, 5};
-static const uint16_t i_bc108f4f24518174[] = {0, 1, 2, 3, 4, 5, 6, 7, 8};
+static const uint16_t m_bc108f4f24518174[] = {2, 4, 0, 7, 6, 8, 1, 3, 9, 5};
+static const uint16_t i_bc108f4f24518174[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9};
 const ::capnp::_::RawSchema s_bc108f4f24518174 = {
-  0xbc108f4f24518174, b_bc108f4f24518174.words, 160, d_bc108f4f24518174, m_bc108f4f24518174,
-  1, 9, i_bc108f4f24518174, nullptr, nullptr, { &s_bc108f4f24518174, nullptr, nullptr, 0, 0, nullptr }
+  0xbc108f4f24518174, b_bc108f4f24518174.words, 176, d_bc108f4f24518174, m_bc108f4f24518174,
+  1, 10, i_bc108f4f24518174, nullptr, nullptr, { &s_bc108f4f24518174, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<111> b_f0e77f969d615e7b = {
@@ -3790,7 +3806,7 @@
   0, 5, i_f09e405c8a347459, nullptr, nullptr, { &s_f09e405c8a347459, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<145> b_cbeffeb05744a539 = {
+static const ::capnp::_::AlignedData<167> b_cbeffeb05744a539 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      57, 165,  68,  87, 176, 254, 239, 203,
      24,   0,   0,   0,   3,   0,   0,   0,
@@ -3800,8 +3816,8 @@
      21,   0,   0,   0,  34,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,   7,   3,   0,   0,
-     21,   2,   0,   0,   7,   0,   0,   0,
+     33,   0,   0,   0, 135,   3,   0,   0,
+    109,   2,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  47,  99, 101, 108,
     101, 114, 121, 115, 112, 114, 101,  97,
@@ -3809,103 +3825,119 @@
      67, 111, 110, 116, 114, 111, 108,  78,
     111, 100, 101,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     48,   0,   0,   0,   3,   0,   5,   0,
+     56,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     157, 211, 171, 239,   8,  35, 151, 249,
     208,  82, 119,  44, 145,  88,  43, 141,
-    113,   1,   0,   0,  42,   0,   0,   0,
+    177,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   1,   0,   0,   7,   0,   0,   0,
+    165,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      72, 124, 155, 135,  79,  52,  99, 228,
      63, 195,   7,  64,  77,  87, 138, 217,
-     89,   1,   0,   0,  42,   0,   0,   0,
+    153,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   1,   0,   0,   7,   0,   0,   0,
+    141,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      15, 191, 125, 143,  45, 254, 241, 143,
      64, 156, 181,  44, 168,  77, 176, 198,
-     65,   1,   0,   0,  50,   0,   0,   0,
+    129,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   1,   0,   0,   7,   0,   0,   0,
+    117,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      75, 144, 102,  55,  38,  34, 153, 209,
      27, 175, 186, 133,  78, 143, 110, 155,
-     41,   1,   0,   0,  50,   0,   0,   0,
+    105,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   1,   0,   0,   7,   0,   0,   0,
+     93,   1,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     122,  61, 202, 127, 141, 222,  22, 207,
     248, 200, 220, 201, 186, 133, 223, 214,
-     17,   1,   0,   0,  50,   0,   0,   0,
+     81,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   1,   0,   0,   7,   0,   0,   0,
+     69,   1,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     143, 214, 175, 123,  89,  58, 134, 131,
     135, 221,  96,  13, 127, 228,  73, 248,
-    249,   0,   0,   0,  90,   0,   0,   0,
+     57,   1,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    241,   0,   0,   0,   7,   0,   0,   0,
+     49,   1,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     212,  69, 195, 121, 146, 219, 104, 200,
     249,  99, 178, 191, 244, 163,  54, 235,
-    229,   0,   0,   0,  42,   0,   0,   0,
+     37,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    217,   0,   0,   0,   7,   0,   0,   0,
+     25,   1,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     234,  75,  12,  27, 118, 254, 139, 166,
     181, 250, 138,  61, 243,  39,  71, 143,
-    205,   0,   0,   0, 130,   0,   0,   0,
+     13,   1,   0,   0, 130,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+      5,   1,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
     185,  29, 100,  31,  55,  98, 203, 140,
     109, 220,  69,  61, 152, 207, 124, 222,
-    185,   0,   0,   0,  58,   0,   0,   0,
+    249,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    173,   0,   0,   0,   7,   0,   0,   0,
+    237,   0,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
     102, 151, 175,   4,  75, 111,  11, 250,
     203, 201, 162,  63,  30, 144, 136, 229,
-    161,   0,   0,   0,  98,   0,   0,   0,
+    225,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,   7,   0,   0,   0,
+    217,   0,   0,   0,   7,   0,   0,   0,
      10,   0,   0,   0,   0,   0,   0,   0,
     179, 162, 106, 156,  95, 111,  67, 150,
     118,  12, 173,  68, 116,  64, 159, 168,
-    141,   0,   0,   0, 114,   0,   0,   0,
+    205,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
      11,   0,   0,   0,   0,   0,   0,   0,
      70,  94, 151, 130,  80,  19, 124, 226,
      38, 255,  80,  97, 149, 175, 136, 171,
-    121,   0,   0,   0, 106,   0,   0,   0,
+    185,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    113,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+     51,  60,   8, 105,  50, 197, 110, 220,
+     40,  14, 175, 208,  16, 254, 227, 131,
+    165,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    157,   0,   0,   0,   7,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+    249, 187, 186,   6, 110, 141, 147, 215,
+     86, 116,  84, 247, 193,  91, 224, 153,
+    145,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
     112, 105, 110, 103,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     114,  97, 102, 116,   0,   0,   0,   0,
@@ -3935,17 +3967,25 @@
     114, 101, 113, 117, 101, 115, 116,  84,
     114, 105,  97, 108,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    116,  97, 107, 101,  82,  97, 116, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    101, 110, 100,  82,  97, 116, 101,  76,
+    105, 109, 105, 116,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_cbeffeb05744a539 = b_cbeffeb05744a539.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_cbeffeb05744a539[] = {
   &s_83863a597bafd68f,
+  &s_83e3fe10d0af0e28,
   &s_8ccb62371f641db9,
   &s_8d2b58912c7752d0,
   &s_8f4727f33d8afab5,
   &s_8ff1fe2d8f7dbf0f,
   &s_96436f5f9c6aa2b3,
+  &s_99e05bc1f7547456,
   &s_9b6e8f4e85baaf1b,
   &s_a68bfe761b0c4bea,
   &s_a89f407444ad0c76,
@@ -3955,7 +3995,9 @@
   &s_cf16de8d7fca3d7a,
   &s_d19922263766904b,
   &s_d6df85bac9dcc8f8,
+  &s_d7938d6e06babbf9,
   &s_d98a574d4007c33f,
+  &s_dc6ec53269083c33,
   &s_de7ccf983d45dc6d,
   &s_e27c135082975e46,
   &s_e463344f879b7c48,
@@ -3965,10 +4007,10 @@
   &s_f9972308efabd39d,
   &s_fa0b6f4b04af9766,
 };
-static const uint16_t m_cbeffeb05744a539[] = {3, 4, 5, 2, 8, 6, 9, 0, 1, 10, 7, 11};
+static const uint16_t m_cbeffeb05744a539[] = {3, 4, 5, 13, 2, 8, 6, 9, 0, 1, 10, 7, 11, 12};
 const ::capnp::_::RawSchema s_cbeffeb05744a539 = {
-  0xcbeffeb05744a539, b_cbeffeb05744a539.words, 145, d_cbeffeb05744a539, m_cbeffeb05744a539,
-  24, 12, nullptr, nullptr, nullptr, { &s_cbeffeb05744a539, nullptr, nullptr, 0, 0, nullptr }
+  0xcbeffeb05744a539, b_cbeffeb05744a539.words, 167, d_cbeffeb05744a539, m_cbeffeb05744a539,
+  28, 14, nullptr, nullptr, nullptr, { &s_cbeffeb05744a539, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<18> b_f9972308efabd39d = {
@@ -5134,6 +5176,207 @@
   0, 1, i_ab88af956150ff26, nullptr, nullptr, { &s_ab88af956150ff26, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<51> b_dc6ec53269083c33 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     51,  60,   8, 105,  50, 197, 110, 220,
+     36,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  47,  99, 101, 108,
+    101, 114, 121, 115, 112, 114, 101,  97,
+    100,  46,  99,  97, 112, 110, 112,  58,
+     67, 111, 110, 116, 114, 111, 108,  78,
+    111, 100, 101,  46, 116,  97, 107, 101,
+     82,  97, 116, 101,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    101, 110, 103, 105, 110, 101,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114,  97, 116, 101,  76, 105, 109, 105,
+    116,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_dc6ec53269083c33 = b_dc6ec53269083c33.words;
+#if !CAPNP_LITE
+static const uint16_t m_dc6ec53269083c33[] = {0, 1};
+static const uint16_t i_dc6ec53269083c33[] = {0, 1};
+const ::capnp::_::RawSchema s_dc6ec53269083c33 = {
+  0xdc6ec53269083c33, b_dc6ec53269083c33.words, 51, nullptr, m_dc6ec53269083c33,
+  0, 2, i_dc6ec53269083c33, nullptr, nullptr, { &s_dc6ec53269083c33, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<53> b_83e3fe10d0af0e28 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     40,  14, 175, 208,  16, 254, 227, 131,
+     36,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  47,  99, 101, 108,
+    101, 114, 121, 115, 112, 114, 101,  97,
+    100,  46,  99,  97, 112, 110, 112,  58,
+     67, 111, 110, 116, 114, 111, 108,  78,
+    111, 100, 101,  46, 116,  97, 107, 101,
+     82,  97, 116, 101,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0, 138,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     52,   0,   0,   0,   3,   0,   1,   0,
+     64,   0,   0,   0,   2,   0,   1,   0,
+    105, 115,  71, 114,  97, 110, 116, 101,
+    100,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 116, 114, 121,  65, 102, 116,
+    101, 114,  77, 105,  99, 114, 111, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_83e3fe10d0af0e28 = b_83e3fe10d0af0e28.words;
+#if !CAPNP_LITE
+static const uint16_t m_83e3fe10d0af0e28[] = {0, 1};
+static const uint16_t i_83e3fe10d0af0e28[] = {0, 1};
+const ::capnp::_::RawSchema s_83e3fe10d0af0e28 = {
+  0x83e3fe10d0af0e28, b_83e3fe10d0af0e28.words, 53, nullptr, m_83e3fe10d0af0e28,
+  0, 2, i_83e3fe10d0af0e28, nullptr, nullptr, { &s_83e3fe10d0af0e28, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<35> b_d7938d6e06babbf9 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    249, 187, 186,   6, 110, 141, 147, 215,
+     36,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  47,  99, 101, 108,
+    101, 114, 121, 115, 112, 114, 101,  97,
+    100,  46,  99,  97, 112, 110, 112,  58,
+     67, 111, 110, 116, 114, 111, 108,  78,
+    111, 100, 101,  46, 101, 110, 100,  82,
+     97, 116, 101,  76, 105, 109, 105, 116,
+     36,  80,  97, 114,  97, 109, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    101, 110, 103, 105, 110, 101,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d7938d6e06babbf9 = b_d7938d6e06babbf9.words;
+#if !CAPNP_LITE
+static const uint16_t m_d7938d6e06babbf9[] = {0};
+static const uint16_t i_d7938d6e06babbf9[] = {0};
+const ::capnp::_::RawSchema s_d7938d6e06babbf9 = {
+  0xd7938d6e06babbf9, b_d7938d6e06babbf9.words, 35, nullptr, m_d7938d6e06babbf9,
+  0, 1, i_d7938d6e06babbf9, nullptr, nullptr, { &s_d7938d6e06babbf9, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<20> b_99e05bc1f7547456 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     86, 116,  84, 247, 193,  91, 224, 153,
+     36,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  47,  99, 101, 108,
+    101, 114, 121, 115, 112, 114, 101,  97,
+    100,  46,  99,  97, 112, 110, 112,  58,
+     67, 111, 110, 116, 114, 111, 108,  78,
+    111, 100, 101,  46, 101, 110, 100,  82,
+     97, 116, 101,  76, 105, 109, 105, 116,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_99e05bc1f7547456 = b_99e05bc1f7547456.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_99e05bc1f7547456 = {
+  0x99e05bc1f7547456, b_99e05bc1f7547456.words, 20, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_99e05bc1f7547456, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<40> b_9fb1264b46c0628f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     143,  98, 192,  70,  75,  38, 177, 159,
@@ -5772,6 +6015,26 @@
       "wire/celeryspread.capnp:ControlNode", "requestTrial",
       0xcbeffeb05744a539ull, 11);
 }
+::capnp::Request< ::celeryspread::wire::ControlNode::TakeRateParams,  ::celeryspread::wire::ControlNode::TakeRateResults>
+ControlNode::Client::takeRateRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::celeryspread::wire::ControlNode::TakeRateParams,  ::celeryspread::wire::ControlNode::TakeRateResults>(
+      0xcbeffeb05744a539ull, 12, sizeHint);
+}
+::kj::Promise<void> ControlNode::Server::takeRate(TakeRateContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "wire/celeryspread.capnp:ControlNode", "takeRate",
+      0xcbeffeb05744a539ull, 12);
+}
+::capnp::Request< ::celeryspread::wire::ControlNode::EndRateLimitParams,  ::celeryspread::wire::ControlNode::EndRateLimitResults>
+ControlNode::Client::endRateLimitRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::celeryspread::wire::ControlNode::EndRateLimitParams,  ::celeryspread::wire::ControlNode::EndRateLimitResults>(
+      0xcbeffeb05744a539ull, 13, sizeHint);
+}
+::kj::Promise<void> ControlNode::Server::endRateLimit(EndRateLimitContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "wire/celeryspread.capnp:ControlNode", "endRateLimit",
+      0xcbeffeb05744a539ull, 13);
+}
 ::capnp::Capability::Server::DispatchCallResult ControlNode::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -5858,6 +6121,18 @@
              ::celeryspread::wire::ControlNode::RequestTrialParams,  ::celeryspread::wire::ControlNode::RequestTrialResults>(context)),
         false
       };
+    case 12:
+      return {
+        takeRate(::capnp::Capability::Server::internalGetTypedContext<
+             ::celeryspread::wire::ControlNode::TakeRateParams,  ::celeryspread::wire::ControlNode::TakeRateResults>(context)),
+        false
+      };
+    case 13:
+      return {
+        endRateLimit(::capnp::Capability::Server::internalGetTypedContext<
+             ::celeryspread::wire::ControlNode::EndRateLimitParams,  ::celeryspread::wire::ControlNode::EndRateLimitResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -6065,6 +6340,38 @@
 constexpr ::capnp::_::RawSchema const* ControlNode::RequestTrialResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// ControlNode::TakeRateParams
+constexpr uint16_t ControlNode::TakeRateParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t ControlNode::TakeRateParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ControlNode::TakeRateParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ControlNode::TakeRateParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// ControlNode::TakeRateResults
+constexpr uint16_t ControlNode::TakeRateResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t ControlNode::TakeRateResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ControlNode::TakeRateResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ControlNode::TakeRateResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// ControlNode::EndRateLimitParams
+constexpr uint16_t ControlNode::EndRateLimitParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t ControlNode::EndRateLimitParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ControlNode::EndRateLimitParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ControlNode::EndRateLimitParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// ControlNode::EndRateLimitResults
+constexpr uint16_t ControlNode::EndRateLimitResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t ControlNode::EndRateLimitResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ControlNode::EndRateLimitResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ControlNode::EndRateLimitResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::celeryspread::wire::Gate::ChallengeParams,  ::celeryspread::wire::Gate::ChallengeResults>
 Gate::Client::challengeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -80,6 +80,10 @@
 CAPNP_DECLARE_SCHEMA(a89f407444ad0c76);
 CAPNP_DECLARE_SCHEMA(e27c135082975e46);
 CAPNP_DECLARE_SCHEMA(ab88af956150ff26);
+CAPNP_DECLARE_SCHEMA(dc6ec53269083c33);
+CAPNP_DECLARE_SCHEMA(83e3fe10d0af0e28);
+CAPNP_DECLARE_SCHEMA(d7938d6e06babbf9);
+CAPNP_DECLARE_SCHEMA(99e05bc1f7547456);
 CAPNP_DECLARE_SCHEMA(9fb1264b46c0628f);
 CAPNP_DECLARE_SCHEMA(a3114b49746f749d);
 CAPNP_DECLARE_SCHEMA(9df841755f47b9c5);
@@ -489,7 +493,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc108f4f24518174, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(bc108f4f24518174, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -678,6 +682,10 @@
   struct ReportCrashesResults;
   struct RequestTrialParams;
   struct RequestTrialResults;
+  struct TakeRateParams;
+  struct TakeRateResults;
+  struct EndRateLimitParams;
+  struct EndRateLimitResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1047,6 +1055,66 @@
   };
 };
 
+struct ControlNode::TakeRateParams {
+  TakeRateParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc6ec53269083c33, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::TakeRateResults {
+  TakeRateResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(83e3fe10d0af0e28, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::EndRateLimitParams {
+  EndRateLimitParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7938d6e06babbf9, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::EndRateLimitResults {
+  EndRateLimitResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(99e05bc1f7547456, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -3806,6 +3874,8 @@
   inline bool hasModels() const;
   inline  ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>::Reader getModels() const;
 
+  inline double getRateLimit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3881,6 +3951,9 @@
   inline void adoptModels(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::EngineModel,  ::capnp::Kind::STRUCT>> disownModels();
 
+  inline double getRateLimit();
+  inline void setRateLimit(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5074,6 +5147,10 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::celeryspread::wire::ControlNode::RequestTrialParams,  ::celeryspread::wire::ControlNode::RequestTrialResults> requestTrialRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::TakeRateParams,  ::celeryspread::wire::ControlNode::TakeRateResults> takeRateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::EndRateLimitParams,  ::celeryspread::wire::ControlNode::EndRateLimitResults> endRateLimitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -5138,6 +5215,14 @@
   typedef  ::celeryspread::wire::ControlNode::RequestTrialResults RequestTrialResults;
   typedef ::capnp::CallContext<RequestTrialParams, RequestTrialResults> RequestTrialContext;
   virtual ::kj::Promise<void> requestTrial(RequestTrialContext context);
+  typedef  ::celeryspread::wire::ControlNode::TakeRateParams TakeRateParams;
+  typedef  ::celeryspread::wire::ControlNode::TakeRateResults TakeRateResults;
+  typedef ::capnp::CallContext<TakeRateParams, TakeRateResults> TakeRateContext;
+  virtual ::kj::Promise<void> takeRate(TakeRateContext context);
+  typedef  ::celeryspread::wire::ControlNode::EndRateLimitParams EndRateLimitParams;
+  typedef  ::celeryspread::wire::ControlNode::EndRateLimitResults EndRateLimitResults;
+  typedef ::capnp::CallContext<EndRateLimitParams, EndRateLimitResults> EndRateLimitContext;
+  virtual ::kj::Promise<void> endRateLimit(EndRateLimitContext context);
 
   inline  ::celeryspread::wire::ControlNode::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -7078,6 +7163,325 @@
 };
 #endif  // !CAPNP_LITE
 
+class ControlNode::TakeRateParams::Reader {
+public:
+  typedef TakeRateParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
+  inline double getRateLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::TakeRateParams::Builder {
+public:
+  typedef TakeRateParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+  inline double getRateLimit();
+  inline void setRateLimit(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::TakeRateParams::Pipeline {
+public:
+  typedef TakeRateParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::TakeRateResults::Reader {
+public:
+  typedef TakeRateResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsGranted() const;
+
+  inline  ::int64_t getRetryAfterMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::TakeRateResults::Builder {
+public:
+  typedef TakeRateResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsGranted();
+  inline void setIsGranted(bool value);
+
+  inline  ::int64_t getRetryAfterMicros();
+  inline void setRetryAfterMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::TakeRateResults::Pipeline {
+public:
+  typedef TakeRateResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::EndRateLimitParams::Reader {
+public:
+  typedef EndRateLimitParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::EndRateLimitParams::Builder {
+public:
+  typedef EndRateLimitParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::EndRateLimitParams::Pipeline {
+public:
+  typedef EndRateLimitParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::EndRateLimitResults::Reader {
+public:
+  typedef EndRateLimitResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::EndRateLimitResults::Builder {
+public:
+  typedef EndRateLimitResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::EndRateLimitResults::Pipeline {
+public:
+  typedef EndRateLimitResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -10594,6 +10998,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline double EngineEntry::Reader::getRateLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double EngineEntry::Builder::getRateLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EngineEntry::Builder::setRateLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DemandEntry::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -12712,6 +13130,116 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ControlNode::TakeRateParams::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlNode::TakeRateParams::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ControlNode::TakeRateParams::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ControlNode::TakeRateParams::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ControlNode::TakeRateParams::Builder::setEngine( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ControlNode::TakeRateParams::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ControlNode::TakeRateParams::Builder::adoptEngine(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ControlNode::TakeRateParams::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double ControlNode::TakeRateParams::Reader::getRateLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double ControlNode::TakeRateParams::Builder::getRateLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::TakeRateParams::Builder::setRateLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ControlNode::TakeRateResults::Reader::getIsGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ControlNode::TakeRateResults::Builder::getIsGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::TakeRateResults::Builder::setIsGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ControlNode::TakeRateResults::Reader::getRetryAfterMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ControlNode::TakeRateResults::Builder::getRetryAfterMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::TakeRateResults::Builder::setRetryAfterMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ControlNode::EndRateLimitParams::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlNode::EndRateLimitParams::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ControlNode::EndRateLimitParams::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ControlNode::EndRateLimitParams::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ControlNode::EndRateLimitParams::Builder::setEngine( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ControlNode::EndRateLimitParams::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ControlNode::EndRateLimitParams::Builder::adoptEngine(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ControlNode::EndRateLimitParams::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
