--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -14,7 +14,7 @@
 constexpr uint32_t kMaxDispatches = 3;
 /// Denials of requests to limited engines after which a call goes to another
 /// engine or is refused; each one costs a round trip to the owner.
-constexpr uint32_t kMaxRateDenials = 2;
+constexpr uint32_t kMaxDenialsPerCall = 2;
 /// After this time some calls of a full batch have ended.
 constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(400);
 /// Time in which a missing model or adapter is usually loaded.
@@ -99,7 +99,7 @@
   const SelectQuery query{ m_input.m_pool,
                            m_input.m_callFields.m_target,
                            m_tried,
-                           m_rateDenials >= kMaxRateDenials };
+                           m_rateDenials >= kMaxDenialsPerCall };
   const EngineState* state = m_context.m_selector.Choose(query, now);
   const bool isMiss = state == nullptr && m_context.m_selector.LastError() !=
                                             SelectError::NoUpstream;
@@ -645,7 +645,7 @@
   const SelectQuery query{ m_input.m_pool,
                            m_input.m_callFields.m_target,
                            m_tried,
-                           m_rateDenials >= kMaxRateDenials };
+                           m_rateDenials >= kMaxDenialsPerCall };
   const EngineState* state = m_context.m_selector.Choose(query, now);
   const bool isLoadable =
     state == nullptr && !m_hasRequestedAdapter &&
