--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -495,6 +495,43 @@
                      "Instance-Load": self.load()}, f"done {attempt}".encode()
 
 
+class Client:
+    """A client with one kept connection. It sends one request at a time and
+    opens another connection after the node has closed this one."""
+
+    def __init__(self, run, node):
+        self.run, self.node = run, node
+        self.reader = self.writer = None
+
+    async def call(self, method, path, headers, body=b"", timeout=10.0):
+        """Returns status, headers and body; status 0 means no answer until the
+        timeout, -1 that the node closed the connection first."""
+        host, port = self.node.listen["Frontend"].split(":")
+        try:
+            if self.writer is None:
+                self.reader, self.writer = await asyncio.wait_for(
+                    asyncio.open_connection(host, int(port)), 1)
+            head = {"Content-Length": str(len(body)), **headers}
+            self.writer.write(f"{method} {path} HTTP/1.1\r\n".encode() + b"".join(
+                f"{k}: {v}\r\n".encode() for k, v in head.items()) + b"\r\n" + body)
+            line, answered, _ = await asyncio.wait_for(read_head(self.reader), timeout)
+            answer = await asyncio.wait_for(read_body(self.reader, answered), timeout)
+        except asyncio.TimeoutError:
+            self.close()
+            return 0, {}, b""
+        except (OSError, asyncio.IncompleteReadError):
+            self.close()
+            return -1, {}, b""
+        if answered.get("connection", "").lower() == "close":
+            self.close()
+        return int(line.split()[1]), answered, answer
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
 def new_attempt():
     return f"{random.getrandbits(64):016x}"
 
