review: case 2, the body of a PATCH request is dropped and run as a request

Cause: CallerServer allows PATCH, GET, DELETE and OPTIONS, for which the HTTP library reads no body, and keeps the connection; the body is read as the next request. Case: review/2 sends ten PATCH requests whose bodies quote another request.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,68 @@
+"""Clients send PATCH requests whose bodies hold the text of another request."""
+
+import asyncio
+import pathlib
+import sys
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "lib"))
+
+from harness import (BROKEN, HELD, NOT_RUN, Client, Engine, document, main,
+                     new_attempt, route, service)
+
+REQUESTS = 10
+HOST = "desk.example"
+
+
+def note_body(payment):
+    """A saved HTTP exchange, as a support note on an order may quote it."""
+    return ("POST /payments/record HTTP/1.1\r\n"
+            f"Host: {HOST}\r\n"
+            f"Attempt-Id: {payment}\r\n"
+            "Deadline-Ms: 6000\r\n"
+            "Content-Length: 17\r\n\r\n"
+            "amount=250&to=123").encode()
+
+
+async def case(run):
+    engine = Engine(run, 1, "daftari")
+    await run.start()
+    routes = [route("notes", HOST, "/notes/", "idempotent", "daftari"),
+              route("payments", HOST, "/payments/", "non_idempotent", "daftari",
+                    attempts=1)]
+    if await run.replace_config(document(3, [service("daftari")], routes)) != 200:
+        return NOT_RUN
+    if not await run.wait_ready():
+        return NOT_RUN
+    # Without the trouble, the same bodies are sent with another method.
+    method = "PATCH" if run.trouble else "PUT"
+    sent = {}
+    quoted = set()
+    for number in range(REQUESTS):
+        client = Client(run, run.fronts[0])
+        attempt, payment = new_attempt(), new_attempt()
+        body = note_body(payment)
+        path = f"/notes/{number}"
+        sent[attempt] = (method, path, body)
+        quoted.add(payment)
+        run.note(f"client sends {attempt} {method} {path} body {len(body)} B, which "
+                 f"quotes {payment}")
+        status, _, _ = await client.call(
+            method, path, {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "6000",
+                           "Content-Type": "message/http"}, body)
+        run.note(f"client got {attempt} {status}")
+        await asyncio.sleep(0.3)
+        client.close()
+    never_sent = [r for r in engine.runs if r[0] not in sent]
+    changed = [r for r in engine.runs if r[0] in sent and r[1:] != sent[r[0]]]
+    run.note(f"{REQUESTS} requests sent, {len(engine.runs)} runs, {len(changed)} with "
+             f"a changed body, {len(never_sent)} of requests that no client sent")
+    # UNASKED: an engine runs a request whose id no client sent, or one that was
+    # smuggled inside another request, or with its body changed.
+    is_broken = bool(never_sent or changed)
+    run.note("the rule was broken" if is_broken else "the rule held")
+    return BROKEN if is_broken else HELD
+
+
+if __name__ == "__main__":
+    sys.exit(main(case, FOLDER))
