--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -473,7 +473,12 @@
         if adapter:
             if held is None:
                 return 421, {}, b""
-            held.add(adapter) if order["Op"] == "load" else held.discard(adapter)
+            if order["Op"] == "unload":
+                # An adapter that no request uses is unloaded at once.
+                held.discard(adapter)
+                self.sequence += 1
+                return 200, {}, b""
+            held.add(adapter)
         elif order["Op"] == "load":
             self.models[model] = set()
         else:
