review: case 5, one unreadable entry of the list hides that engines drain

Cause: ParseInstanceListPage() reads a page of the platform's list as one text, so one entry that can't be read loses all of them.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -181,6 +181,8 @@
         self.list_address = f"{self.address()}:{self.list_port}"
         self.servers = []
         self.tasks = []
+        # Entries of the list that come from another writer, as bytes.
+        self.foreign_entries = []
         core_ips = [self.address() for _ in range(cores)]
         seeds = [f"{ip}:{self.control_port}" for ip in core_ips[:3]]
         self.cores = [
@@ -222,8 +224,11 @@
         """The platform's list of engines."""
 
         async def answer(request):
-            entries = [e.list_entry() for e in self.engines if e.is_listed]
-            return 200, {}, json.dumps({"Instances": entries, "Next": None}).encode()
+            entries = [json.dumps(e.list_entry()).encode()
+                       for e in self.engines if e.is_listed]
+            entries += self.foreign_entries
+            return 200, {}, (b'{"Instances":[' + b",".join(entries) +
+                             b'],"Next":null}')
 
         ip, port = self.list_address.split(":")
         self.servers.append(await serve_http(ip, int(port), answer))
@@ -417,8 +422,10 @@
         self.sequence = 0
         self.running = 0
         self.is_listed = True
+        self.state = "ready"
         self.born = int(time.time() * 1000)
         self.runs = []
+        self.run_times = []
         self.orders = []
         self.on_report = None
         run.engines.append(self)
@@ -430,7 +437,7 @@
     def list_entry(self):
         entry = {"Id": self.id, "Service": self.service,
                  "Address": f"{self.ip}:{self.port}", "Zone": self.zone,
-                 "Version": "v1", "Slots": self.slots, "State": "ready",
+                 "Version": "v1", "Slots": self.slots, "State": self.state,
                  "ColdLeftMs": 0, "born": self.born}
         if self.has_models:
             entry |= {"Phase": "colocated", "Models": self.model_list()}
@@ -447,7 +454,7 @@
         path = request.path.split("?")[0]
         expected = request.headers.get("expect-instance", self.id)
         if path == "/healthz":
-            return 200, {"Instance-Id": self.id, "Instance-Load": self.load()}, b""
+            return 200 if self.state == "ready" else 503, {"Instance-Id": self.id, "Instance-Load": self.load()}, b""
         if expected != self.id:
             return 421, {"Attempt-Id": request.headers.get("attempt-id", "")}, b""
         if path == "/api/report":
@@ -491,6 +498,7 @@
         if not attempt:
             return 400, {"Not-Executed": "1"}, b""
         self.runs.append((attempt, request.method, request.path, request.body))
+        self.run_times.append(time.monotonic())
         self.run.note(f"run on {self.id}: {attempt} {request.method} {request.path} "
                       f"body {len(request.body)} B")
         self.running += 1
