--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -80,6 +80,7 @@
         self.listen = listen
         self.process = None
         self.ends = []
+        self.expected_end = False
         self.stopping = False
         self.task = None
         self.max_rss = 0.0
@@ -135,9 +136,13 @@
                     self.process.kill()
             if self.stopping:
                 break
-            why = "memory over the limit" if killed else f"exit code {waiter.result()}"
-            self.ends.append((time.monotonic(), why))
-            self.run.note(f"ended by itself: {self.name}: {why}")
+            if self.expected_end:
+                self.expected_end = False
+            else:
+                why = ("memory over the limit" if killed
+                       else f"exit code {waiter.result()}")
+                self.ends.append((time.monotonic(), why))
+                self.run.note(f"ended by itself: {self.name}: {why}")
             await asyncio.sleep(RESTART_DELAY_S)
             if not self.stopping:
                 await self.start()
@@ -149,6 +154,11 @@
         self.run.note(f"signal {signal.Signals(number).name} {self.name}")
         self.process.send_signal(number)
 
+    def kill(self):
+        """Kills the process; it is started again after RESTART_DELAY_S."""
+        self.expected_end = True
+        self.signal(signal.SIGKILL)
+
     def log_tail(self, lines=2):
         path = self.run.temp / f"{self.name}.log"
         text = path.read_text(errors="replace").splitlines() if path.exists() else []
