--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
@@ -597,6 +598,6 @@
 
     try:
         return asyncio.run(body())
-    except FileNotFoundError as error:
-        print(f"not run: {error}")
+    except Exception:  # Any fault of the case itself is no result.
+        traceback.print_exc()
         return NOT_RUN
