--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -15,6 +15,7 @@
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
@@ -596,6 +597,8 @@
         finally:
             await run.finish()
 
+    # Connections that are left when the loop has ended are of no interest.
+    sys.unraisablehook = lambda _: None
     try:
         return asyncio.run(body())
     except Exception:  # Any fault of the case itself is no result.
