--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -328,20 +328,10 @@
             await asyncio.sleep(0.1)
         return not waiting
 
-    async def leader(self):
-        """The node that answers a read of the configuration itself."""
-        for node in self.cores:
-            status, _ = await self.operator_call(
-                node, "GET", "/api/Config.Read", timeout=1.0, follow=0)
-            if status == 200:
-                return node
-        return None
-
 
 class Request:
-    def __init__(self, method, path, headers, body, raw_headers):
+    def __init__(self, method, path, headers, body):
         self.method, self.path, self.headers, self.body = method, path, headers, body
-        self.raw_headers = raw_headers
 
 
 async def read_head(reader):
@@ -352,7 +342,7 @@
         if ":" in line:
             name, value = line.split(":", 1)
             headers[name.strip().lower()] = value.strip()
-    return lines[0], headers, lines[1:]
+    return lines[0], headers
 
 
 async def read_body(reader, headers, until_close=False):
@@ -372,25 +362,20 @@
 
 
 async def read_request(reader):
-    line, headers, raw = await read_head(reader)
+    line, headers = await read_head(reader)
     method, path, _ = line.split(" ", 2)
-    return Request(method, path, headers, await read_body(reader, headers), raw)
+    return Request(method, path, headers, await read_body(reader, headers))
 
 
-async def serve_http(ip, port, answer, on_request=None):
+async def serve_http(ip, port, answer):
     """Serves HTTP/1.1 with kept connections. answer(request) returns status,
-    headers and body; with a fourth value it takes over the connection."""
+    headers and body."""
 
     async def connection(reader, writer):
         try:
             while True:
                 request = await read_request(reader)
-                result = await answer(request)
-                if callable(result):
-                    if await result(reader, writer) != "keep":
-                        break
-                    continue
-                status, headers, body = result
+                status, headers, body = await answer(request)
                 headers = {"Content-Type": "application/json",
                            "Content-Length": str(len(body)), **headers}
                 writer.write(f"HTTP/1.1 {status} X\r\n".encode() + b"".join(
@@ -414,7 +399,7 @@
         writer.write(f"{method} {path} HTTP/1.1\r\n".encode() + b"".join(
             f"{k}: {v}\r\n".encode() for k, v in head.items()) + b"\r\n" + body)
         await writer.drain()
-        line, answered, _ = await read_head(reader)
+        line, answered = await read_head(reader)
         return (int(line.split()[1]), answered,
                 await read_body(reader, answered, until_close=True))
     finally:
@@ -437,9 +422,7 @@
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.runs = []
-        self.run_times = []
         self.orders = []
-        self.on_report = None
         run.engines.append(self)
 
     def model_list(self):
@@ -470,8 +453,6 @@
         if expected != self.id:
             return 421, {"Attempt-Id": request.headers.get("attempt-id", "")}, b""
         if path == "/api/report":
-            if self.on_report is not None:
-                return self.on_report(request)
             return 200, {}, json.dumps({
                 "Phase": "colocated", "Models": self.model_list(), "Busy": False,
                 "Seq": self.sequence, "Waiting": 0, "Running": self.running,
@@ -510,7 +491,6 @@
         if not attempt:
             return 400, {"Not-Executed": "1"}, b""
         self.runs.append((attempt, request.method, request.path, request.body))
-        self.run_times.append(time.monotonic())
         self.run.note(f"run on {self.id}: {attempt} {request.method} {request.path} "
                       f"body {len(request.body)} B")
         self.running += 1
@@ -539,7 +519,7 @@
             head = {"Content-Length": str(len(body)), **headers}
             self.writer.write(f"{method} {path} HTTP/1.1\r\n".encode() + b"".join(
                 f"{k}: {v}\r\n".encode() for k, v in head.items()) + b"\r\n" + body)
-            line, answered, _ = await asyncio.wait_for(read_head(self.reader), timeout)
+            line, answered = await asyncio.wait_for(read_head(self.reader), timeout)
             answer = await asyncio.wait_for(read_body(self.reader, answered), timeout)
         except asyncio.TimeoutError:
             self.close()
@@ -561,8 +541,8 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def document(version, services, routes, engine=None):
-    """A configuration; engine is the Engine object of model services."""
+def document(version, services, routes):
+    """A configuration with the limits of the page's example."""
     return {
         "Version": version,
         "Routes": routes,
