Log whom a replica asks to join, and how many losses the group can bear

Cause: the logs of the large site can't tell apart why replicas that come back do not vote again: nothing says whom they ask and what they are answered, nor that a change of the replica set waits. When to ask moved from the process into JoinPolicy, unchanged, so that tests reach it. Result: logic unchanged.

--- a/consensus/raft.cpp
+++ b/consensus/raft.cpp
@@ -517,7 +517,7 @@
   }
   // Only one change may be pending, and only after an entry of this term was
   // committed. Otherwise two leaders could count quorums that do not overlap.
-  if (m_log.LatestReplicasIndex() > m_commit || m_commit < m_leaderStartIndex) {
+  if (HasPendingReplicaChange() || m_commit < m_leaderStartIndex) {
     RejectProposal(ProposeError::ConfigurationPending);
     return false;
   }
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -111,6 +111,12 @@
   [[nodiscard]] bool IsVoter() const;
   /// Tells whether a replica has every committed entry. @pre IsLeader().
   [[nodiscard]] bool IsCaughtUp(const ReplicaId& aReplica) const;
+  /// Tells whether a change of the replica set is not committed yet.
+  /// @pre none.
+  [[nodiscard]] bool HasPendingReplicaChange() const
+  {
+    return m_log.LatestReplicasIndex() > m_commit;
+  }
   /// Returns how many voters are reachable and which one was silent longest. A
   /// voter is reachable if it acknowledged a message sent within aAge.
   /// @pre IsLeader().
--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "control/control_service.h"
+#include "control/join_policy.h"
 #include "control/placement_runner.h"
 #include "core/json_text.h"
 #include "core/system_clock.h"
@@ -29,9 +30,8 @@
 /// How often leadership, routes and engines are checked.
 constexpr Duration kFleetTickPeriod = std::chrono::milliseconds(50);
 constexpr Duration kJoinPeriod = std::chrono::milliseconds(500);
-/// An instance that has known no leader for this long asks its peers whether
-/// it was removed.
-constexpr Duration kMaxLeaderlessTime = std::chrono::seconds(3);
+/// How often a replica that is not a voter yet logs what it was answered.
+constexpr Duration kJoinLogPeriod = std::chrono::seconds(3);
 constexpr size_t kMinClusterKeyBytes = 16;
 /// Appended to an instance ID, it gives the replica ID of a bootstrap replica,
 /// which every instance derives alike.
@@ -207,7 +207,6 @@
         m_settings.m_instance, m_settings.m_address, m_settings.m_wirePort },
       m_log);
     RaftOptions options;
-    m_leaderSeenAt = m_clock.Now();
     options.m_self = m_store.Identity();
     options.m_electionTimeout =
       std::chrono::milliseconds(m_settings.m_electionTimeoutMs);
@@ -217,6 +216,8 @@
       options,
       static_cast<uint64_t>(m_settings.m_snapshotEntries));
     m_host->SetToleratedLosses(m_settings.m_toleratedLosses);
+    m_joinPolicy = std::make_unique<JoinPolicy>(
+      m_settings.m_instance, m_store.Identity(), m_clock.Now());
     m_admin = std::make_unique<AdminApi>(
       *m_host, m_instances, m_clock, m_log, m_settings.m_operatorKeyHash);
     m_placement = std::make_unique<PlacementRunner>(
@@ -352,17 +353,6 @@
     event_base_loopbreak(static_cast<Impl*>(aSelf)->m_base.get());
   }
 
-  /// Returns whether this replica is a voter and its instance has no other.
-  [[nodiscard]] bool IsSoleVoterOfInstance() const
-  {
-    const ReplicaSet& replicas = m_host->Replica().Replicas();
-    size_t ownVoters = 0;
-    for (const auto& [id, address] : replicas.m_voters) {
-      ownVoters += address.m_instance == m_settings.m_instance ? 1 : 0;
-    }
-    return ownVoters == 1 && replicas.m_voters.contains(m_store.Identity());
-  }
-
   /// Discards an identity that was removed from the replica set and leaves the
   /// event loop, so that another replica takes its place in this process.
   void DiscardIdentity()
@@ -378,40 +368,59 @@
     event_base_loopbreak(m_base.get());
   }
 
+  [[nodiscard]] std::vector<ReplicaAddress> SeedAddresses() const
+  {
+    std::vector<ReplicaAddress> seeds;
+    for (const PeerAddress& peer : m_settings.m_control) {
+      seeds.push_back({ peer.m_instance, peer.m_address, peer.m_port });
+    }
+    return seeds;
+  }
+
   void JoinIfNeeded()
   {
     const TimePoint now = m_clock.Now();
-    if (!m_host->Replica().Leader().IsEmpty()) {
-      m_leaderSeenAt = now;
+    const std::vector<ReplicaAddress> instances =
+      m_joinPolicy->InstancesToAsk(m_host->Replica(), SeedAddresses(), now);
+    for (const ReplicaAddress& instance : instances) {
+      AskToJoin(m_peers->LinkTo(instance));
     }
-    // A replica that was removed while it was down or disconnected gets no
-    // messages from the leader, so it knows of none.
-    const bool isLeaderless = m_leaderSeenAt + kMaxLeaderlessTime < now;
-    if (IsSoleVoterOfInstance() && !isLeaderless) {
+    LogJoinAnswers(now);
+  }
+
+  void AskToJoin(WireLink& aLink)
+  {
+    if (!aLink.IsUp()) {
+      m_joinAnswers.RecordUnreachable();
       return;
     }
-    for (const PeerAddress& peer : m_settings.m_control) {
-      if (peer.m_instance == m_settings.m_instance) {
-        continue;
+    m_joinAnswers.RecordAsked();
+    auto request = aLink.Node().joinRequest();
+    auto replica = request.initReplica();
+    replica.setReplica(m_store.Identity().Value());
+    replica.setInstance(m_settings.m_instance.Value());
+    replica.setAddress(m_settings.m_address);
+    replica.setPort(m_settings.m_wirePort);
+    auto answered = request.send().then([this](auto&& aReply) {
+      m_joinAnswers.RecordAnswer(aReply.getIsAccepted());
+      if (aReply.getIsRemoved()) {
+        DiscardIdentity();
       }
-      WireLink& link =
-        m_peers->LinkTo({ peer.m_instance, peer.m_address, peer.m_port });
-      if (!link.IsUp()) {
-        continue;
-      }
-      auto request = link.Node().joinRequest();
-      auto replica = request.initReplica();
-      replica.setReplica(m_store.Identity().Value());
-      replica.setInstance(m_settings.m_instance.Value());
-      replica.setAddress(m_settings.m_address);
-      replica.setPort(m_settings.m_wirePort);
-      auto answered = request.send().then([this](auto&& aReply) {
-        if (aReply.getIsRemoved()) {
-          DiscardIdentity();
-        }
-      });
-      link.WithTimeout<void>(kj::mv(answered), kJoinPeriod)
-        .detach([](kj::Exception&&) {});
+    });
+    aLink.WithTimeout<void>(kj::mv(answered), kJoinPeriod)
+      .detach([](kj::Exception&&) {});
+  }
+
+  void LogJoinAnswers(TimePoint aNow)
+  {
+    if (aNow < m_joinLogDue) {
+      return;
+    }
+    m_joinLogDue = aNow + kJoinLogPeriod;
+    const std::string answers = m_joinAnswers.TakeText();
+    if (!answers.empty()) {
+      m_log.Write(EventId::JoinPending,
+                  "replica=" + m_store.Identity().Value() + " " + answers);
     }
   }
 
@@ -423,6 +432,15 @@
     metrics.SetGauge(
       "celeryspread_control_commit_index",
       static_cast<double>(m_host->Replica().CommitIndex().Value()));
+    const ReplicaSetHealth health = m_host->Health();
+    metrics.SetGauge("celeryspread_control_voters",
+                     static_cast<double>(health.m_voters));
+    metrics.SetGauge("celeryspread_control_learners",
+                     static_cast<double>(health.m_learners));
+    metrics.SetGauge("celeryspread_control_reachable_voters",
+                     static_cast<double>(health.m_reachableVoters));
+    metrics.SetGauge("celeryspread_control_bearable_losses",
+                     static_cast<double>(health.BearableLosses()));
     metrics.SetGauge("celeryspread_control_syncs",
                      static_cast<double>(m_host->SyncCount()));
     metrics.SetGauge("celeryspread_control_claims",
@@ -463,7 +481,9 @@
   CallerServer m_metricsServer;
   std::unique_ptr<Timer> m_tickTimer;
   std::unique_ptr<Timer> m_joinTimer;
-  TimePoint m_leaderSeenAt;
+  std::unique_ptr<JoinPolicy> m_joinPolicy;
+  JoinAnswers m_joinAnswers;
+  TimePoint m_joinLogDue;
   bool m_isRemoved = false;
 };
 
--- a/control/replica_host.cpp
+++ b/control/replica_host.cpp
@@ -16,6 +16,8 @@
 /// Period of the log lines about a missing leader, and the time before the
 /// first. With a quorum connected, elections take a second or two.
 constexpr Duration kLeaderlessLogPeriod = std::chrono::seconds(3);
+/// Period of the log lines about a replica set that can bear too few losses.
+constexpr Duration kHealthLogPeriod = std::chrono::seconds(3);
 
 } // namespace
 
@@ -78,6 +80,7 @@
   m_raft.Tick(m_deps.m_clock.Now());
   RemoveSilentVoter();
   LogMissingLeader();
+  LogDegradedReplicaSet();
   DropStalePending();
   ProcessReady();
 }
@@ -204,6 +207,43 @@
                        " needed=" + std::to_string(m_raft.Replicas().Quorum()));
 }
 
+ReplicaSetHealth ReplicaHost::Health() const
+{
+  ReplicaSetHealth health;
+  const ReplicaSet& replicas = m_raft.Replicas();
+  health.m_voters = replicas.m_voters.size();
+  health.m_learners = replicas.m_learners.size();
+  health.m_quorum = replicas.Quorum();
+  health.m_hasPendingChange = m_raft.HasPendingReplicaChange();
+  if (m_raft.IsLeader()) {
+    health.m_reachableVoters =
+      m_raft.CheckVoterContact(kMaxContactAge, m_deps.m_clock.Now())
+        .m_reachableVoters;
+  }
+  return health;
+}
+
+void ReplicaHost::LogDegradedReplicaSet()
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  if (now < m_healthCheckDue || !m_raft.IsLeader()) {
+    return;
+  }
+  m_healthCheckDue = now + kHealthLogPeriod;
+  const ReplicaSetHealth health = Health();
+  if (health.BearableLosses() >= m_toleratedLosses) {
+    return;
+  }
+  m_deps.m_log.Write(
+    EventId::ReplicaSetDegraded,
+    "voters=" + std::to_string(health.m_voters) +
+      " reachable=" + std::to_string(health.m_reachableVoters) +
+      " learners=" + std::to_string(health.m_learners) +
+      " bearable_losses=" + std::to_string(health.BearableLosses()) +
+      " tolerated_losses=" + std::to_string(m_toleratedLosses) +
+      " pending_change=" + (health.m_hasPendingChange ? "yes" : "no"));
+}
+
 void ReplicaHost::ScheduleProcessing()
 {
   if (m_processTimer == nullptr) {
@@ -336,6 +376,7 @@
     return;
   }
   m_wasLeader = m_raft.IsLeader();
+  m_healthCheckDue = m_deps.m_clock.Now() + kHealthLogPeriod;
   m_deps.m_log.Write(m_wasLeader ? EventId::BecameLeader
                                  : EventId::LostLeadership,
                      "term=" + std::to_string(m_raft.CurrentTerm().Value()));
--- a/control/replica_host.h
+++ b/control/replica_host.h
@@ -25,6 +25,25 @@
   Removed
 };
 
+/// How well a leader's replica set can bear losses.
+struct ReplicaSetHealth
+{
+  size_t m_voters = 0;
+  size_t m_learners = 0;
+  /// Voters that answered lately, the leader included; 0 at a follower.
+  size_t m_reachableVoters = 0;
+  size_t m_quorum = 0;
+  /// A change of the replica set is not committed yet.
+  bool m_hasPendingChange = false;
+
+  /// Returns how many of the reachable voters may be lost before the quorum is.
+  /// @pre none. @thread any.
+  [[nodiscard]] size_t BearableLosses() const
+  {
+    return m_reachableVoters > m_quorum ? m_reachableVoters - m_quorum : 0;
+  }
+};
+
 /// Sends messages to other replicas; may lose, delay and reorder them.
 /// @thread loop thread only.
 class PeerTransport
@@ -99,6 +118,8 @@
   /// Returns whether storage failed; nothing is acknowledged any more.
   /// @pre none.
   [[nodiscard]] bool IsFailed() const { return m_isFailed; }
+  /// Returns the state of the replica set as this replica sees it. @pre none.
+  [[nodiscard]] ReplicaSetHealth Health() const;
   /// Returns the number of syncs of the log so far. @pre none.
   [[nodiscard]] uint64_t SyncCount() const { return m_syncCount; }
 
@@ -126,6 +147,9 @@
   void RemoveSilentVoter();
   /// Logs periodically that no leader is known, once that has lasted a while.
   void LogMissingLeader();
+  /// Logs periodically, as the leader, that fewer losses can be borne than are
+  /// to be tolerated.
+  void LogDegradedReplicaSet();
   [[nodiscard]] const ReplicaAddress* AddressOf(const ReplicaId& aId) const;
 
   Dependencies m_deps;
@@ -148,6 +172,8 @@
   TimePoint m_leaderlessSince;
   /// When the missing leader was last logged.
   TimePoint m_leaderlessLoggedAt;
+  /// When LogDegradedReplicaSet() checks again.
+  TimePoint m_healthCheckDue;
 };
 
 } // namespace celeryspread
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -59,6 +59,8 @@
   ReplicaJoined = 506,
   ReplicaRemoved = 507,
   ElectionStalled = 508,
+  JoinPending = 509,
+  ReplicaSetDegraded = 510,
   OrderSent = 600,
   OrderFailed = 601,
   PlacementRefused = 602,
