Replicas join through any control instance, not only through a leading seed

Cause: a replica that joins asked the seeds only, and a seed that does not lead answered "not leader" and no more. From the first leader on that was no seed, neither a removed nor an emptied replica ever voted again; the next two disks ended the quorum. Change: a follower forwards a request to join to its leader, once. A replica asks the voters that it knows beside the seeds, and after one second without a leader, as rejoining must end before the next loss may follow.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -371,7 +371,21 @@
 
 kj::Promise<void> ControlService::join(JoinContext aContext)
 {
-  const auto replica = aContext.getParams().getReplica();
+  const auto params = aContext.getParams();
+  // A new replica knows the seeds only, and perhaps none of them leads.
+  WireLink* leader = params.getIsForwarded() ? nullptr : LeaderLink();
+  if (leader != nullptr) {
+    auto forwarded = leader->Node().joinRequest();
+    forwarded.setReplica(params.getReplica());
+    forwarded.setIsForwarded(true);
+    return leader->WithTimeout<void>(
+      forwarded.send().then([aContext](auto&& aReply) mutable {
+        aContext.getResults().setIsAccepted(aReply.getIsAccepted());
+        aContext.getResults().setIsRemoved(aReply.getIsRemoved());
+      }),
+      kForwardTimeout);
+  }
+  const auto replica = params.getReplica();
   const JoinVerdict verdict =
     m_host.Join(ReplicaId(TextOf(replica.getReplica())),
                 { InstanceId(TextOf(replica.getInstance())),
--- a/control/join_policy.cpp
+++ b/control/join_policy.cpp
@@ -1,5 +1,6 @@
 #include "control/join_policy.h"
 
+#include <set>
 #include <utility>
 
 namespace celeryspread {
@@ -7,8 +8,9 @@
 namespace {
 
 /// A replica that has known no leader for this long asks whether it was
-/// removed.
-constexpr Duration kMaxLeaderlessTime = std::chrono::seconds(3);
+/// removed. It must vote again before the next loss, which may follow four
+/// seconds after its return.
+constexpr Duration kMaxLeaderlessTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -44,11 +46,18 @@
     return {};
   }
   std::vector<ReplicaAddress> instances;
+  std::set<InstanceId> known{ m_self };
   for (const ReplicaAddress& seed : aSeeds) {
-    if (seed.m_instance != m_self) {
+    if (known.insert(seed.m_instance).second) {
       instances.push_back(seed);
     }
   }
+  // The seeds may all have been replaced since the settings were written.
+  for (const auto& [id, address] : aRaft.Replicas().m_voters) {
+    if (known.insert(address.m_instance).second) {
+      instances.push_back(address);
+    }
+  }
   return instances;
 }
 
--- a/tests/support/control_cluster.cpp
+++ b/tests/support/control_cluster.cpp
@@ -133,6 +133,24 @@
   Start(aName);
 }
 
+JoinVerdict ControlCluster::ForwardJoin(const std::string& aAsked,
+                                        const std::string& aName,
+                                        const ReplicaId& aReplica)
+{
+  ReplicaHost& asked = *m_nodes.at(aAsked)->m_host;
+  const ReplicaAddress address{ InstanceId(aName), aName, 1 };
+  const ReplicaAddress* leader = asked.LeaderAddress();
+  if (asked.Replica().IsLeader() || leader == nullptr) {
+    return asked.Join(aReplica, address);
+  }
+  const auto found = m_nodes.find(leader->m_address);
+  const bool isReachable =
+    found != m_nodes.end() && found->second->m_host != nullptr &&
+    !found->second->m_isFrozen && CanReach(aAsked, leader->m_address);
+  return isReachable ? found->second->m_host->Join(aReplica, address)
+                     : JoinVerdict::NotLeader;
+}
+
 void ControlCluster::RemoveInstance(const std::string& aName)
 {
   LoseDisk(aName);
@@ -231,8 +249,7 @@
         other->second->m_isFrozen || !CanReach(aName, name)) {
       continue;
     }
-    const JoinVerdict verdict =
-      other->second->m_host->Join(self, { InstanceId(aName), aName, 1 });
+    const JoinVerdict verdict = ForwardJoin(name, aName, self);
     if (verdict == JoinVerdict::Removed) {
       node.m_store->Discard();
       Crash(aName);
--- a/tests/support/control_cluster.h
+++ b/tests/support/control_cluster.h
@@ -89,6 +89,11 @@
   /// Does what a control instance does periodically: asks to join where its
   /// replica has no place, and discards an identity that was removed.
   void JoinIfNeeded(const std::string& aName);
+  /// Asks aAsked to add a replica, and the leader that it knows if it does not
+  /// lead, as ControlService does.
+  JoinVerdict ForwardJoin(const std::string& aAsked,
+                          const std::string& aName,
+                          const ReplicaId& aReplica);
 
   SimulatedTime m_time;
   SimulatedTimers m_timers{ m_time };
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -326,7 +326,9 @@
   admin @3 (request :AdminRequest) -> (reply :AdminReply);
   claim @4 (request :ClaimRequest, isForwarded :Bool) -> (reply :ClaimReply);
   closeClaim @5 (close :CloseClaim, isForwarded :Bool) -> (isDurable :Bool);
-  join @6 (replica :ReplicaEntry) -> (isAccepted :Bool, isRemoved :Bool);
+  # Asks to add a replica. A follower forwards it to the leader, once.
+  join @6 (replica :ReplicaEntry, isForwarded :Bool)
+    -> (isAccepted :Bool, isRemoved :Bool);
   # A follower reports to the leader which instances fetch settings from it.
   reportInstances @7 (instances :List(KnownInstance)) -> ();
   # Replies once there is an update for the entry, or after a timeout.
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -883,7 +883,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c868db9279c345d4, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c868db9279c345d4, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6231,6 +6231,8 @@
   inline bool hasReplica() const;
   inline  ::celeryspread::wire::ReplicaEntry::Reader getReplica() const;
 
+  inline bool getIsForwarded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6266,6 +6268,9 @@
   inline void adoptReplica(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
   inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownReplica();
 
+  inline bool getIsForwarded();
+  inline void setIsForwarded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12846,6 +12851,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ControlNode::JoinParams::Reader::getIsForwarded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ControlNode::JoinParams::Builder::getIsForwarded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::JoinParams::Builder::setIsForwarded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ControlNode::JoinResults::Reader::getIsAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
