A voter that comes back with another one is not removed for its silence

Cause: a silent voter is removed while enough others answer. When two come back together the answer of the first makes them enough, and the silence of the second was counted from before its return, so it was removed 0.2 s after it had started. Change: enough voters must have answered for 1.5 s, which covers starting, connecting and a lost packet. Result: VotersThatReturnTogetherStayVoters passes; a replaced instance's old replica is still removed (NewInstanceReplacesALostOne).

--- a/control/replica_host.cpp
+++ b/control/replica_host.cpp
@@ -13,6 +13,9 @@
 /// replacement must be complete before the next loss, which comes four seconds
 /// later at the earliest.
 constexpr Duration kMaxVoterSilence = std::chrono::milliseconds(2500);
+/// Voters that come back together answer one after the other within this time:
+/// they start, connect over up to 60 ms and resend a lost packet.
+constexpr Duration kReturnTime = std::chrono::milliseconds(1500);
 /// Period of the log lines about a missing leader, and the time before the
 /// first. With a quorum connected, elections take a second or two.
 constexpr Duration kLeaderlessLogPeriod = std::chrono::seconds(3);
@@ -169,13 +172,24 @@
 void ReplicaHost::RemoveSilentVoter()
 {
   if (m_toleratedLosses == 0 || !m_raft.IsLeader()) {
+    m_enoughVotersSince.reset();
     return;
   }
-  const VoterContact contact =
-    m_raft.CheckVoterContact(kMaxContactAge, m_deps.m_clock.Now());
+  const TimePoint now = m_deps.m_clock.Now();
+  const VoterContact contact = m_raft.CheckVoterContact(kMaxContactAge, now);
   const bool hasEnoughVoters =
     contact.m_reachableVoters >= 2 * static_cast<size_t>(m_toleratedLosses) + 1;
-  if (hasEnoughVoters && contact.m_longestSilence > kMaxVoterSilence) {
+  if (!hasEnoughVoters) {
+    m_enoughVotersSince.reset();
+    return;
+  }
+  if (!m_enoughVotersSince) {
+    m_enoughVotersSince = now;
+  }
+  // Silence from a time when too few voters answered says little: the voter may
+  // be coming back with those that have just answered.
+  if (now - *m_enoughVotersSince >= kReturnTime &&
+      contact.m_longestSilence > kMaxVoterSilence) {
     RemoveReplica(contact.m_longestSilentVoter,
                   "it is silent and enough other voters answer");
   }
--- a/control/replica_host.h
+++ b/control/replica_host.h
@@ -168,6 +168,8 @@
   bool m_isFailed = false;
   bool m_wasLeader = false;
   uint32_t m_toleratedLosses = 0;
+  /// Since when enough voters have answered to remove a silent one.
+  std::optional<TimePoint> m_enoughVotersSince;
   /// Last time when a leader was known here; the first tick before that.
   TimePoint m_leaderlessSince;
   /// When the missing leader was last logged.
