Relays send the whole directory to entries from before their first update

Cause: a relay that got its first update at version N has no record of engines that went before N, and sent an entry at an earlier version the changes only. The entry kept these engines. Evidence: FollowerFromBeforeTheFirstUpdateLosesGoneEngines fails with the first version left at 0. Change: a directory knows from which version on it has all removals; to followers from before that it sends everything. Result: the test passes.

--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -125,9 +125,18 @@
          HasNewSuspects(aState);
 }
 
-bool FleetService::NeedsWhole(uint64_t aEpoch) const
+std::optional<uint64_t> FleetService::KnownVersion(
+  const FollowState& aState) const
 {
-  return ServedDirectory() != nullptr && aEpoch != ServedEpoch();
+  return aState.m_epoch == ServedEpoch()
+           ? std::optional<uint64_t>(aState.m_directoryVersion)
+           : std::nullopt;
+}
+
+bool FleetService::NeedsWhole(const FollowState& aState) const
+{
+  const EngineDirectory* directory = ServedDirectory();
+  return directory != nullptr && directory->NeedsWhole(KnownVersion(aState));
 }
 
 bool FleetService::IsAnswerDue(const FollowState& aState) const
@@ -138,7 +147,7 @@
   const bool isUrgent =
     aState.m_isRelay ||
     m_deps.m_host.State().Routes().m_version > aState.m_routeVersion;
-  return isUrgent || !NeedsWhole(aState.m_epoch) ||
+  return isUrgent || !NeedsWhole(aState) ||
          m_pacer.MaySend(m_deps.m_clock.Now());
 }
 
@@ -202,9 +211,9 @@
   }
   auto paf = kj::newPromiseAndFulfiller<void>();
   m_waitingFollows.push_back({ state, kj::mv(paf.fulfiller) });
-  const int64_t pollMicros = NeedsWhole(state.m_epoch) ? kMaxWholeDelayMicros
-                             : state.m_isRelay         ? kRelayLongPollMicros
-                                                       : kLongPollMicros;
+  const int64_t pollMicros = NeedsWhole(state) ? kMaxWholeDelayMicros
+                             : state.m_isRelay ? kRelayLongPollMicros
+                                               : kLongPollMicros;
   return paf.promise
     .exclusiveJoin(PromiseAfter(m_deps.m_port.Base(), pollMicros))
     .then([answer] { answer(); });
@@ -277,23 +286,15 @@
   }
 }
 
-void FleetService::WriteEngines(const EngineDirectory& aDirectory,
-                                bool aIsWhole,
-                                uint64_t aKnownVersion,
+void FleetService::WriteEngines(const EngineDirectory::Update& aUpdate,
                                 wire::FollowReply::Builder aOut)
 {
-  std::vector<const EngineDirectory::Entry*> changed;
-  for (const auto& [id, entry] : aDirectory.All()) {
-    const bool isSent =
-      aIsWhole ? !entry.m_isGone : entry.m_changedInVersion > aKnownVersion;
-    if (isSent) {
-      changed.push_back(&entry);
-    }
-  }
-  auto engines = aOut.initEngines(static_cast<unsigned>(changed.size()));
+  aOut.setIsWhole(aUpdate.m_isWhole);
+  auto engines =
+    aOut.initEngines(static_cast<unsigned>(aUpdate.m_entries.size()));
   for (unsigned i = 0; i < engines.size(); ++i) {
-    WriteEngine(changed[i]->m_record, engines[i]);
-    engines[i].setIsGone(changed[i]->m_isGone);
+    WriteEngine(aUpdate.m_entries[i]->m_record, engines[i]);
+    engines[i].setIsGone(aUpdate.m_entries[i]->m_isGone);
   }
 }
 
@@ -344,7 +345,7 @@
   }
   WriteRelays(aOut);
   WriteSuspectList(aState, aOut);
-  const bool isWhole = aState.m_epoch != ServedEpoch();
+  const bool isWhole = NeedsWhole(aState);
   const TimePoint now = m_deps.m_clock.Now();
   if (isWhole && !aState.m_isRelay && !m_pacer.MaySend(now)) {
     // The entry keeps what it has and asks again, perhaps a relay.
@@ -352,13 +353,12 @@
     aOut.setDirectoryVersion(aState.m_directoryVersion);
     return;
   }
-  aOut.setIsWhole(isWhole);
   aOut.setEpoch(ServedEpoch());
   aOut.setDirectoryVersion(directory->Version());
   if (isWhole) {
     m_pacer.RecordSent(directory->All().size(), now);
   }
-  WriteEngines(*directory, isWhole, aState.m_directoryVersion, aOut);
+  WriteEngines(directory->UpdateSince(KnownVersion(aState)), aOut);
 }
 
 void FleetService::ReportCrashes(
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -98,9 +98,12 @@
   [[nodiscard]] bool IsAnswerDue(const FollowState& aState) const;
   /// Returns whether the served list of suspect parts is newer.
   [[nodiscard]] bool HasNewSuspects(const FollowState& aState) const;
-  /// Returns whether an entry with a directory of this epoch needs the whole
-  /// served directory.
-  [[nodiscard]] bool NeedsWhole(uint64_t aEpoch) const;
+  /// Returns the version of the served directory that a caller has, empty if
+  /// its directory is of another epoch.
+  [[nodiscard]] std::optional<uint64_t> KnownVersion(
+    const FollowState& aState) const;
+  /// Returns whether a caller needs the whole served directory.
+  [[nodiscard]] bool NeedsWhole(const FollowState& aState) const;
   void WakeFollowers();
   /// Returns the directory that this instance serves: its own as the owner, or
   /// a recent copy of the owner's; null for none.
@@ -117,9 +120,7 @@
   void WriteReply(const FollowState& aState, wire::FollowReply::Builder aOut);
   void WriteSuspectList(const FollowState& aState,
                         wire::FollowReply::Builder aOut) const;
-  static void WriteEngines(const EngineDirectory& aDirectory,
-                           bool aIsWhole,
-                           uint64_t aKnownVersion,
+  static void WriteEngines(const EngineDirectory::Update& aUpdate,
                            wire::FollowReply::Builder aOut);
   void WriteControlInstances(wire::FollowReply::Builder aOut) const;
   /// Returns the number of entries that follow this owner, 0 while unknown.
--- a/fleet/engine_directory.cpp
+++ b/fleet/engine_directory.cpp
@@ -113,6 +113,7 @@
 {
   if (aIsWhole) {
     Clear();
+    m_firstVersion = aVersion;
   }
   m_version = aVersion;
   m_hasList = true;
@@ -124,6 +125,21 @@
   }
 }
 
+EngineDirectory::Update EngineDirectory::UpdateSince(
+  std::optional<uint64_t> aVersion) const
+{
+  Update update;
+  update.m_isWhole = NeedsWhole(aVersion);
+  for (const auto& [id, entry] : m_entries) {
+    const bool isSent =
+      update.m_isWhole ? !entry.m_isGone : entry.m_changedInVersion > *aVersion;
+    if (isSent) {
+      update.m_entries.push_back(&entry);
+    }
+  }
+  return update;
+}
+
 void EngineDirectory::ApplyModels(
   const UpstreamId& aId,
   std::map<std::string, LoadedModel, std::less<>> aModels,
--- a/fleet/engine_directory.h
+++ b/fleet/engine_directory.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/clock.h"
@@ -35,6 +36,14 @@
     std::vector<UpstreamId> m_gone;
   };
 
+  /// What a follower of the directory needs to be at Version().
+  struct Update
+  {
+    /// Whether m_entries replaces all that the follower has.
+    bool m_isWhole = false;
+    std::vector<const Entry*> m_entries;
+  };
+
   /// Removes all engines and resets the version. @pre none.
   void Clear();
   /// Applies the platform's list. @pre aList holds all engines.
@@ -64,6 +73,17 @@
   [[nodiscard]] bool HasList() const { return m_hasList; }
   /// Returns the version of the last change. @pre none.
   [[nodiscard]] uint64_t Version() const { return m_version; }
+  /// Returns the update for a follower at aVersion, or for one without a
+  /// version of this term. A copy does not know which engines had gone before
+  /// its own first update, so it sends everything to followers from before
+  /// that.
+  /// @pre none; the pointers are valid until the next change.
+  [[nodiscard]] Update UpdateSince(std::optional<uint64_t> aVersion) const;
+  /// Returns whether UpdateSince(aVersion) is whole. @pre none.
+  [[nodiscard]] bool NeedsWhole(std::optional<uint64_t> aVersion) const
+  {
+    return !aVersion || *aVersion < m_firstVersion;
+  }
   /// Returns all entries, including those of engines that are gone. @pre none.
   [[nodiscard]] const Entries& All() const { return m_entries; }
   /// Finds an engine that is not gone; null for none. @pre none.
@@ -86,6 +106,8 @@
   Entries m_entries;
   std::map<UpstreamId, std::map<ModelTarget, OrderEffect>> m_orderEffects;
   uint64_t m_version = 0;
+  /// The version from which on all removals are known.
+  uint64_t m_firstVersion = 0;
   bool m_hasList = false;
 };
 
--- a/tests/fleet/directory_copy_test.cpp
+++ b/tests/fleet/directory_copy_test.cpp
@@ -22,6 +22,16 @@
     return changes;
   }
 
+  static std::vector<EngineDirectory::Entry> EntriesOf(
+    const EngineDirectory::Update& aUpdate)
+  {
+    std::vector<EngineDirectory::Entry> entries;
+    for (const EngineDirectory::Entry* entry : aUpdate.m_entries) {
+      entries.push_back(*entry);
+    }
+    return entries;
+  }
+
   TimePoint m_now{ std::chrono::seconds(100) };
   EngineDirectory m_owner;
   EngineDirectory m_copy;
@@ -54,6 +64,38 @@
   EXPECT_EQ(ChangesSince(m_copy, known).size(), 2U);
 }
 
+// Guards against followers that keep engines for good that went before the copy
+// they follow now got its first update: it had no record of these to send.
+TEST_F(DirectoryCopyTest, FollowerFromBeforeTheFirstUpdateLosesGoneEngines)
+{
+  m_owner.ApplyList(
+    { MakeEngine("a", "here", "m"), MakeEngine("b", "here", "m") }, m_now);
+  EngineDirectory follower;
+  follower.ApplyUpdate(true, m_owner.Version(), ChangesSince(m_owner, 0));
+  m_owner.ApplyList({ MakeEngine("a", "here", "m") }, m_now);
+  const auto toCopy = m_owner.UpdateSince(std::nullopt);
+  EXPECT_TRUE(toCopy.m_isWhole);
+  m_copy.ApplyUpdate(true, m_owner.Version(), EntriesOf(toCopy));
+  const auto toFollower = m_copy.UpdateSince(follower.Version());
+  follower.ApplyUpdate(
+    toFollower.m_isWhole, m_copy.Version(), EntriesOf(toFollower));
+  EXPECT_EQ(follower.Find(UpstreamId("b")), nullptr);
+  EXPECT_NE(follower.Find(UpstreamId("a")), nullptr);
+}
+
+TEST_F(DirectoryCopyTest, FollowerFromAfterTheFirstUpdateGetsChangesOnly)
+{
+  m_owner.ApplyList(
+    { MakeEngine("a", "here", "m"), MakeEngine("b", "here", "m") }, m_now);
+  m_copy.ApplyUpdate(true, m_owner.Version(), ChangesSince(m_owner, 0));
+  const uint64_t known = m_copy.Version();
+  m_owner.ApplyList({ MakeEngine("a", "here", "m") }, m_now);
+  m_copy.ApplyUpdate(false, m_owner.Version(), ChangesSince(m_owner, known));
+  const auto update = m_copy.UpdateSince(known);
+  EXPECT_FALSE(update.m_isWhole);
+  EXPECT_EQ(update.m_entries.size(), 1U);
+}
+
 TEST_F(DirectoryCopyTest, WholeUpdateReplacesTheCopyOfAnEarlierTerm)
 {
   m_owner.ApplyList(
