What an engine said outlives its record

Cause: leaving, back-off and limit stood in the record of the engine and went with it, when the owner or a new one did not list the engine for a moment. An answer that came after the removal was not heard at all. Change: statements of removed engines are kept, for 8,192 engines at most, and hold for the same process of the engine only.

--- a/gateway/engine_table.cpp
+++ b/gateway/engine_table.cpp
@@ -56,10 +56,10 @@
 
 std::optional<TimePoint> EngineState::BackOffEnd(TimePoint aNow) const
 {
-  if (!m_backOffUntil) {
+  if (!m_said.m_backOffUntil) {
     return std::nullopt;
   }
-  const TimePoint end = std::max(*m_backOffUntil, m_trialUntil);
+  const TimePoint end = std::max(*m_said.m_backOffUntil, m_said.m_trialUntil);
   return aNow < end ? std::optional<TimePoint>(end) : std::nullopt;
 }
 
@@ -91,9 +91,7 @@
   const bool isOtherProcess =
     state->m_record.m_startedAt != aRecord.m_startedAt;
   if (isOtherProcess) {
-    state->m_saysItLeaves = false;
-    state->m_backOffUntil.reset();
-    state->m_trialUntil = TimePoint();
+    state->m_said = EngineStatements();
   }
   const double known = state->m_record.m_rateLimit;
   const bool isSameLimit =
@@ -103,11 +101,53 @@
   if (isSameLimit) {
     state->m_record.m_rateLimit = known;
   }
+  if (isNew) {
+    RestoreFormer(*state);
+  }
   if (isNew || isMoved) {
     Reindex();
   }
 }
 
+void EngineTable::RememberFormer(const EngineState& aState)
+{
+  const EngineRecord& record = aState.m_record;
+  const auto added = m_former.try_emplace(record.m_id);
+  added.first->second = { record.m_startedAt,
+                          aState.m_said,
+                          record.m_rateLimit };
+  if (!added.second) {
+    return;
+  }
+  m_formerOrder.push_back(record.m_id);
+  if (m_formerOrder.size() > kMaxFormerEngines) {
+    m_former.erase(m_formerOrder.front());
+    m_formerOrder.pop_front();
+  }
+}
+
+void EngineTable::RestoreFormer(EngineState& aState)
+{
+  const auto former = m_former.find(aState.m_record.m_id);
+  if (former == m_former.end() ||
+      former->second.m_startedAt != aState.m_record.m_startedAt) {
+    return;
+  }
+  aState.m_said = former->second.m_said;
+  if (aState.m_record.m_rateLimit == 0) {
+    aState.m_record.m_rateLimit = former->second.m_rateLimit;
+  }
+}
+
+EngineStatements* EngineTable::FindStatements(const UpstreamId& aId)
+{
+  if (EngineState* state = FindMutable(aId)) {
+    return &state->m_said;
+  }
+  const auto former = m_former.find(aId);
+  return former == m_former.end() ? nullptr : &former->second.m_said;
+}
+
 void EngineTable::BeginTerm()
 {
   for (const auto& [id, state] : m_engines) {
@@ -117,15 +157,23 @@
 
 void EngineTable::Remove(const UpstreamId& aId)
 {
-  if (m_engines.erase(aId) != 0) {
-    Reindex();
+  const auto found = m_engines.find(aId);
+  if (found == m_engines.end()) {
+    return;
   }
+  RememberFormer(*found->second);
+  m_engines.erase(found);
+  Reindex();
 }
 
 void EngineTable::KeepOnly(const std::set<UpstreamId>& aKeep)
 {
   std::erase_if(m_engines, [&](const auto& aEntry) {
-    return !aKeep.contains(aEntry.first);
+    const bool isRemoved = !aKeep.contains(aEntry.first);
+    if (isRemoved) {
+      RememberFormer(*aEntry.second);
+    }
+    return isRemoved;
   });
   Reindex();
 }
@@ -177,8 +225,8 @@
   if (state->m_outstanding == 0) {
     state->m_lastByteAt = aNow;
   }
-  if (state->m_backOffUntil) {
-    state->m_trialUntil = aNow + kTrialTime;
+  if (state->m_said.m_backOffUntil) {
+    state->m_said.m_trialUntil = aNow + kTrialTime;
   }
   ++state->m_outstanding;
   ++state->m_attempts;
@@ -244,28 +292,26 @@
 
 void EngineTable::RecordLeaving(const UpstreamId& aId)
 {
-  EngineState* state = FindMutable(aId);
-  if (state != nullptr) {
-    state->m_saysItLeaves = true;
+  if (EngineStatements* said = FindStatements(aId)) {
+    said->m_isLeaving = true;
   }
 }
 
 void EngineTable::RecordBackOff(const UpstreamId& aId, TimePoint aUntil)
 {
-  EngineState* state = FindMutable(aId);
-  if (state != nullptr) {
-    state->m_backOffUntil =
-      std::max(state->m_backOffUntil.value_or(aUntil), aUntil);
+  if (EngineStatements* said = FindStatements(aId)) {
+    said->m_backOffUntil =
+      std::max(said->m_backOffUntil.value_or(aUntil), aUntil);
   }
 }
 
 void EngineTable::RecordBackOffOver(const UpstreamId& aId, TimePoint aSentAt)
 {
-  EngineState* state = FindMutable(aId);
-  if (state != nullptr && state->m_backOffUntil &&
-      aSentAt >= *state->m_backOffUntil) {
-    state->m_backOffUntil.reset();
-    state->m_trialUntil = TimePoint();
+  EngineStatements* said = FindStatements(aId);
+  if (said != nullptr && said->m_backOffUntil &&
+      aSentAt >= *said->m_backOffUntil) {
+    said->m_backOffUntil.reset();
+    said->m_trialUntil = TimePoint();
   }
 }
 
--- a/gateway/engine_table.h
+++ b/gateway/engine_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,6 +25,19 @@
   Cancelled
 };
 
+/// What the process of an upstream said of itself in its answers.
+struct EngineStatements
+{
+  /// It is about to stop. Holds until its process is replaced, whatever the
+  /// owner's records say.
+  bool m_isLeaving = false;
+  /// End of the back-off that it asked for; empty once it has answered a call
+  /// after that end without asking for another one.
+  std::optional<TimePoint> m_backOffUntil;
+  /// While one call tries whether the back-off is over, the others wait.
+  TimePoint m_trialUntil;
+};
+
 /// State of one upstream as one entry sees it.
 struct EngineState
 {
@@ -51,14 +65,7 @@
   TimePoint m_rateLimitSeenAt;
   /// No request is granted before this.
   TimePoint m_rateDeniedUntil;
-  /// The upstream said in an answer that it is about to stop. Holds until its
-  /// process is replaced, whatever the owner's records say.
-  bool m_saysItLeaves = false;
-  /// End of the back-off that the upstream asked for; empty once it has
-  /// answered a call after that end without asking for another one.
-  std::optional<TimePoint> m_backOffUntil;
-  /// While one call tries whether the back-off is over, the others wait.
-  TimePoint m_trialUntil;
+  EngineStatements m_said;
   /// Requests that were not granted since the last one that was, up to
   /// kMaxRateDenials.
   uint32_t m_rateDenials = 0;
@@ -79,7 +86,7 @@
   /// stop. @pre none. @thread loop.
   [[nodiscard]] bool IsLeaving() const
   {
-    return m_record.m_isLeaving || m_saysItLeaves;
+    return m_record.m_isLeaving || m_said.m_isLeaving;
   }
   /// Returns when the upstream takes new calls after a back-off that it asked
   /// for; empty if it takes them now. @pre none. @thread loop.
@@ -96,6 +103,8 @@
 {
 public:
   using EnginePointers = std::vector<EngineState*>;
+  /// Removed upstreams whose statements are kept, in case they come back.
+  static constexpr size_t kMaxFormerEngines = 8'192;
 
   /// Applies a new record of an upstream; observed state is kept. @pre none.
   void Update(const EngineRecord& aRecord);
@@ -103,9 +112,10 @@
   /// don't name is one that it hasn't heard of yet, not one that has ended.
   /// @pre none.
   void BeginTerm();
-  /// Removes an upstream with its state. @pre none.
+  /// Removes an upstream. What it said in its answers is kept for the case that
+  /// the same process is listed again. @pre none.
   void Remove(const UpstreamId& aId);
-  /// Removes every upstream that is not in aKeep. @pre none.
+  /// Removes every upstream that is not in aKeep, as Remove() does. @pre none.
   void KeepOnly(const std::set<UpstreamId>& aKeep);
 
   /// Records the start of an attempt and the expected time to read its prompt.
@@ -160,14 +170,33 @@
   [[nodiscard]] std::vector<UpstreamId> FailingEngines() const;
   /// Returns the number of upstreams. @pre none.
   [[nodiscard]] size_t Size() const { return m_engines.size(); }
+  /// Returns the number of removed upstreams that are remembered. @pre none.
+  [[nodiscard]] size_t FormerCount() const { return m_former.size(); }
 
 private:
+  /// What the process of a removed upstream said in its answers.
+  struct FormerEngine
+  {
+    int64_t m_startedAt = 0;
+    EngineStatements m_said;
+    double m_rateLimit = 0;
+  };
+
   EngineState* FindMutable(const UpstreamId& aId);
+  /// Finds what an upstream said, also after its removal; null if it never was
+  /// in the table.
+  EngineStatements* FindStatements(const UpstreamId& aId);
+  void RememberFormer(const EngineState& aState);
+  /// Gives a new record what the same process said before its removal.
+  void RestoreFormer(EngineState& aState);
   void Reindex();
 
   std::map<UpstreamId, std::unique_ptr<EngineState>> m_engines;
   std::map<PoolId, EnginePointers> m_byPool;
   EnginePointers m_noEngines;
+  std::map<UpstreamId, FormerEngine> m_former;
+  /// Keys of m_former, the oldest first.
+  std::deque<UpstreamId> m_formerOrder;
 };
 
 } // namespace celeryspread
