Suspect parts are listed ten times a second, not once for each report

Cause: the list of suspect parts was computed anew, from all crashes and all their parts, for each crash and each sound part that an entry reports. With 349 entries, 40 engines and up to 64 listed parts that is over 20,000 times within a second. Evidence: the leader's log shows gaps of 0.1 and 0.35 s around E404 and E405 right before E501. Change: reports mark the list as due; it is computed at once if that was not done within the last 100 ms, else with a later report or tick.

--- a/quarantine/crash_investigation.cpp
+++ b/quarantine/crash_investigation.cpp
@@ -23,6 +23,9 @@
 constexpr Duration kReleaseMemory = std::chrono::minutes(1);
 constexpr Duration kForgetPeriod = std::chrono::seconds(1);
 constexpr size_t kMaxCrashes = 256;
+/// The list is computed from all crashes and parts. When engines end together,
+/// every entry reports each of them and each sound part within a second.
+constexpr Duration kUpdatePeriod = std::chrono::milliseconds(100);
 /// A part that is held back and unused is forgotten this long after its next
 /// trial could have been made.
 constexpr Duration kUnusedHoldMemory = std::chrono::hours(1);
@@ -120,7 +123,7 @@
   if (m_crashes.size() > kMaxCrashes) {
     m_crashes.pop_front();
   }
-  UpdateSuspects(aNow);
+  ScheduleUpdate(aNow);
 }
 
 void CrashInvestigation::RecordSound(const PromptPartId& aPart,
@@ -141,7 +144,7 @@
     // The crashes may point at another part now.
     m_decideAt = m_decideAt.value_or(aNow);
   }
-  UpdateSuspects(aNow);
+  ScheduleUpdate(aNow);
 }
 
 void CrashInvestigation::RecordAlive(const UpstreamId& aEngine,
@@ -153,7 +156,7 @@
            aSentAt < aCrash.m_at + kSameCrashTime;
   });
   if (removed != 0) {
-    UpdateSuspects(aNow);
+    ScheduleUpdate(aNow);
   }
 }
 
@@ -278,8 +281,19 @@
   }
 }
 
+void CrashInvestigation::ScheduleUpdate(TimePoint aNow)
+{
+  m_isUpdateDue = true;
+  if (aNow >= m_updatedAt + kUpdatePeriod) {
+    UpdateSuspects(aNow);
+  }
+}
+
 void CrashInvestigation::UpdateSuspects(TimePoint aNow)
 {
+  m_isUpdateDue = false;
+  m_updatedAt = aNow;
+  ++m_updates;
   Parts suspects;
   for (const Crash& crash : m_crashes) {
     if (IsExplained(crash)) {
@@ -338,6 +352,9 @@
   }
   const bool isDecisionDue = m_decideAt && aNow >= *m_decideAt;
   if (!isDecisionDue && aNow < m_forgetAt) {
+    if (m_isUpdateDue) {
+      ScheduleUpdate(aNow);
+    }
     return;
   }
   m_forgetAt = aNow + kForgetPeriod;
--- a/quarantine/crash_investigation.h
+++ b/quarantine/crash_investigation.h
@@ -57,6 +57,8 @@
   [[nodiscard]] const Parts& Suspects() const { return m_parts; }
   /// Returns a number that grows with each change of Suspects(). @pre none.
   [[nodiscard]] uint64_t Version() const { return m_version; }
+  /// Returns how often Suspects() was computed. @pre none.
+  [[nodiscard]] uint64_t UpdateCount() const { return m_updates; }
 
 private:
   /// Position of each suspect part in the prompts of the crash's calls.
@@ -104,6 +106,9 @@
   /// Forgets the part whose last crash is longest ago, of those held back,
   /// while there are too many.
   void LimitHeldParts();
+  /// Lists what entries have to know, now or, if that was done a moment ago,
+  /// with a later report or tick.
+  void ScheduleUpdate(TimePoint aNow);
   /// Lists what entries have to know.
   void UpdateSuspects(TimePoint aNow);
   void ForgetOld(TimePoint aNow);
@@ -115,6 +120,9 @@
   /// When to decide which parts to hold back; empty while nothing is new.
   std::optional<TimePoint> m_decideAt;
   TimePoint m_forgetAt;
+  bool m_isUpdateDue = false;
+  TimePoint m_updatedAt;
+  uint64_t m_updates = 0;
   uint64_t m_version = 1;
 };
 
