The owner checks a dead engine once for all entries that lost it

Cause: reports of one crash share a check only while it is in progress. A dead engine refuses the connection at once, so each entry's report made a connection and two requests of its own. Change: a check without an answer stands for one second.

--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -30,6 +30,10 @@
 /// evicted.
 constexpr uint32_t kMaxAdapterEvictions = 3;
 
+/// Entries report the end of an engine within this time, each on its own; one
+/// check is enough for all of them.
+constexpr Duration kFailedCheckValidity = std::chrono::seconds(1);
+
 /// Entries may name a rate that has ended until they have heard of its end.
 constexpr Duration kStaleRateTime = std::chrono::milliseconds(500);
 
@@ -97,6 +101,7 @@
   m_demand.Clear();
   m_crashes.Clear();
   m_crashChecks.clear();
+  m_checkFailedAt.clear();
   m_rates.Clear();
   m_rateEndedAt.clear();
   m_heldParts.clear();
@@ -169,6 +174,7 @@
       m_orders.Forget(id);
       m_rates.Forget(id);
       m_rateEndedAt.erase(id);
+      m_checkFailedAt.erase(id);
       m_deps.m_log.Write(EventId::EngineGone, "engine=" + id.Value());
     }
   });
@@ -196,24 +202,29 @@
   const UpstreamId engine = aRecord.m_engine;
   m_crashes.RecordCrash(aRecord, now);
   const EngineRecord* record = m_directory.Find(engine);
-  if (record == nullptr || !m_crashChecks.insert(engine).second) {
+  const auto failed = m_checkFailedAt.find(engine);
+  const bool isKnownDead = failed != m_checkFailedAt.end() &&
+                           now < failed->second + kFailedCheckValidity;
+  if (record == nullptr || isKnownDead ||
+      !m_crashChecks.insert(engine).second) {
     return;
   }
   // The entry may have lost its connections only.
-  m_deps.m_control.ReadReport(*record,
-                              [this, engine, now, generation = m_generation](
-                                const std::optional<EngineReport>& aReport) {
-                                if (generation != m_generation) {
-                                  return;
-                                }
-                                m_crashChecks.erase(engine);
-                                if (aReport) {
-                                  m_crashes.RecordAlive(
-                                    engine, now, m_deps.m_clock.Now());
-                                } else {
-                                  CheckEngine(engine);
-                                }
-                              });
+  m_deps.m_control.ReadReport(
+    *record,
+    [this, engine, now, generation = m_generation](
+      const std::optional<EngineReport>& aReport) {
+      if (generation != m_generation) {
+        return;
+      }
+      m_crashChecks.erase(engine);
+      if (aReport) {
+        m_crashes.RecordAlive(engine, now, m_deps.m_clock.Now());
+      } else {
+        m_checkFailedAt[engine] = m_deps.m_clock.Now();
+        CheckEngine(engine);
+      }
+    });
 }
 
 void FleetOwner::RecordSound(const PromptPartId& aPart, TimePoint aBegunAt)
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -157,6 +157,8 @@
   std::map<UpstreamId, TimePoint> m_rateEndedAt;
   /// Engines that are asked whether they still answer after a crash.
   std::set<UpstreamId> m_crashChecks;
+  /// When a check last got no answer from an engine.
+  std::map<UpstreamId, TimePoint> m_checkFailedAt;
   std::set<PromptPartId> m_heldParts;
   std::map<PoolId, StoreBudget> m_budgets;
   using AdapterLoadKey = std::pair<DemandTracker::Key, UpstreamId>;
