A HEAD request with a body is refused, its body is no request

Callers would see: a request that nobody sent runs at an engine (UNASKED), and the next answers on the connection belong to other requests. Cause: evhttp reads no body for HEAD, so it takes the body for the next request of the connection. Evidence: BodyOfAHeadRequestIsNoRequest failed for each of three framings: the HEAD request was served, and the hidden one was the next. Change: HEAD with a length other than 0 or with an encoding gets 400 and the connection is closed, as with other ambiguous framing. Result: the test passes; HEAD without a body is served as before.

--- a/http/caller_server.cpp
+++ b/http/caller_server.cpp
@@ -57,6 +57,20 @@
   });
 }
 
+/// Returns whether a request has a body that evhttp does not read because of
+/// its method. It would take the body for the next request of the connection.
+bool HasUnreadBody(evhttp_request* aRequest)
+{
+  if (evhttp_request_get_command(aRequest) != EVHTTP_REQ_HEAD) {
+    return false;
+  }
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  const char* length = evhttp_find_header(headers, "Content-Length");
+  const bool isEmpty = length == nullptr || std::string_view(length) == "0";
+  return !isEmpty ||
+         evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+}
+
 } // namespace
 
 CallerServer::CallerServer(event_base* aBase,
@@ -221,6 +235,7 @@
     self->AttachConnection(evhttp_request_get_connection(aRequest));
   const char* fault = HasAmbiguousFraming(aRequest) ? "ambiguous framing"
                       : HasUnsafeTarget(aRequest)   ? "malformed target"
+                      : HasUnreadBody(aRequest)     ? "body in a HEAD request"
                                                     : nullptr;
   if (fault != nullptr) {
     evhttp_add_header(
--- a/tests/http/caller_server_test.cpp
+++ b/tests/http/caller_server_test.cpp
@@ -162,6 +162,32 @@
   }
 }
 
+// Guards against requests that nobody sent: the body of a HEAD request was not
+// read, so it was taken for the next request of the connection.
+TEST_F(CallerServerTest, BodyOfAHeadRequestIsNoRequest)
+{
+  const std::string hidden =
+    "POST /hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  const std::string framings[] = {
+    "Content-Length: " + std::to_string(hidden.size()) + "\r\n\r\n" + hidden,
+    "Transfer-Encoding: chunked\r\n\r\n" + hidden,
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+  };
+  for (const std::string& framing : framings) {
+    m_handler.m_lastTarget = "none";
+    const std::string answer =
+      Exchange("HEAD /first HTTP/1.1\r\nHost: h\r\n" + framing);
+    EXPECT_EQ(answer.substr(0, 13), "HTTP/1.1 400 ") << framing;
+    EXPECT_EQ(m_handler.m_lastTarget, "none") << framing;
+  }
+}
+
+TEST_F(CallerServerTest, HeadRequestWithAnEmptyBodyIsServed)
+{
+  Exchange("HEAD /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(m_handler.m_lastTarget, "/a");
+}
+
 /// Two statements about the end of a body would let the upstream's parser and
 /// ours disagree about it.
 TEST_F(CallerServerTest, RefusesAmbiguousFraming)
