Bytes of all answers that are held at once are bounded

Callers saw (reports of other operators): faulty engines sent bytes without end; the machine that had called them ran out of memory, and all its other calls ended with it. Cause: one answer was bounded (8 MiB, 4 MiB in the HTTP client, 4 MiB of a report), their sum was not: a hundred callers before engines that all do so fill any machine. A rejection's body was kept although nobody reads it. Evidence: EndlessAnswersOfManyCallsAreBoundedTogether, EndlessRejectionIsNotKept and EndlessChunksOfManyUpstreamsAreBoundedTogether use what is new here; before, nothing counted. Change: ByteBudget, a sixth of the memory that the platform grants. Beyond it, an answer gives up once it has more than an equal part, so small answers go on. Bodies of rejections are dropped. The control instances' calls to engines and to the list share a budget of the same kind. Result: the tests pass. A gauge shows the bytes held.

--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -62,7 +62,7 @@
     , m_port(m_base.get())
     , m_random(std::random_device()())
     , m_timers(m_base.get())
-    , m_client(m_base.get(), m_clock)
+    , m_client(m_base.get(), m_clock, HeldBytesLimit(m_settings.m_memoryBytes))
     , m_log(m_settings.m_instance.Value())
     , m_files(m_settings.m_dataFolder)
     , m_store(m_files)
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -33,6 +33,8 @@
 /// A longer answer that is no stream is given up. It is held in memory until it
 /// is complete, and an upstream in trouble may send bytes without end.
 constexpr size_t kMaxAnswerBytes = 8'388'608;
+/// A rejection with a longer body is not waited for.
+constexpr size_t kMaxRejectionBytes = 65'536;
 /// An answer that has gone on for this long did not end its engine.
 constexpr Duration kSoundAfter = std::chrono::seconds(1);
 /// Shortest time after which a caller is asked to return while a part of its
@@ -90,6 +92,7 @@
   : m_context(aContext)
   , m_input(std::move(aInput))
   , m_onFinished(std::move(aFinished))
+  , m_heldBody(aContext.m_client.HeldBytes())
 {
 }
 
@@ -325,7 +328,7 @@
   m_status = 0;
   m_unprovenSince.reset();
   m_isRejected = false;
-  m_body.clear();
+  ClearBody();
   ++m_dispatches;
   m_lastEventAt.reset();
   m_attemptLog.OpenAttempt(aState, now);
@@ -405,6 +408,14 @@
   m_attempt.reset();
 }
 
+void GatewayCall::ClearBody()
+{
+  // A new string, as clear() keeps the memory.
+  m_body = std::string();
+  m_bodyBytes = 0;
+  m_heldBody.Set(0);
+}
+
 void GatewayCall::OnUpstreamHeaders(int aStatus, const HttpHeaders& aHeaders)
 {
   const TimePoint now = m_context.m_clock.Now();
@@ -484,11 +495,7 @@
   m_context.m_table.RecordBytes(m_upstream, m_context.m_clock.Now());
   const bool isEvents = m_isStreaming && IsSuccess(m_status);
   if (!isEvents) {
-    if (m_body.size() + aBytes.size() > kMaxAnswerBytes) {
-      HandleEndlessAnswer();
-      return;
-    }
-    m_body += aBytes;
+    AppendBody(aBytes);
     return;
   }
   const std::string_view events = m_events.Feed(aBytes);
@@ -514,8 +521,25 @@
   }
 }
 
+void GatewayCall::AppendBody(std::string_view aBytes)
+{
+  // The body of a rejection is never passed on, only bounded.
+  m_bodyBytes += aBytes.size();
+  const size_t limit = m_isRejected ? kMaxRejectionBytes : kMaxAnswerBytes;
+  const bool isWithinBudget =
+    m_isRejected || m_heldBody.Set(m_body.size() + aBytes.size());
+  if (m_bodyBytes > limit || !isWithinBudget) {
+    HandleEndlessAnswer();
+    return;
+  }
+  if (!m_isRejected) {
+    m_body += aBytes;
+  }
+}
+
 void GatewayCall::HandleEndlessAnswer()
 {
+  ClearBody();
   if (m_isRejected) {
     // The headers said already that the request did not run.
     HandleRejection();
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -107,6 +107,10 @@
   void FinishFailedAttempt(bool aMayRetry,
                            bool aMayHaveRun,
                            const std::string& aReason);
+  /// Keeps bytes of an answer that is not a stream.
+  void AppendBody(std::string_view aBytes);
+  /// Drops the body of the previous attempt.
+  void ClearBody();
   /// Ends an attempt whose answer exceeds every bound.
   void HandleEndlessAnswer();
   void HandleRejection();
@@ -163,6 +167,9 @@
   std::string m_streamType;
   AnswerFields m_answer;
   std::string m_body;
+  /// Bytes of the body that have arrived, also those that are not kept.
+  size_t m_bodyBytes = 0;
+  ByteBudget::Holding m_heldBody;
   EventSplitter m_events;
   /// False once the call is destroyed; shared with the adapter callback, which
   /// may come later.
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -75,7 +75,7 @@
     , m_port(m_base.get())
     , m_random(std::random_device()())
     , m_timers(m_base.get())
-    , m_client(m_base.get(), m_clock)
+    , m_client(m_base.get(), m_clock, HeldBytesLimit(m_settings.m_memoryBytes))
     , m_log(m_settings.m_instance.Value())
     , m_selector(m_table,
                  m_settings.m_failureDomain,
@@ -200,6 +200,8 @@
                        static_cast<double>(m_callServer.ConnectionCount()));
     m_metrics.SetGauge("celeryspread_gateway_idle_upstream_connections",
                        static_cast<double>(m_client.IdleConnectionCount()));
+    m_metrics.SetGauge("celeryspread_gateway_held_answer_bytes",
+                       static_cast<double>(m_client.HeldBytes().Used()));
     const auto& config = m_gateway.Config();
     m_metrics.SetGauge(
       "celeryspread_gateway_routes_version",
--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -123,6 +123,7 @@
   , m_isConnectionReused(aIsConnectionReused)
   , m_request(std::move(aRequest))
   , m_observer(aObserver)
+  , m_buffered(aClient.HeldBytes())
   , m_deferredEvent(event_new(aClient.m_base, -1, 0, OnDeferred, this))
   , m_callbackArgument(
       std::make_unique<CallbackArgument>(CallbackArgument{ this }))
@@ -222,7 +223,9 @@
   // A single read may bring the headers and some of the body.
   const bool isEndlessHead =
     !self->m_hasHeaders && self->m_bytesBeforeHeaders > kMaxBytesBeforeHeaders;
-  if (isEndlessHead || evbuffer_get_length(aBuffer) > kMaxBufferedBytes) {
+  const size_t buffered = evbuffer_get_length(aBuffer);
+  const bool isWithinBudget = self->m_buffered.Set(buffered);
+  if (isEndlessHead || !isWithinBudget || buffered > kMaxBufferedBytes) {
     // The connection can't be freed while evhttp reads from it.
     self->m_isOversized = true;
     event_active(self->m_deferredEvent, 0, 0);
--- a/http/evhttp_upstream_call.h
+++ b/http/evhttp_upstream_call.h
@@ -69,6 +69,8 @@
   evbuffer_cb_entry* m_outputCallback = nullptr;
   evbuffer_cb_entry* m_inputCallback = nullptr;
   size_t m_bytesBeforeHeaders = 0;
+  /// What evhttp holds back of the response.
+  ByteBudget::Holding m_buffered;
   event* m_deferredEvent;
   std::unique_ptr<CallbackArgument> m_callbackArgument;
   bool m_hasEnded = false;
--- a/http/evhttp_upstream_client.cpp
+++ b/http/evhttp_upstream_client.cpp
@@ -21,8 +21,10 @@
 } // namespace
 
 EvhttpUpstreamClient::EvhttpUpstreamClient(event_base* aBase,
-                                           const Clock& aClock)
-  : m_base(aBase)
+                                           const Clock& aClock,
+                                           size_t aMaxHeldBytes)
+  : UpstreamClient(aMaxHeldBytes)
+  , m_base(aBase)
   , m_clock(aClock)
   , m_expiryTimer(event_new(aBase, -1, EV_PERSIST, OnExpiryTimer, this))
   , m_freeEvent(event_new(
--- a/http/evhttp_upstream_client.h
+++ b/http/evhttp_upstream_client.h
@@ -18,8 +18,11 @@
 class EvhttpUpstreamClient : public UpstreamClient
 {
 public:
-  /// Prepares the client. @pre aBase and aClock outlive the client.
-  EvhttpUpstreamClient(event_base* aBase, const Clock& aClock);
+  /// Prepares the client. Responses of all calls together may take up
+  /// aMaxHeldBytes. @pre aBase and aClock outlive the client.
+  EvhttpUpstreamClient(event_base* aBase,
+                       const Clock& aClock,
+                       size_t aMaxHeldBytes = SIZE_MAX);
   ~EvhttpUpstreamClient() override;
   EvhttpUpstreamClient(const EvhttpUpstreamClient&) = delete;
   EvhttpUpstreamClient& operator=(const EvhttpUpstreamClient&) = delete;
--- a/http/upstream_client.h
+++ b/http/upstream_client.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/byte_budget.h"
 #include "core/clock.h"
 #include "core/upstream_address.h"
 #include "http/caller_call.h"
@@ -87,11 +88,22 @@
 class UpstreamClient
 {
 public:
+  /// Bounds the bytes of all responses that are held at once. @unit bytes.
+  explicit UpstreamClient(size_t aMaxHeldBytes = SIZE_MAX)
+    : m_heldBytes(aMaxHeldBytes)
+  {
+  }
   virtual ~UpstreamClient() = default;
   /// Starts a call. The observer is never called before this returns.
   /// @pre aObserver outlives the returned call.
   virtual std::unique_ptr<UpstreamCall> Start(UpstreamRequest aRequest,
                                               UpstreamObserver& aObserver) = 0;
+  /// Returns the budget for bytes of responses. An observer that keeps them
+  /// holds a part of it for as long. @pre none.
+  ByteBudget& HeldBytes() { return m_heldBytes; }
+
+private:
+  ByteBudget m_heldBytes;
 };
 
 } // namespace celeryspread
--- a/settings/instance_settings.h
+++ b/settings/instance_settings.h
@@ -58,6 +58,9 @@
   int64_t m_reportPeriodMs = 500;
   /// Shortest time without a leader before a replica starts an election.
   int64_t m_electionTimeoutMs = 1'000;
+  /// Memory that the process may use; 0 when it is not known. Set by the
+  /// platform's daemon only. @unit bytes.
+  size_t m_memoryBytes = 0;
   /// Number of log entries after which a snapshot is taken.
   int64_t m_snapshotEntries = 1'000;
 };
--- a/settings/node_settings.cpp
+++ b/settings/node_settings.cpp
@@ -136,6 +136,11 @@
   settings.m_dataFolder = reader.String("data_folder");
   settings.m_toleratedLosses = static_cast<uint32_t>(
     reader.Integer("tolerated_losses", 0, kMaxToleratedLosses, 1));
+  constexpr double kBytesPerMegabyte = 1'048'576;
+  settings.m_memoryBytes = static_cast<size_t>(
+    fields.DecimalNumber("memory_mb",
+                         settings.m_memoryBytes / kBytesPerMegabyte) *
+    kBytesPerMegabyte);
   settings.m_engineListCallsPerSecond =
     fields.DecimalNumber("engine_list_calls_per_s", 1);
   settings.m_retryRatio =
--- a/settings/node_settings.h
+++ b/settings/node_settings.h
@@ -34,6 +34,8 @@
   UpstreamAddress m_metricsAddress;
   /// Addresses of some control instances; outdated ones are allowed.
   std::vector<UpstreamAddress> m_seeds;
+  /// Memory that the process may use. @unit bytes.
+  size_t m_memoryBytes = 268'435'456;
   /// True only while the whole system starts for the first time: the control
   /// instances listed as seeds then form the first replica group.
   bool m_isBootstrap = false;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -93,7 +93,8 @@
   SkewedClock m_clock{ m_time, 0 };
   SimulatedTimers m_timers{ m_time };
   SeededRandomSource m_random{ 1 };
-  FakeUpstreamClient m_client;
+  static constexpr size_t kMaxHeldBytes = 16'000'000;
+  FakeUpstreamClient m_client{ kMaxHeldBytes };
   FakeCodec m_codec;
   EngineTable m_table;
   EngineSelector m_selector{ m_table,
@@ -111,6 +112,7 @@
   const FailureDomainId m_domain{ "here" };
   uint64_t m_listVersion = 0;
   CallerRecord m_otherCaller;
+  std::vector<CallerRecord> m_callers;
   PartQuarantine m_quarantine;
   FakeCrashReporter m_reporter;
   FakeRateGranter m_rates;
@@ -616,6 +618,54 @@
 }
 
 /// An engine that was announced to leave breaks off what outlasts its notice.
+// Guards against an entry that runs out of memory under answers without end
+// from all engines: each was bounded, their sum was not. Other calls must not
+// suffer.
+TEST_F(GatewayTest, EndlessAnswersOfManyCallsAreBoundedTogether)
+{
+  constexpr size_t kCalls = 20;
+  constexpr size_t kStep = 500'000;
+  m_callers.resize(kCalls);
+  for (CallerRecord& caller : m_callers) {
+    m_gateway.OnCall(std::make_unique<FakeCallerCall>(
+      caller,
+      "POST",
+      "/pay/1",
+      HttpHeaders{ { "Host", "shop.example" }, { "id", "a1" } }));
+  }
+  ASSERT_EQ(m_client.m_attempts.size(), kCalls);
+  for (size_t i = 0; i < kCalls; ++i) {
+    Answer(i, 200, m_good);
+  }
+  const std::string bytes(kStep, 'x');
+  for (size_t round = 0; round < 12; ++round) {
+    // The first call's answer is a small one.
+    for (size_t i = 1; i < m_client.m_attempts.size(); ++i) {
+      if (!m_client.m_attempts[i]->m_isCancelled) {
+        m_client.m_attempts[i]->m_observer->OnUpstreamBody(bytes);
+      }
+    }
+    ASSERT_LE(m_client.HeldBytes().Used(), kMaxHeldBytes + kCalls * kStep);
+  }
+  Attempt(0).m_observer->OnUpstreamBody("small");
+  Attempt(0).m_observer->OnUpstreamEnd();
+  EXPECT_EQ(m_callers[0].m_status, 200);
+  EXPECT_EQ(m_callers[0].m_body, "small");
+}
+
+// The same for the body of a rejection, which is not passed on.
+TEST_F(GatewayTest, EndlessRejectionIsNotKept)
+{
+  Call("/look/1");
+  Answer(0, 503, { { "id", "a1" }, { "not-run", "1" } });
+  Attempt(0).m_observer->OnUpstreamBody(std::string(60'000, 'x'));
+  EXPECT_EQ(m_client.HeldBytes().Used(), 0U);
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+  // A longer one is not waited for: the call goes to another engine.
+  Attempt(0).m_observer->OnUpstreamBody(std::string(60'000, 'x'));
+  EXPECT_EQ(m_client.m_attempts.size(), 2U);
+}
+
 TEST_F(GatewayTest, EndOfALeavingEngineIsNoCrash)
 {
   Call("/chat/1", { { "model", "m" }, { "parts", "first,own" } });
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -2,6 +2,10 @@
 
 #include <thread>
 
+#include <algorithm>
+#include <memory>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include <event2/listener.h>
@@ -392,6 +396,44 @@
   }
 }
 
+// Guards against a process that many upstreams together make hold more bytes
+// than it has memory: each response was bounded, their sum was not.
+TEST_F(UpstreamClientTest, EndlessChunksOfManyUpstreamsAreBoundedTogether)
+{
+  constexpr size_t kLimit = 2'000'000;
+  constexpr size_t kCalls = 20;
+  EvhttpUpstreamClient client(m_loop.Base(), m_loop.GetClock(), kLimit);
+  EndlessServer server(
+    m_loop,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n",
+    std::string(65'536, 'x'));
+  std::vector<std::unique_ptr<ResponseRecorder>> recorders;
+  std::vector<std::unique_ptr<UpstreamCall>> calls;
+  for (size_t i = 0; i < kCalls; ++i) {
+    UpstreamRequest request;
+    request.m_address = { "127.0.0.1", server.Port() };
+    request.m_method = "GET";
+    request.m_path = "/";
+    request.m_firstByteTimeout = std::chrono::seconds(30);
+    request.m_progressTimeout = std::chrono::seconds(30);
+    recorders.push_back(std::make_unique<ResponseRecorder>());
+    calls.push_back(client.Start(std::move(request), *recorders.back()));
+  }
+  size_t most = 0;
+  EXPECT_TRUE(m_loop.RunUntil([&] {
+    most = std::max(most, client.HeldBytes().Used());
+    return std::all_of(
+      recorders.begin(), recorders.end(), [](const auto& aRecorder) {
+        return aRecorder->m_hasFailed;
+      });
+  }));
+  // One read per connection may come on top before the call is ended.
+  constexpr size_t kReadBytes = 65'536;
+  EXPECT_LE(most, kLimit + kCalls * kReadBytes);
+  calls.clear();
+  EXPECT_EQ(client.HeldBytes().Used(), 0U);
+}
+
 /// The body of a PATCH, DELETE, GET or OPTIONS request was sent without its
 /// length, so the upstream ran it as a request that nobody had sent.
 TEST_F(UpstreamClientTest, StatesTheLengthOfTheBodyForEveryMethod)
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -580,6 +580,7 @@
     { "Listen.Ready", R"("10.1.0.30:8141")" },
     { "Bootstrap", "true" },
     { "DataDir", R"("/data")" },
+    { "Limits.MemoryMb", "160.5" },
     { "FaultTolerance.Machines", "2" },
     { "CloudApi.Address", R"("10.200.0.100:8142")" },
     { "CloudApi.RatePerS", "44.25" },
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -91,6 +91,8 @@
 class FakeUpstreamClient : public UpstreamClient
 {
 public:
+  using UpstreamClient::UpstreamClient;
+
   struct StartedAttempt
   {
     UpstreamRequest m_request;
