Incomplete events count as held bytes

Change: the stream's incomplete event counts like the body of another answer. Result: IncompleteEventsAreHeldBytes passes (new with the accessor).

--- a/gateway/event_splitter.h
+++ b/gateway/event_splitter.h
@@ -35,6 +35,8 @@
   }
   /// Returns whether bytes of an incomplete event are buffered. @pre none.
   [[nodiscard]] bool HasPartialEvent() const { return !m_partial.empty(); }
+  /// Returns how many bytes of an incomplete event are buffered. @pre none.
+  [[nodiscard]] size_t PartialBytes() const { return m_partial.size(); }
 
 private:
   static constexpr size_t kMaxEventBytes = 262'144;
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -499,7 +499,8 @@
     return;
   }
   const std::string_view events = m_events.Feed(aBytes);
-  if (m_events.IsOversized()) {
+  const bool isWithinBudget = m_heldBody.Set(m_events.PartialBytes());
+  if (m_events.IsOversized() || !isWithinBudget) {
     HandleEndlessAnswer();
     return;
   }
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -169,6 +169,7 @@
   std::string m_body;
   /// Bytes of the body that have arrived, also those that are not kept.
   size_t m_bodyBytes = 0;
+  /// Bytes of m_body, or of the stream's incomplete event.
   ByteBudget::Holding m_heldBody;
   EventSplitter m_events;
   /// False once the call is destroyed; shared with the adapter callback, which
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -653,6 +653,19 @@
   EXPECT_EQ(m_callers[0].m_body, "small");
 }
 
+// The same for events without end.
+TEST_F(GatewayTest, IncompleteEventsAreHeldBytes)
+{
+  HttpHeaders headers = m_good;
+  headers.push_back({ "Content-Type", "text/event-stream" });
+  Call("/chat/1");
+  Answer(0, 200, headers);
+  Attempt(0).m_observer->OnUpstreamBody("data: " + std::string(1'000, 'x'));
+  EXPECT_GE(m_client.HeldBytes().Used(), 1'000U);
+  Attempt(0).m_observer->OnUpstreamBody("\n\n");
+  EXPECT_EQ(m_client.HeldBytes().Used(), 0U);
+}
+
 // The same for the body of a rejection, which is not passed on.
 TEST_F(GatewayTest, EndlessRejectionIsNotKept)
 {
