The index of engines by pool is no longer built anew for each engine

Cause: each new or removed engine rebuilt the index of all pools, so a whole directory cost the square of the number of engines. Change: a new engine is added to its pool, a removed one taken out; only an engine that moves to another pool rebuilds the index.

--- a/gateway/engine_table.cpp
+++ b/gateway/engine_table.cpp
@@ -104,7 +104,9 @@
   if (isNew) {
     RestoreFormer(*state);
   }
-  if (isNew || isMoved) {
+  if (isNew) {
+    m_byPool[aRecord.m_pool].push_back(state.get());
+  } else if (isMoved) {
     Reindex();
   }
 }
@@ -162,8 +164,8 @@
     return;
   }
   RememberFormer(*found->second);
+  std::erase(m_byPool[found->second->m_record.m_pool], found->second.get());
   m_engines.erase(found);
-  Reindex();
 }
 
 void EngineTable::KeepOnly(const std::set<UpstreamId>& aKeep)
@@ -180,6 +182,7 @@
 
 void EngineTable::Reindex()
 {
+  ++m_reindexCount;
   m_byPool.clear();
   for (const auto& [id, state] : m_engines) {
     m_byPool[state->m_record.m_pool].push_back(state.get());
--- a/gateway/engine_table.h
+++ b/gateway/engine_table.h
@@ -170,6 +170,8 @@
   [[nodiscard]] std::vector<UpstreamId> FailingEngines() const;
   /// Returns the number of upstreams. @pre none.
   [[nodiscard]] size_t Size() const { return m_engines.size(); }
+  /// Returns how often the index by pool was built anew. @pre none.
+  [[nodiscard]] uint64_t ReindexCount() const { return m_reindexCount; }
   /// Returns the number of removed upstreams that are remembered. @pre none.
   [[nodiscard]] size_t FormerCount() const { return m_former.size(); }
 
@@ -194,6 +196,7 @@
   std::map<UpstreamId, std::unique_ptr<EngineState>> m_engines;
   std::map<PoolId, EnginePointers> m_byPool;
   EnginePointers m_noEngines;
+  uint64_t m_reindexCount = 0;
   std::map<UpstreamId, FormerEngine> m_former;
   /// Keys of m_former, the oldest first.
   std::deque<UpstreamId> m_formerOrder;
