--- a/tests/processes/planned_work.py
+++ b/tests/processes/planned_work.py
@@ -2,7 +2,7 @@
 """Runs the real programs under planned work only: entries are stopped with
 SIGTERM and started again, engines are released, configurations change. Clients
 keep their connections until these are closed. Run by hand:
-planned_work.py [SEED]
+planned_work.py [SEED [ENTRIES]]
 
 Prints the requests that got no answer, and those of calls that must run once at
 most that were refused or repeated although an engine had run them. Exits with 1
@@ -208,4 +208,5 @@
 if __name__ == "__main__":
     random.seed(int(sys.argv[1]) if len(sys.argv) > 1 else 1)
     with tempfile.TemporaryDirectory() as folder:
-        sys.exit(main(case, folder, fronts=6))
+        entries = int(sys.argv[2]) if len(sys.argv) > 2 else 6
+        sys.exit(main(case, folder, fronts=entries))
