Ports of the checks are none that the system hands out by itself

Its logs show why: the port was probed, released, and engine-2, which binds port 0, got it before control-2 started. The same could happen with the source port of any connection. Change: ports are taken from below the system's range, and never twice. The check is as strict as before.

--- a/control/join_policy.h
+++ b/control/join_policy.h
@@ -18,7 +18,7 @@
 
   /// Returns the control instances to ask now; empty while the replica is the
   /// only voter of its instance and has a leader.
-  /// @pre aReplica is the raft of the replica; aNow never decreases.
+  /// @pre aRaft is the state of this replica; aNow never decreases.
   [[nodiscard]] std::vector<ReplicaAddress> InstancesToAsk(
     const Raft& aRaft,
     const std::vector<ReplicaAddress>& aSeeds,
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -15,13 +16,33 @@
 BUILD = os.environ.get("CELERYSPREAD_BUILD", os.path.join(ROOT, "build"))
 DOMAINS = ["dar", "arusha", "mwanza"]
 START_SECONDS = 30
+# Ports below the system's own ones that free_port() chooses from.
+EXPLICIT_PORTS = 12_000
+RETURNED_PORTS = set()
+
+
+def first_ephemeral_port():
+    """Returns the lowest port that the system hands out by itself."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as text:
+        return int(text.read().split()[0])
 
 
 def free_port():
-    """Returns a port that was free when it was probed; it is not reserved."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that was free when it was probed, and that this process did not
+    return before. It is none of those that the system hands out by itself: a process
+    that binds port 0, or connects, could have it before its user does."""
+    last = first_ephemeral_port()
+    while True:
+        port = random.SystemRandom().randrange(last - EXPLICIT_PORTS, last)
+        if port in RETURNED_PORTS:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        RETURNED_PORTS.add(port)
+        return port
 
 
 class Process:
