Engines that turn calls away look worse than idle ones

A rejection counted as a sign of health, and the cost of an engine knew its load only. Change: the share of an entry's attempts that an engine rejected or answered with an error lately is part of its cost and decays within seconds, so that it is tried again. An attempt for a model or adapter that is not loaded there does not count. Result: AvoidsAnIdleEngineThatTurnsCallsAway: at most 20 of 1,000 calls go there, where all did.

--- a/gateway/attempt_log.cpp
+++ b/gateway/attempt_log.cpp
@@ -17,8 +17,12 @@
   switch (aOutcome) {
     case AttemptOutcome::Answered:
       return "answered";
+    case AttemptOutcome::Erred:
+      return "erred";
     case AttemptOutcome::Rejected:
       return "rejected";
+    case AttemptOutcome::Misdirected:
+      return "misdirected";
     case AttemptOutcome::Failed:
       return "failed";
     case AttemptOutcome::Cancelled:
--- a/gateway/engine_selector.cpp
+++ b/gateway/engine_selector.cpp
@@ -21,6 +21,10 @@
 constexpr int64_t kPrefillWeight = 2;
 /// Larger than any expected wait, so that upstreams that may be down come last.
 constexpr Duration kUnhealthyCost = std::chrono::seconds(30);
+/// Delay of a call whose attempt is refused, with the retry that it takes from
+/// others. As much as a full batch, so that a sound engine that is busy is
+/// preferred to an idle one that turns calls away.
+constexpr Duration kRefusedAttemptCost = std::chrono::milliseconds(500);
 /// Time to load an adapter on request, including the round trip to the owner,
 /// plus a charge for the delay of other calls.
 constexpr Duration kAdapterLoadCost = std::chrono::milliseconds(400);
@@ -77,6 +81,9 @@
   cost += kEventGapWeight * aState.EventGap(aNow);
   cost += kPrefillWeight * aState.m_pendingPrefill;
   cost += DistanceCost(aState.m_record.m_domain);
+  cost += Duration(
+    static_cast<int64_t>(aState.RefusalShare(aNow) *
+                         static_cast<double>(kRefusedAttemptCost.count())));
   if (aState.m_record.m_rateLimit > 0) {
     cost += kRateRequestCost * (1 + aState.m_rateDenials);
   }
--- a/gateway/engine_table.cpp
+++ b/gateway/engine_table.cpp
@@ -27,6 +27,10 @@
 /// A trial call after a back-off that has no answer yet holds up others this
 /// long.
 constexpr Duration kTrialTime = std::chrono::seconds(1);
+/// Weight of an attempt in the share of attempts that were refused.
+constexpr double kRefusalShareWeight = 0.25;
+/// Time constant of the decay of that share.
+constexpr Duration kRefusalShareDecay = std::chrono::seconds(2);
 constexpr Duration kInitialAvoidance = std::chrono::milliseconds(500);
 constexpr uint32_t kMaxAvoidanceDoublings = 4;
 
@@ -54,6 +58,16 @@
   return std::max(gap, silence);
 }
 
+double EngineState::RefusalShare(TimePoint aNow) const
+{
+  if (m_refusalShare == 0) {
+    return 0;
+  }
+  const auto age = static_cast<double>((aNow - m_refusalShareAt).count());
+  return m_refusalShare *
+         std::exp(-age / static_cast<double>(kRefusalShareDecay.count()));
+}
+
 std::optional<TimePoint> EngineState::BackOffEnd(TimePoint aNow) const
 {
   if (!m_said.m_backOffUntil) {
@@ -377,8 +391,16 @@
   }
   state->m_outstanding -= state->m_outstanding > 0 ? 1 : 0;
   --state->m_changesSinceReading;
-  if (aOutcome == AttemptOutcome::Answered ||
-      aOutcome == AttemptOutcome::Rejected) {
+  const bool isRefused =
+    aOutcome == AttemptOutcome::Rejected || aOutcome == AttemptOutcome::Erred;
+  if (isRefused || aOutcome == AttemptOutcome::Answered) {
+    const double share = state->RefusalShare(aNow);
+    const double sample = isRefused ? 1 : 0;
+    state->m_refusalShare = share + kRefusalShareWeight * (sample - share);
+    state->m_refusalShareAt = aNow;
+  }
+  if (aOutcome != AttemptOutcome::Failed &&
+      aOutcome != AttemptOutcome::Cancelled) {
     state->m_consecutiveFailures = 0;
     state->m_lastByteAt = aNow;
   }
--- a/gateway/engine_table.h
+++ b/gateway/engine_table.h
@@ -15,10 +15,13 @@
 /// Outcome of an attempt, as it matters to the health of the upstream.
 enum class AttemptOutcome
 {
-  /// The upstream answered, possibly with an error.
   Answered,
+  /// The upstream answered with an error of its own.
+  Erred,
   /// The upstream refused without running the request.
   Rejected,
+  /// The upstream refused because the target is not loaded there.
+  Misdirected,
   /// No complete answer arrived.
   Failed,
   /// The caller disconnected first.
@@ -75,6 +78,14 @@
   Duration m_eventGap{};
   TimePoint m_eventGapAt;
 
+  /// Smoothed share of the attempts of this entry that were rejected or
+  /// answered with an error, as of m_refusalShareAt.
+  double m_refusalShare = 0;
+  TimePoint m_refusalShareAt;
+
+  /// Returns the share of attempts that the upstream is expected to refuse now.
+  /// It decays, so that the upstream is tried again. @pre none. @thread loop.
+  [[nodiscard]] double RefusalShare(TimePoint aNow) const;
   /// Estimates the present time between events of its streams. Prompts of all
   /// entries lengthen it, also those that this entry can't see. @pre none.
   /// @thread loop.
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -614,7 +614,8 @@
   }
   const bool isUpstreamFault = m_status >= HttpStatus::kFirstServerError;
   RecordSound();
-  CloseAttempt(AttemptOutcome::Answered);
+  CloseAttempt(isUpstreamFault ? AttemptOutcome::Erred
+                               : AttemptOutcome::Answered);
   if (isUpstreamFault && MayRetryAfterRun() && TryRetry(true)) {
     return;
   }
@@ -639,8 +640,9 @@
     m_context.m_table.RecordMissing(m_upstream, m_input.m_callFields.m_target);
   }
   // A plain service whose address now belongs to another upstream is gone.
-  CloseAttempt(isMisdirected && isPlain ? AttemptOutcome::Failed
-                                        : AttemptOutcome::Rejected);
+  CloseAttempt(!isMisdirected ? AttemptOutcome::Rejected
+               : isPlain      ? AttemptOutcome::Failed
+                              : AttemptOutcome::Misdirected);
   if (m_isStreaming) {
     if (!TryRetry(false)) {
       AbortStream("the resumed stream was rejected and no retry is possible");
--- a/tests/gateway/engine_selector_test.cpp
+++ b/tests/gateway/engine_selector_test.cpp
@@ -147,4 +147,44 @@
   EXPECT_EQ(table.Find(id)->EstimatedLoad(now + std::chrono::seconds(9)), 1U);
 }
 
+// An engine that turns calls away at once reports that it is idle, so it looked
+// like the best choice again and again, and used up the retry budget.
+TEST_F(EngineSelectorTest, AvoidsAnIdleEngineThatTurnsCallsAway)
+{
+  for (const AttemptOutcome outcome :
+       { AttemptOutcome::Rejected, AttemptOutcome::Erred }) {
+    m_table = EngineTable();
+    m_table.Update(MakeEngine("refusing", "here", "m"));
+    m_table.Update(MakeEngine("sound", "far", "m"));
+    int refused = 0;
+    for (int call = 0; call < 1000; ++call) {
+      const UpstreamId chosen(Choose({ "m", "" }));
+      const bool isRefused = chosen == UpstreamId("refusing");
+      m_table.RecordStart(chosen, Duration::zero(), m_now);
+      m_table.RecordLoad(chosen, { 0, 0, 4 }, m_now);
+      m_table.RecordEnd(
+        chosen, isRefused ? outcome : AttemptOutcome::Answered, m_now);
+      refused += isRefused ? 1 : 0;
+      m_now += std::chrono::milliseconds(10);
+    }
+    EXPECT_LE(refused, 20);
+    // It is tried again, and preferred once it is sound.
+    EXPECT_GE(refused, 3);
+    m_now += std::chrono::seconds(10);
+    EXPECT_EQ(Choose({ "m", "" }), "refusing");
+  }
+}
+
+// A target that is not loaded says nothing about the calls that have theirs.
+TEST_F(EngineSelectorTest, MisdirectedCallsDoNotCountAgainstAnEngine)
+{
+  m_table.Update(MakeEngine("near", "here", "m"));
+  m_table.Update(MakeEngine("remote", "far", "m"));
+  for (int call = 0; call < 20; ++call) {
+    m_table.RecordStart(UpstreamId("near"), Duration::zero(), m_now);
+    m_table.RecordEnd(UpstreamId("near"), AttemptOutcome::Misdirected, m_now);
+  }
+  EXPECT_EQ(Choose({ "m", "" }), "near");
+}
+
 } // namespace celeryspread::test
