Control instances outlast a full disk and take part again by themselves

Cause: other operators' report: disks full one after another, then changes unanswered for good. A failed write ended the replica, and the process with it; whether the service survived depended on how soon something started it again. Change: a replica that can't store something takes no part until it can, like one with a disk that stands still; it stops leading, and repairs its log before it stores the same again. A removed replica erases its identity in one step. A process that starts on a full disk waits. Why it works: nothing is sent or acknowledged before it is stored, so to the others it is a slow disk, which the log's rules bear. After a failed sync the log is written into another file, as nothing else proves what is on disk.

--- a/consensus/raft.cpp
+++ b/consensus/raft.cpp
@@ -104,6 +104,13 @@
   }
 }
 
+void Raft::Resign(TimePoint aNow)
+{
+  if (m_role == RaftRole::Leader) {
+    BecomeFollower(m_hardState.m_term, ReplicaId(), aNow);
+  }
+}
+
 void Raft::BecomeFollower(Term aTerm, const ReplicaId& aLeader, TimePoint aNow)
 {
   if (aTerm != m_hardState.m_term) {
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -59,6 +59,9 @@
   /// Runs periodic work: elections, heartbeats, and stepping down without a
   /// quorum. @pre aNow never decreases.
   void Tick(TimePoint aNow);
+  /// Stops leading, so that another replica can lead, as this one can't store
+  /// anything for a time. @pre none; does nothing at a follower.
+  void Resign(TimePoint aNow);
   /// Handles a message. @pre none; a message to another replica is ignored.
   void Step(const RaftMessage& aMessage, TimePoint aNow);
   /// Appends a command. @pre none. @error empty; see LastError().
--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <iostream>
 #include <random>
+#include <thread>
 
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
@@ -32,6 +33,9 @@
 constexpr Duration kJoinPeriod = std::chrono::milliseconds(500);
 /// How often a replica that is not a voter yet logs what it was answered.
 constexpr Duration kJoinLogPeriod = std::chrono::seconds(3);
+/// How often a store that can't be opened for want of room is tried again.
+constexpr Duration kStoreRetryPeriod = std::chrono::milliseconds(250);
+constexpr int kStoreAttemptsPerLogLine = 12;
 constexpr size_t kMinClusterKeyBytes = 16;
 /// Appended to an instance ID, it gives the replica ID of a bootstrap replica,
 /// which every instance derives alike.
@@ -89,7 +93,7 @@
                   "/cluster_key_file: expected a file of 16 bytes or more");
       return ExitCode::BadSettings;
     }
-    if (!OpenStore()) {
+    if (!OpenStoreOnceThereIsRoom()) {
       return ExitCode::CannotUseDisk;
     }
     Assemble(ClusterKey(*key));
@@ -144,14 +148,17 @@
       aCall->Path() == "/healthz" || aCall->Path() == "/readyz";
     const nlohmann::json body = { { "leader",
                                     m_host->Replica().Leader().Value() },
-                                  { "failed", m_host->IsFailed() } };
+                                  { "failed", m_host->IsFailed() },
+                                  { "suspended", m_host->IsSuspended() } };
     aCall->Reply(isKnown ? kOk : kNotFound,
                  { { "Content-Type", "application/json" } },
                  FormatJson(body));
   }
 
 private:
-  bool OpenStore()
+  /// Opens the store, and waits for room on a disk that is full. A process that
+  /// ended instead could not be sure to be started again.
+  bool OpenStoreOnceThereIsRoom()
   {
     if (!m_files.CreateAndLock()) {
       m_log.Write(EventId::StorageFailed,
@@ -159,8 +166,27 @@
                     " can't be created or is in use by another process");
       return false;
     }
+    for (int attempt = 0; !OpenStore(); ++attempt) {
+      if (m_store.LastError().m_kind == StorageErrorKind::Corrupt) {
+        return false;
+      }
+      if (attempt % kStoreAttemptsPerLogLine == 0) {
+        m_log.Write(EventId::StorageFailed,
+                    "folder=" + m_settings.m_dataFolder +
+                      " can't be written to; waiting");
+      }
+      std::this_thread::sleep_for(kStoreRetryPeriod);
+    }
+    return true;
+  }
+
+  bool OpenStore()
+  {
     if (!m_store.Open()) {
       const StorageError& error = m_store.LastError();
+      if (error.m_kind != StorageErrorKind::Corrupt) {
+        return false;
+      }
       m_log.Write(EventId::LogCorrupt,
                   "file=" + error.m_file +
                     " offset=" + std::to_string(error.m_offset));
@@ -364,8 +390,11 @@
       EventId::ReplicaRemoved,
       "replica=" + m_store.Identity().Value() +
         " reason=\"it was removed from the replica set while unreachable\"");
+    // Without room on the disk the next answer tries again.
     m_isRemoved = m_store.Discard();
-    event_base_loopbreak(m_base.get());
+    if (m_isRemoved) {
+      event_base_loopbreak(m_base.get());
+    }
   }
 
   [[nodiscard]] std::vector<ReplicaAddress> SeedAddresses() const
@@ -379,6 +408,10 @@
 
   void JoinIfNeeded()
   {
+    if (m_host->IsSuspended()) {
+      // An identity that was removed could not be discarded now.
+      return;
+    }
     const TimePoint now = m_clock.Now();
     const std::vector<ReplicaAddress> instances =
       m_joinPolicy->InstancesToAsk(m_host->Replica(), SeedAddresses(), now);
@@ -441,6 +474,8 @@
                      static_cast<double>(health.m_reachableVoters));
     metrics.SetGauge("celeryspread_control_bearable_losses",
                      static_cast<double>(health.BearableLosses()));
+    metrics.SetGauge("celeryspread_control_is_suspended",
+                     m_host->IsSuspended() ? 1 : 0);
     metrics.SetGauge("celeryspread_control_syncs",
                      static_cast<double>(m_host->SyncCount()));
     metrics.SetGauge("celeryspread_control_claims",
--- a/control/replica_host.cpp
+++ b/control/replica_host.cpp
@@ -21,6 +21,10 @@
 constexpr Duration kLeaderlessLogPeriod = std::chrono::seconds(3);
 /// Period of the log lines about a replica set that can bear too few losses.
 constexpr Duration kHealthLogPeriod = std::chrono::seconds(3);
+/// Period of the attempts to write to a disk that took no writes.
+constexpr Duration kResumePeriod = std::chrono::milliseconds(250);
+/// Time until the next attempt to save a snapshot for which there was no room.
+constexpr Duration kSnapshotRetryPeriod = std::chrono::seconds(1);
 
 } // namespace
 
@@ -51,7 +55,8 @@
 
 bool ReplicaHost::HasLease() const
 {
-  return !m_isFailed && m_raft.HasLease(m_deps.m_clock.Now()) &&
+  return !m_isFailed && !IsSuspended() &&
+         m_raft.HasLease(m_deps.m_clock.Now()) &&
          m_appliedIndex == m_raft.CommitIndex();
 }
 
@@ -80,6 +85,10 @@
   if (m_isFailed) {
     return;
   }
+  if (IsSuspended()) {
+    TryToResume();
+    return;
+  }
   m_raft.Tick(m_deps.m_clock.Now());
   RemoveSilentVoter();
   LogMissingLeader();
@@ -90,7 +99,8 @@
 
 void ReplicaHost::Step(const RaftMessage& aMessage, const ReplicaAddress& aFrom)
 {
-  if (m_isFailed) {
+  // A suspended replica could store no answer.
+  if (m_isFailed || IsSuspended()) {
     return;
   }
   m_senderAddresses[aMessage.m_from] = aFrom;
@@ -100,7 +110,7 @@
 
 bool ReplicaHost::Propose(Command aCommand, Done aDone)
 {
-  if (m_isFailed) {
+  if (m_isFailed || IsSuspended()) {
     return false;
   }
   const TimePoint now = m_deps.m_clock.Now();
@@ -123,7 +133,7 @@
 JoinVerdict ReplicaHost::Join(const ReplicaId& aReplica,
                               const ReplicaAddress& aAddress)
 {
-  if (m_isFailed || !m_raft.IsLeader()) {
+  if (m_isFailed || IsSuspended() || !m_raft.IsLeader()) {
     return JoinVerdict::NotLeader;
   }
   const ReplicaSet& replicas = m_raft.Replicas();
@@ -271,35 +281,73 @@
 void ReplicaHost::ProcessReady()
 {
   // Storing entries may commit more of them, which gives more work.
-  while (!m_isFailed && ProcessReadyOnce()) {
+  while (!m_isFailed && !IsSuspended() && ProcessReadyOnce()) {
   }
   LogRoleChange();
 }
 
 bool ReplicaHost::ProcessReadyOnce()
 {
-  const RaftReady ready = m_raft.TakeReady();
+  RaftReady ready = m_raft.TakeReady();
   SendAll(ready.m_messagesBeforeSync);
   if (!m_deps.m_store.Store(ready)) {
-    m_isFailed = true;
-    m_deps.m_log.Write(EventId::StorageFailed,
-                       "file=" + m_deps.m_store.LastError().m_file);
+    Suspend(std::move(ready));
     return false;
   }
-  if (ready.NeedsSync()) {
+  return CompleteReady(ready);
+}
+
+bool ReplicaHost::CompleteReady(const RaftReady& aReady)
+{
+  if (aReady.NeedsSync()) {
     ++m_syncCount;
     m_raft.MarkPersisted(m_deps.m_clock.Now());
   }
-  if (ready.m_snapshot) {
-    Restore(*ready.m_snapshot);
+  if (aReady.m_snapshot) {
+    Restore(*aReady.m_snapshot);
     if (m_revisionListener) {
       m_revisionListener();
     }
   }
-  SendAll(ready.m_messagesAfterSync);
-  ApplyAll(ready.m_committed);
+  SendAll(aReady.m_messagesAfterSync);
+  ApplyAll(aReady.m_committed);
   TakeSnapshot();
-  return ready.NeedsSync() || !ready.m_committed.empty();
+  return aReady.NeedsSync() || !aReady.m_committed.empty();
+}
+
+void ReplicaHost::Suspend(RaftReady aReady)
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  m_unstored = std::move(aReady);
+  m_suspendedAt = now;
+  m_resumeDue = now + kResumePeriod;
+  m_deps.m_log.Write(EventId::StorageFailed,
+                     "file=" + m_deps.m_store.LastError().m_file +
+                       " was_leader=" + (m_raft.IsLeader() ? "yes" : "no"));
+  // Another replica may lead at once. What this one has proposed may still be
+  // committed by it.
+  m_raft.Resign(now);
+  DropAllPending();
+}
+
+void ReplicaHost::TryToResume()
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  if (now < m_resumeDue) {
+    return;
+  }
+  m_resumeDue = now + kResumePeriod;
+  if (!m_deps.m_store.Recover() || !m_deps.m_store.Store(*m_unstored)) {
+    return;
+  }
+  const auto suspendedFor =
+    std::chrono::duration_cast<std::chrono::milliseconds>(now - m_suspendedAt);
+  m_deps.m_log.Write(EventId::StorageRecovered,
+                     "suspended_ms=" + std::to_string(suspendedFor.count()));
+  const RaftReady ready = std::move(*m_unstored);
+  m_unstored.reset();
+  CompleteReady(ready);
+  ProcessReady();
 }
 
 void ReplicaHost::SendAll(const std::vector<RaftMessage>& aMessages)
@@ -360,10 +408,21 @@
   }
 }
 
+void ReplicaHost::DropAllPending()
+{
+  std::map<LogIndex, PendingProposal> pending;
+  pending.swap(m_pending);
+  for (const auto& [index, proposal] : pending) {
+    proposal.m_done(std::nullopt);
+  }
+}
+
 void ReplicaHost::TakeSnapshot()
 {
   const LogIndex covered = m_raft.Log().SnapshotIndex();
-  if (m_isFailed || (m_appliedIndex - covered).Value() < m_snapshotEntries) {
+  const TimePoint now = m_deps.m_clock.Now();
+  if (m_isFailed || now < m_snapshotDue ||
+      (m_appliedIndex - covered).Value() < m_snapshotEntries) {
     return;
   }
   Snapshot snapshot{
@@ -375,13 +434,20 @@
        index = index.Next()) {
     laterEntries.push_back(log.At(index));
   }
-  if (!m_deps.m_store.SaveSnapshot(snapshot, laterEntries)) {
-    m_isFailed = true;
-    m_deps.m_log.Write(EventId::StorageFailed,
-                       "file=" + m_deps.m_store.LastError().m_file);
-    return;
+  switch (m_deps.m_store.SaveSnapshot(snapshot, laterEntries)) {
+    case SaveResult::Saved:
+      m_raft.Compact(std::move(snapshot));
+      return;
+    case SaveResult::Postponed:
+      m_snapshotDue = now + kSnapshotRetryPeriod;
+      m_deps.m_log.Write(EventId::SnapshotPostponed,
+                         "index=" + std::to_string(m_appliedIndex.Value()));
+      return;
+    case SaveResult::Failed:
+      // Everything so far is stored; only the log file has to be made sure of.
+      Suspend(RaftReady());
+      return;
   }
-  m_raft.Compact(std::move(snapshot));
 }
 
 void ReplicaHost::LogRoleChange()
--- a/control/replica_host.h
+++ b/control/replica_host.h
@@ -115,9 +115,12 @@
   [[nodiscard]] bool HasLease() const;
   /// Returns the leader's address, null when unknown. @pre none.
   [[nodiscard]] const ReplicaAddress* LeaderAddress() const;
-  /// Returns whether storage failed; nothing is acknowledged any more.
-  /// @pre none.
+  /// Returns whether the stored state can't be read; nothing is acknowledged
+  /// any more. @pre none.
   [[nodiscard]] bool IsFailed() const { return m_isFailed; }
+  /// Returns whether the replica takes no part because its disk takes no
+  /// writes, as when it is full. It tries again periodically. @pre none.
+  [[nodiscard]] bool IsSuspended() const { return m_unstored.has_value(); }
   /// Returns the state of the replica set as this replica sees it. @pre none.
   [[nodiscard]] ReplicaSetHealth Health() const;
   /// Returns the number of syncs of the log so far. @pre none.
@@ -136,10 +139,20 @@
   void ScheduleProcessing();
   void ProcessReady();
   bool ProcessReadyOnce();
+  /// Does what follows once aReady is on disk.
+  /// @return whether there may be more work.
+  bool CompleteReady(const RaftReady& aReady);
+  /// Takes no part until aReady can be stored. To the other replicas this is a
+  /// disk that stands still.
+  void Suspend(RaftReady aReady);
+  /// Tries whether the disk takes writes again.
+  void TryToResume();
   void SendAll(const std::vector<RaftMessage>& aMessages);
   void ApplyAll(const std::vector<LogEntry>& aEntries);
   void CompletePending(const LogEntry& aEntry, CommandResult aResult);
   void DropStalePending();
+  /// Answers all proposals with an unknown outcome.
+  void DropAllPending();
   void TakeSnapshot();
   void LogRoleChange();
   /// Proposes to remove a replica and logs the reason.
@@ -165,6 +178,12 @@
   std::function<void()> m_revisionListener;
   std::unique_ptr<Timer> m_processTimer;
   uint64_t m_syncCount = 0;
+  /// What could not be stored yet, while this replica is suspended.
+  std::optional<RaftReady> m_unstored;
+  TimePoint m_suspendedAt;
+  TimePoint m_resumeDue;
+  /// No snapshot is taken before this, as there was no room for the last one.
+  TimePoint m_snapshotDue;
   bool m_isFailed = false;
   bool m_wasLeader = false;
   uint32_t m_toleratedLosses = 0;
--- a/storage/file_system.h
+++ b/storage/file_system.h
@@ -23,6 +23,16 @@
   virtual bool Sync() = 0;
 };
 
+/// What became of a file that was to be replaced.
+enum class ReplaceResult
+{
+  Replaced,
+  /// The file has its old content.
+  Unchanged,
+  /// The file has its new content, or it has it only until a crash.
+  Uncertain
+};
+
 /// Files in the data folder of a process.
 /// @thread loop thread only.
 class FileSystem
@@ -37,9 +47,8 @@
     const std::string& aName) = 0;
   /// Replaces a file atomically and durably: writes and syncs a temporary file,
   /// renames it, and syncs the folder. @pre none.
-  /// @error false; the file has its old content, or the new one not durably.
-  virtual bool ReplaceFile(const std::string& aName,
-                           std::string_view aBytes) = 0;
+  virtual ReplaceResult ReplaceFile(const std::string& aName,
+                                    std::string_view aBytes) = 0;
   /// Truncates a file to a length, durably. @pre the file exists. @unit bytes.
   virtual bool Truncate(const std::string& aName, size_t aLength) = 0;
 };
--- a/storage/posix_file_system.cpp
+++ b/storage/posix_file_system.cpp
@@ -115,20 +115,23 @@
   return std::make_unique<PosixFile>(fd);
 }
 
-bool PosixFileSystem::ReplaceFile(const std::string& aName,
-                                  std::string_view aBytes)
+ReplaceResult PosixFileSystem::ReplaceFile(const std::string& aName,
+                                           std::string_view aBytes)
 {
   const std::string temporaryPath = PathOf(aName + ".new");
   const int fd = open(
     temporaryPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
   if (fd < 0) {
-    return false;
+    return ReplaceResult::Unchanged;
   }
   const bool isWritten = WriteAll(fd, aBytes) && fsync(fd) == 0;
   close(fd);
-  return isWritten &&
-         rename(temporaryPath.c_str(), PathOf(aName).c_str()) == 0 &&
-         SyncFolder();
+  if (!isWritten || rename(temporaryPath.c_str(), PathOf(aName).c_str()) != 0) {
+    // The part that was written takes up room on a disk that may be full.
+    unlink(temporaryPath.c_str());
+    return ReplaceResult::Unchanged;
+  }
+  return SyncFolder() ? ReplaceResult::Replaced : ReplaceResult::Uncertain;
 }
 
 bool PosixFileSystem::Truncate(const std::string& aName, size_t aLength)
--- a/storage/posix_file_system.h
+++ b/storage/posix_file_system.h
@@ -23,7 +23,8 @@
   bool CreateAndLock();
   std::optional<std::string> Read(const std::string& aName) override;
   std::unique_ptr<DurableFile> OpenForAppend(const std::string& aName) override;
-  bool ReplaceFile(const std::string& aName, std::string_view aBytes) override;
+  ReplaceResult ReplaceFile(const std::string& aName,
+                            std::string_view aBytes) override;
   bool Truncate(const std::string& aName, size_t aLength) override;
 
 private:
--- a/storage/record_log.cpp
+++ b/storage/record_log.cpp
@@ -129,6 +129,7 @@
 
 std::optional<std::vector<std::string>> RecordLog::Open()
 {
+  m_lastError = {};
   std::vector<std::string> records;
   const std::string content = m_fileSystem.Read(m_name).value_or("");
   const std::string_view bytes(content);
@@ -154,14 +155,18 @@
     return std::nullopt;
   }
   m_fileBytes = offset;
-  m_file = m_fileSystem.OpenForAppend(m_name);
-  if (m_file == nullptr) {
-    Fail(StorageErrorKind::OpenFailed, 0);
+  if (!OpenForAppend()) {
     return std::nullopt;
   }
   return records;
 }
 
+bool RecordLog::OpenForAppend()
+{
+  m_file = m_fileSystem.OpenForAppend(m_name);
+  return m_file != nullptr || Fail(StorageErrorKind::OpenFailed, 0);
+}
+
 bool RecordLog::Append(std::string_view aPayload)
 {
   if (m_lastError.m_kind != StorageErrorKind::None) {
@@ -183,33 +188,63 @@
   if (!m_pendingFrames.empty() && !m_file->Append(m_pendingFrames)) {
     return Fail(StorageErrorKind::WriteFailed, m_fileBytes);
   }
-  m_fileBytes += m_pendingFrames.size();
-  m_pendingFrames.clear();
   if (!m_file->Sync()) {
     return Fail(StorageErrorKind::SyncFailed, m_fileBytes);
   }
+  m_fileBytes += m_pendingFrames.size();
+  m_pendingFrames.clear();
   return true;
 }
 
-bool RecordLog::Rewrite(const std::vector<std::string>& aPayloads)
+bool RecordLog::Recover()
 {
-  if (m_lastError.m_kind != StorageErrorKind::None) {
+  if (m_lastError.m_kind == StorageErrorKind::None) {
+    return true;
+  }
+  m_pendingFrames.clear();
+  const std::string content = m_fileSystem.Read(m_name).value_or("");
+  if (m_lastError.m_kind == StorageErrorKind::WriteFailed) {
+    // A part of the last frames may have been written. Truncating needs no
+    // room.
+    if (!m_fileSystem.Truncate(m_name, m_fileBytes)) {
+      return false;
+    }
+  } else {
+    // After a failed sync, the next one may succeed without having written what
+    // the first one lost. Only a new file proves what is on disk.
+    const size_t kept = std::min<size_t>(content.size(), m_fileBytes);
+    if (m_fileSystem.ReplaceFile(m_name, content.substr(0, kept)) !=
+        ReplaceResult::Replaced) {
+      return false;
+    }
+  }
+  if (!OpenForAppend()) {
     return false;
   }
+  m_lastError = {};
+  return true;
+}
+
+ReplaceResult RecordLog::Rewrite(const std::vector<std::string>& aPayloads)
+{
+  if (m_lastError.m_kind != StorageErrorKind::None) {
+    return ReplaceResult::Uncertain;
+  }
   std::string content;
   for (const std::string& payload : aPayloads) {
     content += EncodeFrame(payload);
   }
-  if (!m_fileSystem.ReplaceFile(m_name, content)) {
-    return Fail(StorageErrorKind::WriteFailed, 0);
+  const ReplaceResult result = m_fileSystem.ReplaceFile(m_name, content);
+  if (result == ReplaceResult::Unchanged) {
+    return result;
   }
   m_fileBytes = content.size();
   m_pendingFrames.clear();
-  m_file = m_fileSystem.OpenForAppend(m_name);
-  if (m_file == nullptr) {
-    return Fail(StorageErrorKind::OpenFailed, 0);
+  if (result == ReplaceResult::Uncertain) {
+    Fail(StorageErrorKind::SyncFailed, 0);
+    return result;
   }
-  return true;
+  return OpenForAppend() ? ReplaceResult::Replaced : ReplaceResult::Uncertain;
 }
 
 } // namespace celeryspread
--- a/storage/record_log.h
+++ b/storage/record_log.h
@@ -43,19 +43,26 @@
   /// Uses the file aName. @pre aFileSystem outlives the log.
   RecordLog(FileSystem& aFileSystem, std::string aName);
 
-  /// Reads every record and opens the file for appending. @pre called once.
+  /// Reads every record and opens the file for appending. @pre no call has
+  /// succeeded yet.
   /// @error empty; see LastError().
   std::optional<std::vector<std::string>> Open();
   /// Adds a record that the next Sync() writes. @pre Open() succeeded.
-  /// @error false, and every later call fails too.
+  /// @error false, as all calls until Recover() has succeeded.
   bool Append(std::string_view aPayload);
   /// Writes all appended records in one call and makes them durable.
   /// @pre Open() succeeded.
-  /// @error false, and every later call fails too.
+  /// @error false, as all calls until Recover() has succeeded.
   bool Sync();
   /// Replaces all records, also the appended ones, durably.
-  /// @pre Open() succeeded. @error false, and every later call fails too.
-  bool Rewrite(const std::vector<std::string>& aPayloads);
+  /// @pre Open() succeeded. @error Unchanged: the log can still be used.
+  /// Uncertain: all calls fail until Recover() has succeeded.
+  ReplaceResult Rewrite(const std::vector<std::string>& aPayloads);
+  /// Makes the log usable again after a failure, with the records of the last
+  /// call that succeeded; none is pending. After a failed Rewrite() it may also
+  /// hold the new records. @pre Open() succeeded. @error false; may be called
+  /// again.
+  bool Recover();
   /// Returns the size of the incomplete tail that Open() truncated. @pre none.
   /// @unit bytes.
   [[nodiscard]] size_t TruncatedBytes() const { return m_truncatedBytes; }
@@ -64,6 +71,7 @@
 
 private:
   bool Fail(StorageErrorKind aKind, uint64_t aOffset);
+  bool OpenForAppend();
 
   FileSystem& m_fileSystem;
   std::string m_name;
--- a/storage/replica_store.cpp
+++ b/storage/replica_store.cpp
@@ -36,6 +36,9 @@
 
 bool ReplicaStore::Open()
 {
+  m_lastError = {};
+  m_identity = ReplicaId();
+  m_initialState = RaftInitialState();
   if (const auto stored = m_fileSystem.Read(kSnapshotFileName)) {
     const std::string_view bytes(*stored);
     const bool isValid = bytes.size() >= kChecksumWidth &&
@@ -98,13 +101,19 @@
   m_identity = aIdentity;
   m_initialState = RaftInitialState();
   m_initialState.m_snapshot = aInitialSnapshot;
-  return SaveSnapshot(aInitialSnapshot, {});
+  return SaveSnapshot(aInitialSnapshot, {}) == SaveResult::Saved;
 }
 
 bool ReplicaStore::Discard()
 {
+  // The identity is in the log. Without it, the snapshot that stays is never
+  // read, whereas a log without its snapshot would be.
+  if (m_log.Rewrite({}) != ReplaceResult::Replaced) {
+    return false;
+  }
+  m_identity = ReplicaId();
   m_hardState = HardState();
-  return Format(ReplicaId(), Snapshot());
+  return true;
 }
 
 bool ReplicaStore::Store(const RaftReady& aReady)
@@ -116,7 +125,8 @@
     m_hardState = *aReady.m_hardState;
   }
   if (aReady.m_snapshot) {
-    return SaveSnapshot(*aReady.m_snapshot, aReady.m_entries);
+    return SaveSnapshot(*aReady.m_snapshot, aReady.m_entries) ==
+           SaveResult::Saved;
   }
   if (!aReady.NeedsSync()) {
     return true;
@@ -134,16 +144,29 @@
   return true;
 }
 
-bool ReplicaStore::SaveSnapshot(const Snapshot& aSnapshot,
-                                const std::vector<LogEntry>& aRemainingEntries)
+bool ReplicaStore::Recover()
 {
-  if (m_lastError.m_kind != StorageErrorKind::None) {
+  if (!m_log.Recover()) {
     return false;
   }
+  m_lastError = {};
+  return true;
+}
+
+SaveResult ReplicaStore::SaveSnapshot(
+  const Snapshot& aSnapshot,
+  const std::vector<LogEntry>& aRemainingEntries)
+{
+  if (m_lastError.m_kind != StorageErrorKind::None) {
+    return SaveResult::Failed;
+  }
   const std::string bytes = EncodeSnapshot(aSnapshot);
-  if (!m_fileSystem.ReplaceFile(kSnapshotFileName,
-                                ChecksumText(bytes) + bytes)) {
-    return Fail({ StorageErrorKind::WriteFailed, kSnapshotFileName, 0 });
+  // A snapshot whose log can't be rewritten does no harm, nor does one that a
+  // crash may undo while the log is as it was: both are made again.
+  if (m_fileSystem.ReplaceFile(kSnapshotFileName,
+                               ChecksumText(bytes) + bytes) !=
+      ReplaceResult::Replaced) {
+    return SaveResult::Postponed;
   }
   std::vector<std::string> records = {
     EncodeRecord(ReplicaIdentity{ m_identity }), EncodeRecord(m_hardState)
@@ -151,10 +174,16 @@
   for (const LogEntry& entry : aRemainingEntries) {
     records.push_back(EncodeRecord(entry));
   }
-  if (!m_log.Rewrite(records)) {
-    return Fail(m_log.LastError());
+  switch (m_log.Rewrite(records)) {
+    case ReplaceResult::Replaced:
+      return SaveResult::Saved;
+    case ReplaceResult::Unchanged:
+      return SaveResult::Postponed;
+    case ReplaceResult::Uncertain:
+      Fail(m_log.LastError());
+      break;
   }
-  return true;
+  return SaveResult::Failed;
 }
 
 } // namespace celeryspread
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -61,6 +61,8 @@
   ElectionStalled = 508,
   JoinPending = 509,
   ReplicaSetDegraded = 510,
+  StorageRecovered = 511,
+  SnapshotPostponed = 512,
   OrderSent = 600,
   OrderFailed = 601,
   PlacementRefused = 602,
--- a/tests/support/control_cluster.cpp
+++ b/tests/support/control_cluster.cpp
@@ -226,7 +226,7 @@
 {
   Node& node = *m_nodes.at(aName);
   const TimePoint now = node.m_clock.Now();
-  if (now < node.m_joinDue) {
+  if (now < node.m_joinDue || node.m_host->IsSuspended()) {
     return;
   }
   node.m_joinDue = now + kJoinPeriod;
@@ -246,9 +246,10 @@
     }
     const JoinVerdict verdict = ForwardJoin(name, aName, self);
     if (verdict == JoinVerdict::Removed) {
-      node.m_store->Discard();
-      Crash(aName);
-      Start(aName);
+      if (node.m_store->Discard()) {
+        Crash(aName);
+        Start(aName);
+      }
       return;
     }
   }
--- a/tests/support/fake_file_system.h
+++ b/tests/support/fake_file_system.h
@@ -23,13 +23,21 @@
     m_files[aName];
     return std::make_unique<FakeFile>(*this, aName);
   }
-  bool ReplaceFile(const std::string& aName, std::string_view aBytes) override
+  ReplaceResult ReplaceFile(const std::string& aName,
+                            std::string_view aBytes) override
   {
-    if (m_isFull || m_failsSync) {
-      return false;
+    const bool isTooLarge = m_roomForFiles && aBytes.size() > *m_roomForFiles;
+    if (m_isFull || m_failsSync || isTooLarge) {
+      return ReplaceResult::Unchanged;
+    }
+    if (m_failsFolderSync) {
+      m_undoneByCrash.try_emplace(aName, m_files[aName]);
+    } else {
+      m_undoneByCrash.erase(aName);
     }
     m_files[aName] = { std::string(aBytes), aBytes.size() };
-    return true;
+    return m_failsFolderSync ? ReplaceResult::Uncertain
+                             : ReplaceResult::Replaced;
   }
   bool Truncate(const std::string& aName, size_t aLength) override
   {
@@ -43,6 +51,12 @@
   /// and ends requested failures.
   void Crash(RandomSource& aRandom)
   {
+    for (auto& [name, file] : m_undoneByCrash) {
+      if (aRandom.Below(2) == 0) {
+        m_files[name] = file;
+      }
+    }
+    m_undoneByCrash.clear();
     for (auto& [name, file] : m_files) {
       const size_t unsynced = file.m_bytes.size() - file.m_synced;
       file.m_bytes.resize(file.m_synced + aRandom.Below(unsynced + 1));
@@ -50,6 +64,8 @@
     }
     m_isFull = false;
     m_failsSync = false;
+    m_failsFolderSync = false;
+    m_roomForFiles.reset();
   }
   /// Deletes all files, as if the disk was replaced.
   void EraseAll() { m_files.clear(); }
@@ -65,6 +81,14 @@
   void SetFull(bool aIsFull) { m_isFull = aIsFull; }
   /// Makes the next sync fail, and all whole-file writes until then.
   void SetFailsSync(bool aFails) { m_failsSync = aFails; }
+  /// Makes whole-file writes durable only if no crash follows.
+  void SetFailsFolderSync(bool aFails) { m_failsFolderSync = aFails; }
+  /// Makes writes of whole files fail that are larger than aBytes; appends
+  /// still succeed.
+  void SetRoomForFiles(std::optional<size_t> aBytes)
+  {
+    m_roomForFiles = aBytes;
+  }
 
 private:
   struct File
@@ -114,6 +138,10 @@
   std::map<std::string, File> m_files;
   bool m_isFull = false;
   bool m_failsSync = false;
+  bool m_failsFolderSync = false;
+  std::optional<size_t> m_roomForFiles;
+  /// Former content of files that a crash may bring back.
+  std::map<std::string, File> m_undoneByCrash;
 };
 
 } // namespace celeryspread::test
