Entries hear of engines that leave after two silent control instances

By reading: an entry waits 2.5 s for an instance that stands still, so after two in a row it heard after 5.2 s of an engine that leaves; DrainMs is 4 to 5 s. No log line and no metric showed how old the news of an entry are. Change: follow replies name the age of the list; a gauge, E209 for follow calls that fail and E210 for old news. An entry waits 1.4 s, and whoever waits for a whole directory is answered within 1 s. Result: DirectoryLinkTest.HearsInTimeAfterTwoSilentControlInstances. That the users' cases had this cause is only suspected.

--- a/control/directory_relay.cpp
+++ b/control/directory_relay.cpp
@@ -1,5 +1,6 @@
 #include "control/directory_relay.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/crash_codec.h"
@@ -115,6 +116,8 @@
   }
   m_directory.ApplyUpdate(
     aReply.getIsWhole(), aReply.getDirectoryVersion(), std::move(entries));
+  m_listReadAt = m_deps.m_clock.Now() -
+                 Duration(std::max<int64_t>(0, aReply.getListAgeMicros()));
   m_epoch = aReply.getEpoch();
   m_entryCount = aReply.getEntryCount();
   if (aReply.getHasSuspects()) {
--- a/control/directory_relay.h
+++ b/control/directory_relay.h
@@ -47,6 +47,9 @@
   /// Returns the copy of the directory; null unless the owner confirmed it a
   /// moment ago. @pre none.
   [[nodiscard]] const EngineDirectory* Directory() const;
+  /// Returns when the owner began to read the list that the copy shows.
+  /// @pre Directory() is not null.
+  [[nodiscard]] TimePoint ListReadAt() const { return m_listReadAt; }
   /// Returns the term of the owner whose directory this is.
   /// @pre Directory() is not null.
   [[nodiscard]] uint64_t Epoch() const { return m_epoch; }
@@ -88,6 +91,7 @@
   FailureDomainId m_domain;
   EngineDirectory m_directory;
   uint64_t m_epoch = 0;
+  TimePoint m_listReadAt;
   uint32_t m_entryCount = 0;
   std::vector<RelayAddress> m_relays;
   CrashInvestigation::Parts m_suspects;
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -17,7 +17,7 @@
 constexpr int64_t kRelayLongPollMicros = 250'000;
 /// A follow call that needs the whole directory waits this long for its turn,
 /// less than an entry waits for an answer.
-constexpr int64_t kMaxWholeDelayMicros = 2'000'000;
+constexpr int64_t kMaxWholeDelayMicros = 1'000'000;
 /// Time after which every entry that can reach a new leader follows it.
 constexpr Duration kEntryCountDelay = std::chrono::milliseconds(2000);
 /// An entry whose last follow call is older than this is no longer counted.
@@ -355,6 +355,9 @@
   }
   aOut.setEpoch(ServedEpoch());
   aOut.setDirectoryVersion(directory->Version());
+  const TimePoint listReadAt =
+    isOwner ? m_deps.m_owner.ListReadAt() : m_relay.ListReadAt();
+  aOut.setListAgeMicros((now - listReadAt).count());
   if (isWhole) {
     m_pacer.RecordSent(directory->All().size(), now);
   }
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -153,31 +153,33 @@
 {
   m_isReadingList = true;
   m_listDue = m_deps.m_clock.Now() + kMinListPeriod;
-  m_deps.m_control.ReadList([this, generation = m_generation](
-                              std::optional<std::vector<EngineRecord>> aList) {
-    if (generation != m_generation) {
-      return;
-    }
-    m_isReadingList = false;
-    if (!aList) {
-      m_deps.m_log.Write(EventId::PlatformListLost, "");
-      return;
-    }
-    m_listDue = m_deps.m_clock.Now() + ListPeriod(aList->size());
-    const auto changes =
-      m_directory.ApplyList(std::move(*aList), m_deps.m_clock.Now());
-    for (const UpstreamId& id : changes.m_appeared) {
-      m_orders.Forget(id);
-      m_deps.m_log.Write(EventId::EngineSeen, "engine=" + id.Value());
-    }
-    for (const UpstreamId& id : changes.m_gone) {
-      m_orders.Forget(id);
-      m_rates.Forget(id);
-      m_rateEndedAt.erase(id);
-      m_checkFailedAt.erase(id);
-      m_deps.m_log.Write(EventId::EngineGone, "engine=" + id.Value());
-    }
-  });
+  m_deps.m_control.ReadList(
+    [this, generation = m_generation, begunAt = m_deps.m_clock.Now()](
+      std::optional<std::vector<EngineRecord>> aList) {
+      if (generation != m_generation) {
+        return;
+      }
+      m_isReadingList = false;
+      if (!aList) {
+        m_deps.m_log.Write(EventId::PlatformListLost, "");
+        return;
+      }
+      m_listReadAt = begunAt;
+      m_listDue = m_deps.m_clock.Now() + ListPeriod(aList->size());
+      const auto changes =
+        m_directory.ApplyList(std::move(*aList), m_deps.m_clock.Now());
+      for (const UpstreamId& id : changes.m_appeared) {
+        m_orders.Forget(id);
+        m_deps.m_log.Write(EventId::EngineSeen, "engine=" + id.Value());
+      }
+      for (const UpstreamId& id : changes.m_gone) {
+        m_orders.Forget(id);
+        m_rates.Forget(id);
+        m_rateEndedAt.erase(id);
+        m_checkFailedAt.erase(id);
+        m_deps.m_log.Write(EventId::EngineGone, "engine=" + id.Value());
+      }
+    });
 }
 
 void FleetOwner::RecordDemand(const DemandTracker::Key& aKey,
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -95,6 +95,9 @@
   [[nodiscard]] const CrashInvestigation& Crashes() const { return m_crashes; }
   /// Returns the engines as this owner knows them. @pre none.
   [[nodiscard]] const EngineDirectory& Directory() const { return m_directory; }
+  /// Returns when the reading of the list began that the directory shows.
+  /// @pre Directory().HasList().
+  [[nodiscard]] TimePoint ListReadAt() const { return m_listReadAt; }
   /// Returns the term of ownership; empty without ownership.
   /// @pre none.
   [[nodiscard]] std::optional<FencingToken> Term() const { return m_term; }
@@ -167,6 +170,7 @@
   std::optional<FencingToken> m_term;
   TimePoint m_listDue;
   TimePoint m_planDue;
+  TimePoint m_listReadAt;
   bool m_isReadingList = false;
   uint64_t m_generation = 0;
 };
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -11,9 +11,15 @@
 
 namespace {
 
-/// Longer than the long poll on the leader, so that only a link that does not
-/// answer reaches it.
-constexpr Duration kFollowTimeout = std::chrono::milliseconds(2500);
+/// Longer than the long polls of control instances and a round trip between
+/// regions, so that only one that does not answer reaches it. After two of them
+/// in a row an entry must still hear in time of the engines that leave.
+constexpr Duration kFollowTimeout = std::chrono::milliseconds(1400);
+/// News of the engines that are older than this are logged.
+constexpr Duration kOutdatedAge = std::chrono::seconds(3);
+/// Shortest time between log lines about calls that failed, or news that are
+/// old.
+constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
 constexpr Duration kAdapterTimeout = std::chrono::milliseconds(1500);
 /// Time for which the owner is followed after a relay failed.
 constexpr Duration kRelayRetryDelay = std::chrono::seconds(3);
@@ -26,6 +32,9 @@
 constexpr Duration kReportTimeout = std::chrono::milliseconds(1000);
 /// Crashes that a new owner is told of.
 constexpr size_t kMaxCrashes = 32;
+constexpr Duration kOneMs = std::chrono::milliseconds(1);
+/// Logged while no list is known.
+constexpr Duration kUnknownAge = -kOneMs;
 constexpr Duration kCrashMemory = std::chrono::minutes(1);
 
 } // namespace
@@ -101,7 +110,8 @@
 kj::Promise<void> DirectoryLink::FollowLoop()
 {
   return FollowOnce()
-    .catch_([this](kj::Exception&&) {
+    .catch_([this](kj::Exception&& aException) {
+      LogFollowFailure(aException.getDescription().cStr());
       m_noRelayUntil = m_deps.m_clock.Now() + kRelayRetryDelay;
       SelectNextLink();
       return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
@@ -109,6 +119,44 @@
     .then([this] { return FollowLoop(); });
 }
 
+void DirectoryLink::LogFollowFailure(const std::string& aReason)
+{
+  ++m_followFailures;
+  const TimePoint now = m_deps.m_clock.Now();
+  if (now < m_followLogDue) {
+    return;
+  }
+  m_followLogDue = now + kFollowLogPeriod;
+  m_deps.m_log.Write(
+    EventId::FollowFailed,
+    "control=" + m_currentAddress + " list_age_ms=" +
+      std::to_string(ListAge().value_or(kUnknownAge) / kOneMs) + " reason=\"" +
+      aReason + "\"");
+}
+
+std::optional<Duration> DirectoryLink::ListAge() const
+{
+  return m_listReadAt ? std::optional(m_deps.m_clock.Now() - *m_listReadAt)
+                      : std::nullopt;
+}
+
+void DirectoryLink::RecordListAge(int64_t aAgeMicros)
+{
+  if (aAgeMicros < 0) {
+    return;
+  }
+  const TimePoint now = m_deps.m_clock.Now();
+  const TimePoint readAt = now - Duration(aAgeMicros);
+  const std::optional<Duration> formerAge = ListAge();
+  if (formerAge && *formerAge > kOutdatedAge) {
+    m_deps.m_log.Write(EventId::DirectoryOutdated,
+                       "control=" + m_currentAddress + " list_age_ms=" +
+                         std::to_string(*formerAge / kOneMs) + " now_ms=" +
+                         std::to_string(Duration(aAgeMicros) / kOneMs));
+  }
+  m_listReadAt = std::max(m_listReadAt.value_or(readAt), readAt);
+}
+
 kj::Promise<void> DirectoryLink::FollowOnce()
 {
   WireLink* link = UsableLink();
@@ -280,6 +328,7 @@
 
 void DirectoryLink::ApplyEngines(wire::FollowReply::Reader aReply)
 {
+  RecordListAge(aReply.getListAgeMicros());
   if (aReply.getEpoch() != m_directoryTerm) {
     m_deps.m_table.BeginTerm();
   }
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway/engine_table.h"
@@ -56,6 +57,12 @@
   void SetSeeds(const std::vector<UpstreamAddress>& aSeeds);
   /// Returns whether a directory was received. @pre none.
   [[nodiscard]] bool HasDirectory() const { return m_hasDirectory; }
+  /// Returns the time since the owner began to read the list of engines that
+  /// the directory shows, without the time that messages took; empty before the
+  /// first one. @pre none.
+  [[nodiscard]] std::optional<Duration> ListAge() const;
+  /// Returns the number of follow calls that failed. @pre none.
+  [[nodiscard]] uint64_t FollowFailures() const { return m_followFailures; }
 
   void LoadAdapter(const PoolId& aPool,
                    const ModelTarget& aTarget,
@@ -98,6 +105,10 @@
   void ApplyEngines(wire::FollowReply::Reader aReply);
   void ApplySuspects(wire::FollowReply::Reader aReply);
   void AddControlLinks(wire::FollowReply::Reader aReply);
+  void LogFollowFailure(const std::string& aReason);
+  /// Records how old the list is that a reply shows. @unit microseconds;
+  /// negative for unknown.
+  void RecordListAge(int64_t aAgeMicros);
   /// Changes to the owner because this instance has no directory.
   void FollowOwner(wire::FollowReply::Reader aReply);
   /// Changes to the relay in the own failure domain, if there is one.
@@ -133,6 +144,11 @@
   uint64_t m_directoryTerm = 0;
   uint64_t m_directoryVersion = 0;
   bool m_hasDirectory = false;
+  /// When the owner began to read the list that the directory shows; empty
+  /// before the first one.
+  std::optional<TimePoint> m_listReadAt;
+  TimePoint m_followLogDue;
+  uint64_t m_followFailures = 0;
   std::map<DemandKey, Demand> m_demand;
   /// Callbacks that wait for the same adapter on the same preferred engine.
   using LoadKey = std::pair<DemandKey, UpstreamId>;
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -205,6 +205,12 @@
       static_cast<double>(m_retries.UnsettledCount(m_clock.Now())));
     m_metrics.SetGauge("celeryspread_gateway_held_answer_bytes",
                        static_cast<double>(m_client.HeldBytes().Used()));
+    m_metrics.SetGauge("celeryspread_gateway_follow_failures",
+                       static_cast<double>(m_directory.FollowFailures()));
+    if (const auto age = m_directory.ListAge()) {
+      m_metrics.SetGauge("celeryspread_gateway_list_age_seconds",
+                         std::chrono::duration<double>(*age).count());
+    }
     const auto& config = m_gateway.Config();
     m_metrics.SetGauge(
       "celeryspread_gateway_routes_version",
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -32,6 +32,8 @@
   RoutesInForce = 206,
   RoutesRefused = 207,
   DirectoryFollowed = 208,
+  FollowFailed = 209,
+  DirectoryOutdated = 210,
   UpstreamEjected = 300,
   UpstreamReturned = 301,
   UpstreamLeaving = 302,
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -15,6 +15,7 @@
 
 constexpr const char* kOwnerAddress = "127.0.0.1";
 constexpr const char* kRelayAddress = "127.0.0.2";
+constexpr const char* kOtherAddress = "127.0.0.11";
 
 /// What a fake control instance answers, and what it was asked.
 struct ControlScript
@@ -22,8 +23,11 @@
   bool m_isOwner = false;
   bool m_hasDirectory = true;
   bool m_failsFollows = false;
+  /// Takes calls and never answers, as a frozen process.
+  bool m_isSilent = false;
   uint64_t m_epoch = 5;
   uint64_t m_version = 10;
+  std::chrono::milliseconds m_listAge{ 100 };
   size_t m_follows = 0;
   size_t m_adapterLoads = 0;
   uint32_t m_demandedCalls = 0;
@@ -58,6 +62,9 @@
     const auto request = aContext.getParams().getRequest();
     ++m_script.m_follows;
     KJ_REQUIRE(!m_script.m_failsFollows, "scripted failure");
+    if (m_script.m_isSilent) {
+      return kj::NEVER_DONE;
+    }
     m_script.m_lastKnownVersion = request.getDirectoryVersion();
     for (const auto demand : request.getDemand()) {
       m_script.m_demandedCalls += demand.getCalls();
@@ -116,6 +123,8 @@
     aReply.setEpoch(m_script.m_epoch);
     aReply.setDirectoryVersion(m_script.m_version);
     aReply.setEntryCount(2);
+    aReply.setListAgeMicros(
+      std::chrono::duration_cast<Duration>(m_script.m_listAge).count());
     const bool isWhole = aKnownEpoch != m_script.m_epoch;
     aReply.setIsWhole(isWhole);
     if (isWhole) {
@@ -154,13 +163,16 @@
 
   /// Starts an entry in the failure domain of the relay, which knows both
   /// instances as seeds.
-  void StartEntry()
+  void StartEntry(const std::vector<std::string>& aMoreSeeds = {})
   {
     NodeSettings settings;
     settings.m_instance = InstanceId("entry");
     settings.m_failureDomain = FailureDomainId("here");
     settings.m_wirePort = m_owner.Port();
     settings.m_seeds = { { kOwnerAddress, 1 }, { kRelayAddress, 1 } };
+    for (const std::string& address : aMoreSeeds) {
+      settings.m_seeds.push_back({ address, 1 });
+    }
     m_link = std::make_unique<DirectoryLink>(
       DirectoryLink::Dependencies{
         m_port, m_loop.GetClock(), m_log, m_table, m_retries, m_quarantine },
@@ -335,4 +347,48 @@
   EXPECT_TRUE(*isPermitted);
 }
 
+// Guards against an entry that hears for more than five seconds of no engine
+// that leaves, because two control instances in a row stand still.
+TEST_F(DirectoryLinkTest, HearsInTimeAfterTwoSilentControlInstances)
+{
+  // An engine that leaves gets no more calls after this, at the latest; the
+  // owner reads the list each 0.7 s.
+  constexpr Duration kDrainTime = std::chrono::milliseconds(4000);
+  constexpr Duration kListPeriod = std::chrono::milliseconds(700);
+  ControlScript otherScript;
+  otherScript.m_isOwner = true;
+  WireServer other{ m_port,
+                    m_key,
+                    kj::heap<FakeControlNode>(m_port, otherScript) };
+  ASSERT_TRUE(other.Listen(kOtherAddress, m_owner.Port()));
+  StartEntry({ kOtherAddress });
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  m_loop.RunFor(std::chrono::milliseconds(200));
+  m_relayScript.m_isSilent = true;
+  m_ownerScript.m_isSilent = true;
+  const TimePoint begin = m_loop.GetClock().Now();
+  const size_t before = otherScript.m_follows;
+  while (otherScript.m_follows < before + 2 &&
+         m_loop.GetClock().Now() < begin + 2 * kDrainTime) {
+    m_loop.RunFor(std::chrono::milliseconds(20));
+  }
+  EXPECT_LE(m_loop.GetClock().Now() - begin, kDrainTime - kListPeriod);
+  EXPECT_GE(m_link->FollowFailures(), 2U);
+  EXPECT_TRUE(m_log.Has(EventId::FollowFailed));
+}
+
+TEST_F(DirectoryLinkTest, KnowsTheAgeOfTheList)
+{
+  m_relayScript.m_listAge = std::chrono::milliseconds(900);
+  StartEntry();
+  EXPECT_FALSE(m_link->ListAge());
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  ASSERT_TRUE(m_link->ListAge());
+  EXPECT_LT(*m_link->ListAge(), std::chrono::milliseconds(900));
+  m_relayScript.m_isSilent = true;
+  m_ownerScript.m_isSilent = true;
+  m_loop.RunFor(std::chrono::milliseconds(500));
+  EXPECT_GE(*m_link->ListAge(), std::chrono::milliseconds(500));
+}
+
 } // namespace celeryspread::test
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -308,6 +308,9 @@
   suspectEpoch @12 :UInt64;
   suspectVersion @13 :UInt64;
   suspects @14 :List(SuspectPart);
+  # Time since the owner began to read the list of engines that the directory
+  # shows, without the time on the way of this message; negative when unknown.
+  listAgeMicros @15 :Int64 = -1;
 }
 
 struct AdapterRequest {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -628,7 +628,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4868,6 +4868,8 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline  ::int64_t getListAgeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4965,6 +4967,9 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline  ::int64_t getListAgeMicros();
+  inline void setListAgeMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12225,6 +12230,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t FollowReply::Reader::getListAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t FollowReply::Builder::getListAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void FollowReply::Builder::setListAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool AdapterRequest::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
