--- a/tests/processes/retry_budget.py
+++ b/tests/processes/retry_budget.py
@@ -10,6 +10,9 @@
 stall:  half of the engines reject, the others read nothing for longer than a
         window and then everything at once. Retries of two windows once arrived
         in one.
+refuse: half of the engines reject each call at once and state no load, the
+        others are idle. Each first choice that is known to fail is a repeat too
+        many.
 herd:   random rounds of all of this; engines crash and come back with other ids,
         control instances are killed and entries frozen beside it.
 
@@ -119,6 +122,13 @@
         await asyncio.sleep(4)
 
 
+async def refuse(run):
+    await asyncio.sleep(BOUNDS["RetryWindowS"] + 2)
+    for engine in run.engines[::2]:
+        engine.rejected_share = 1.0
+    await asyncio.sleep(45)
+
+
 async def herd(run):
     await asyncio.sleep(BOUNDS["RetryWindowS"] + 2)
     end = time.monotonic() + 75
@@ -148,7 +158,8 @@
             engine.awake.set()
 
 
-SCENES = {"onset": onset, "turns": turns, "stall": stall, "herd": herd}
+SCENES = {"onset": onset, "turns": turns, "stall": stall, "refuse": refuse,
+          "herd": herd}
 
 
 def check(scene):
