--- a/tests/processes/refusals.py
+++ b/tests/processes/refusals.py
@@ -1,7 +1,9 @@
 #!/usr/bin/env python3
 """Runs the real programs with calls that must run at most once, before engines
 that reject, crash, stall, answer errors or break off, while entries are killed,
-frozen and stopped and control instances are killed. Run by hand:
+frozen and stopped and control instances are killed. Between entries and engines
+are links that delay, reset and are cut for a time; what was sent before a cut
+arrives when it is over, also if the entry has given up by then. Run by hand:
 refusals.py [SEED [ENTRIES]]
 
 Exits with 1 if a call ran that was refused with a status that promises that it
@@ -23,17 +25,70 @@
 sys.path.insert(0, str(ROOT / "tests" / "processes"))
 
 from engine_statements import HOST, POOL
-from harness import BROKEN, HELD, NOT_RUN, Client, document, main, new_attempt, route, service
+from harness import (BROKEN, HELD, NOT_RUN, Client, document, main, new_attempt, route,
+                     serve_http, service)
 from retry_budget import ENGINES, FaultyEngine
 
 PROMISES = (408, 421, 429, 503)
 CLIENTS = 60
 RUN_S = 75
+LINK_DELAY_S = 0.03
+RESET_SHARE = 0.01
+
+
+class Link:
+    """Forwards connections to an engine with a delay. A reset loses what is on
+    its way; a cut holds it up."""
+
+    def __init__(self, engine):
+        self.engine = engine
+        self.whole = asyncio.Event()
+        self.whole.set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.connection, self.engine.ip, self.engine.port, reuse_address=True)
+        self.engine.run.servers.append(self.server)
+
+    async def connection(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self.engine.inner_ip, self.engine.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(self.pump(reader, far_writer, writer),
+                             self.pump(far_reader, writer, far_writer))
+
+    async def pump(self, reader, writer, other):
+        try:
+            while data := await reader.read(65536):
+                await asyncio.sleep(LINK_DELAY_S)
+                await self.whole.wait()
+                if random.random() < RESET_SHARE:
+                    writer.transport.abort()
+                    other.transport.abort()
+                    return
+                writer.write(data)
+            writer.close()
+        except OSError:
+            writer.transport.abort()
 
 
 class BreakingEngine(FaultyEngine):
     """Answers each call in one of several ways; some of them are no answers."""
 
+    def __init__(self, run, number):
+        super().__init__(run, number)
+        self.inner_ip = run.address()
+        self.link = Link(self)
+
+    async def start(self):
+        self.server = await serve_http(self.inner_ip, self.port, self.answer)
+        self.run.servers.append(self.server)
+        if not hasattr(self.link, "server"):
+            await self.link.start()
+
     async def behave_now(self, request, execute):
         kind = random.choice(["sound"] * 5 + [
             "reject", "reject without id", "late reject", "run and refuse",
@@ -86,6 +141,8 @@
         random.choice(run.cores).kill()
     engine = random.choice(run.engines)
     engine.awake.clear()
+    cut = random.choice(run.engines).link
+    cut.whole.clear()
     if random.random() < 0.5:
         run.tasks.append(asyncio.ensure_future(
             random.choice(run.engines).crash(random.uniform(0.5, 3))))
@@ -93,6 +150,7 @@
     for node in stopped:
         node.signal(signal.SIGCONT)
     engine.awake.set()
+    cut.whole.set()
     await asyncio.sleep(random.uniform(0.2, 3))
 
 
