--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -943,4 +943,45 @@
             std::string::npos);
 }
 
+// A call whose engine is gone was refused once the retry budget was empty,
+// although its next attempt would have been the first that any engine saw.
+TEST_F(GatewayTest, AttemptAfterOneThatWasNeverSentNeedsNoRetry)
+{
+  const PoolId pool("pool");
+  while (m_retries.TryTake(pool, m_clock.Now())) {
+  }
+  Call("/pay/1");
+  Attempt(0).m_observer->OnUpstreamFailed(
+    { UpstreamFailureKind::ConnectFailed, false, "no connection" });
+  ASSERT_EQ(m_client.m_attempts.size(), 2U);
+  // The next one would be a repeat of what has arrived.
+  Reject(1);
+  EXPECT_EQ(m_client.m_attempts.size(), 2U);
+  EXPECT_EQ(m_caller.m_status, 503);
+}
+
+// A retry that was given up without an answer may still be read much later,
+// with those of other windows.
+TEST_F(GatewayTest, RetryWithoutAnAnswerStaysInTheBudget)
+{
+  Call("/look/1");
+  Reject(0);
+  ASSERT_EQ(m_client.m_attempts.size(), 2U);
+  EXPECT_EQ(m_retries.UnsettledCount(m_clock.Now()), 1U);
+  m_time.RunFor(m_gateway.Config()->Routes()[1].m_timeout +
+                std::chrono::seconds(1));
+  EXPECT_EQ(m_caller.m_status, 504);
+  EXPECT_EQ(m_retries.UnsettledCount(m_clock.Now()), 1U);
+}
+
+TEST_F(GatewayTest, AnsweredRetryLeavesTheBudgetAtOnce)
+{
+  Call("/look/1");
+  Reject(0);
+  Answer(1, 200, m_good);
+  EXPECT_EQ(m_retries.UnsettledCount(m_clock.Now()), 0U);
+  Attempt(1).m_observer->OnUpstreamEnd();
+  EXPECT_EQ(m_caller.m_status, 200);
+}
+
 } // namespace celeryspread::test
