Entries and control instances show how old their routes are

Callers saw 404 for a route that had been added and acknowledged. Nothing told which version an entry obeys, from whom it came, since when, and whether a newer one was known: no metric, no line, and no field of the answers said what version a control instance has itself.

An answer to a follow call names the version that its sender has. RouteFollower takes the routes out of DirectoryLink; RouteFreshness, without network and clock, compares the version in force with the newest one heard of. No behaviour changes.

--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -24,6 +24,9 @@
 constexpr Duration kMaxEntryAge = std::chrono::seconds(6);
 /// A relay whose last follow call is older than this is not named to entries.
 constexpr Duration kMaxRelayAge = std::chrono::milliseconds(1500);
+/// A replica that lacks a proved route version for longer is logged, and how
+/// often.
+constexpr Duration kReplicaLagLogPeriod = std::chrono::seconds(1);
 
 } // namespace
 
@@ -60,6 +63,29 @@
   m_deps.m_owner.SetConfig(std::move(config));
 }
 
+void FleetService::LogReplicaLag()
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  const Revision held = m_deps.m_host.State().Routes().m_version;
+  const auto& proof = m_relay.Proof();
+  if (!proof || proof->m_version <= held) {
+    m_replicaBehindSince.reset();
+    return;
+  }
+  m_replicaBehindSince = m_replicaBehindSince.value_or(now);
+  const Duration lag = now - *m_replicaBehindSince;
+  if (lag < kReplicaLagLogPeriod || now < m_lagLogDue) {
+    return;
+  }
+  m_lagLogDue = now + kReplicaLagLogPeriod;
+  m_deps.m_log.Write(
+    EventId::ReplicaRoutesOutdated,
+    "version=" + std::to_string(held.Value()) +
+      " proven=" + std::to_string(proof->m_version.Value()) +
+      " lag_ms=" + std::to_string(lag / std::chrono::milliseconds(1)) +
+      " suspended=" + (m_deps.m_host.IsSuspended() ? "yes" : "no"));
+}
+
 void FleetService::UpdateOwnership()
 {
   const bool hasLease = m_deps.m_host.HasLease();
@@ -81,6 +107,7 @@
 void FleetService::Tick()
 {
   ApplyRoutes();
+  LogReplicaLag();
   UpdateOwnership();
   m_deps.m_owner.Tick();
   m_relay.SetFollowerCount(OwnFollowerCount(m_deps.m_clock.Now()));
@@ -340,6 +367,7 @@
   WriteControlInstances(aOut);
   WriteRouteProof(aOut);
   const RouteChange& routes = m_deps.m_host.State().Routes();
+  aOut.setOfferedRouteVersion(routes.m_version.Value());
   if (routes.m_version > aState.m_routeVersion) {
     auto out = aOut.initRoutes();
     out.setVersion(routes.m_version.Value());
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -98,6 +98,8 @@
   };
 
   void ApplyRoutes();
+  /// Logs that the replica lacks a version that the owner has proved.
+  void LogReplicaLag();
   void UpdateOwnership();
   /// Returns whether the sender of a follow call needs an answer now.
   [[nodiscard]] bool HasUpdate(const FollowState& aState) const;
@@ -146,6 +148,9 @@
   DirectoryPacer m_pacer;
   std::map<InstanceId, Relay> m_relays;
   Revision m_appliedRouteVersion;
+  /// Since when the owner has proved a newer route version than the replica's.
+  std::optional<TimePoint> m_replicaBehindSince;
+  TimePoint m_lagLogDue;
   TimePoint m_ownerSince;
   std::map<InstanceId, TimePoint> m_entriesSeenAt;
   std::list<WaitingFollow> m_waitingFollows;
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -42,11 +42,12 @@
 DirectoryLink::DirectoryLink(Dependencies aDependencies,
                              const ClusterKey& aKey,
                              NodeSettings aSettings,
-                             RoutesListener aListener)
+                             RouteFollower::Listener aListener)
   : m_deps(aDependencies)
   , m_key(aKey)
   , m_settings(std::move(aSettings))
-  , m_listener(std::move(aListener))
+  , m_routes({ aDependencies.m_clock, aDependencies.m_log, aDependencies.m_access },
+             std::move(aListener))
   , m_follow(nullptr)
   , m_report(nullptr)
 {
@@ -167,7 +168,7 @@
   auto request = call.initRequest();
   request.setInstance(m_settings.m_instance.Value());
   request.setFailureDomain(m_settings.m_failureDomain.Value());
-  request.setRouteVersion(m_routeVersion.Value());
+  m_routes.WriteRequest(request);
   request.setEpoch(m_directoryTerm);
   request.setDirectoryVersion(m_directoryVersion);
   request.setSuspectEpoch(m_deps.m_quarantine.Epoch());
@@ -244,16 +245,7 @@
 void DirectoryLink::Apply(wire::FollowReply::Reader aReply, TimePoint aSentAt)
 {
   AddControlLinks(aReply);
-  const Revision version(aReply.getRoutes().getVersion());
-  if (version > m_routeVersion) {
-    m_routeVersion = version;
-    m_listener(version, BytesOf(aReply.getRoutes().getDocument()));
-  }
-  if (aReply.getRouteProofAgeMicros() >= 0) {
-    m_deps.m_access.RecordProof(Revision(aReply.getProvenRouteVersion()),
-                                aSentAt -
-                                  Duration(aReply.getRouteProofAgeMicros()));
-  }
+  m_routes.Apply(aReply, m_currentAddress, aSentAt);
   if (!aReply.getIsLeader() && !aReply.getHasDirectory()) {
     FollowOwner(aReply);
     return;
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -9,6 +9,7 @@
 
 #include "gateway/engine_table.h"
 #include "gateway/gateway_context.h"
+#include "gateway/route_follower.h"
 #include "routes/call_demand.h"
 #include "settings/node_settings.h"
 #include "wire/crash_codec.h"
@@ -29,11 +30,6 @@
   , public RateGranter
 {
 public:
-  /// Called with the operator's document when a newer route configuration
-  /// arrives.
-  using RoutesListener =
-    std::function<void(Revision aVersion, const std::string& aDocument)>;
-
   /// Objects that the link uses. All of them outlive it.
   struct Dependencies
   {
@@ -50,7 +46,7 @@
   DirectoryLink(Dependencies aDependencies,
                 const ClusterKey& aKey,
                 NodeSettings aSettings,
-                RoutesListener aListener);
+                RouteFollower::Listener aListener);
   ~DirectoryLink() noexcept override;
   KJ_DISALLOW_COPY(DirectoryLink);
 
@@ -62,6 +58,8 @@
   /// the directory shows, without the time that messages took; empty before the
   /// first one. @pre none.
   [[nodiscard]] std::optional<Duration> ListAge() const;
+  /// Returns what is known about the route configuration. @pre none.
+  [[nodiscard]] const RouteFollower& Routes() const { return m_routes; }
   /// Returns the number of follow calls that failed. @pre none.
   [[nodiscard]] uint64_t FollowFailures() const { return m_followFailures; }
 
@@ -131,7 +129,6 @@
   Dependencies m_deps;
   ClusterKey m_key;
   NodeSettings m_settings;
-  RoutesListener m_listener;
   /// Links by IP address; links to removed instances stay here, but down.
   std::map<std::string, std::unique_ptr<WireLink>> m_links;
   /// Address of the link in use; empty at first.
@@ -141,7 +138,7 @@
   /// Until then the owner is followed, because a relay did not answer or had no
   /// recent directory.
   TimePoint m_noRelayUntil;
-  Revision m_routeVersion;
+  RouteFollower m_routes;
   /// Term of the leader that sent the directory, called epoch in messages.
   uint64_t m_directoryTerm = 0;
   uint64_t m_directoryVersion = 0;
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -240,10 +240,7 @@
                          std::chrono::duration<double>(*age).count());
     }
     m_metrics.SetGauge("celeryspread_gateway_quota_held", m_quota.TotalHeld());
-    if (const auto age = m_access.ProofAge(m_clock.Now())) {
-      m_metrics.SetGauge("celeryspread_gateway_routes_proof_age_seconds",
-                         std::chrono::duration<double>(*age).count());
-    }
+    m_directory.Routes().WriteGauges(m_metrics);
     if (m_settings.m_learnsEngines) {
       UpdatePredictionErrors();
     }
--- /dev/null
+++ b/gateway/route_freshness.cpp
@@ -0,0 +1,57 @@
+#include "gateway/route_freshness.h"
+
+#include <algorithm>
+
+namespace celeryspread {
+
+namespace {
+
+constexpr size_t kMaxMissing = 32;
+
+} // namespace
+
+void RouteFreshness::RecordInForce(Revision aVersion,
+                                   const std::string& aControl,
+                                   TimePoint aNow)
+{
+  if (aVersion <= m_version) {
+    return;
+  }
+  m_version = aVersion;
+  m_source = aControl;
+  m_inForceSince = aNow;
+  m_newest = std::max(m_newest, aVersion);
+  m_missing.erase(m_missing.begin(), m_missing.upper_bound(aVersion));
+  if (m_missing.empty() && m_newest > m_version) {
+    m_missing.emplace(m_newest, aNow);
+  }
+}
+
+void RouteFreshness::RecordStatement(const RouteStatement& aStatement,
+                                     TimePoint aNow)
+{
+  m_newest = std::max({ m_newest, aStatement.m_offered, aStatement.m_proven });
+  if (m_newest > m_version && m_missing.size() < kMaxMissing) {
+    m_missing.emplace(m_newest, aNow);
+  }
+}
+
+std::optional<Duration> RouteFreshness::TimeInForce(TimePoint aNow) const
+{
+  return m_inForceSince ? std::optional(aNow - *m_inForceSince) : std::nullopt;
+}
+
+Duration RouteFreshness::Lag(TimePoint aNow) const
+{
+  return m_missing.empty() ? Duration::zero()
+                           : aNow - m_missing.begin()->second;
+}
+
+bool RouteFreshness::IsInstanceOutdated(const RouteStatement& aStatement,
+                                        TimePoint aNow) const
+{
+  const bool canTell = aStatement.m_offered != Revision();
+  return canTell && aStatement.m_offered < m_newest && Lag(aNow) >= kMaxLag;
+}
+
+} // namespace celeryspread
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -34,6 +34,8 @@
   DirectoryFollowed = 208,
   FollowFailed = 209,
   DirectoryOutdated = 210,
+  RoutesOutdated = 211,
+  ReplicaRoutesOutdated = 212,
   UpstreamEjected = 300,
   UpstreamReturned = 301,
   UpstreamLeaving = 302,
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -238,6 +238,18 @@
   # The list of suspect prompt parts that the sender has.
   suspectEpoch @9 :UInt64;
   suspectVersion @10 :UInt64;
+  # Largest route document that the answer may carry; a larger one is read with
+  # readRoutes. 0 for any size.
+  maxRouteBytes @11 :UInt32;
+}
+
+# A piece of a route document. Pieces of one version belong to one document.
+struct RoutePiece {
+  version @0 :UInt64;
+  # Bytes of the whole document.
+  totalBytes @1 :UInt64;
+  offset @2 :UInt64;
+  bytes @3 :Data;
 }
 
 # A prompt part under which engines ended. Ages are -1 for never.
@@ -288,7 +300,7 @@
   isLeader @0 :Bool;
   leader @1 :ReplicaEntry;
   controls @2 :List(ReplicaEntry);
-  # Set when newer than the request's routeVersion.
+  # Set when newer than the request's routeVersion, and not too large for it.
   routes @3 :RouteChange;
   epoch @4 :UInt64;
   directoryVersion @5 :UInt64;
@@ -316,6 +328,9 @@
   # if the sender can't prove it.
   provenRouteVersion @16 :UInt64;
   routeProofAgeMicros @17 :Int64 = -1;
+  # The newest route version that the sender has. It may be older than the proved
+  # one while its replica lags.
+  offeredRouteVersion @18 :UInt64;
 }
 
 # What an entry asks of one team's quota. All amounts are in units of the quota:
@@ -416,6 +431,9 @@
   endRateLimit @13 (engine :Text) -> ();
   # Takes from the quotas of teams at the owner.
   takeQuota @14 (request :QuotaRequest) -> (reply :QuotaReply);
+  # Returns a piece of a route document: of the named version if the instance
+  # still has it, else the first piece of the newest one, as for version 0.
+  readRoutes @15 (version :UInt64, offset :UInt64) -> (piece :RoutePiece);
 }
 
 # Bootstrap object of a connection: gives access to the node after a proof that
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -47,6 +47,7 @@
 CAPNP_DECLARE_SCHEMA(bc108f4f24518174);
 CAPNP_DECLARE_SCHEMA(f0e77f969d615e7b);
 CAPNP_DECLARE_SCHEMA(f1be59d92bd792c1);
+CAPNP_DECLARE_SCHEMA(9cb69aacedb895f5);
 CAPNP_DECLARE_SCHEMA(9658daba4af7d143);
 CAPNP_DECLARE_SCHEMA(ac8c7827523f0122);
 CAPNP_DECLARE_SCHEMA(e1cbd53c97cd1bff);
@@ -90,6 +91,8 @@
 CAPNP_DECLARE_SCHEMA(99e05bc1f7547456);
 CAPNP_DECLARE_SCHEMA(f47295bc439c11dc);
 CAPNP_DECLARE_SCHEMA(834b477e1dddb198);
+CAPNP_DECLARE_SCHEMA(cc8ca4ee90b180c8);
+CAPNP_DECLARE_SCHEMA(c034cd6598ba7249);
 CAPNP_DECLARE_SCHEMA(9fb1264b46c0628f);
 CAPNP_DECLARE_SCHEMA(a3114b49746f749d);
 CAPNP_DECLARE_SCHEMA(9df841755f47b9c5);
@@ -529,7 +532,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 7, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RoutePiece {
+  RoutePiece() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9cb69aacedb895f5, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -634,7 +652,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 8, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 9, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -754,6 +772,8 @@
   struct EndRateLimitResults;
   struct TakeQuotaParams;
   struct TakeQuotaResults;
+  struct ReadRoutesParams;
+  struct ReadRoutesResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1213,6 +1233,36 @@
   };
 };
 
+struct ControlNode::ReadRoutesParams {
+  ReadRoutesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cc8ca4ee90b180c8, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::ReadRoutesResults {
+  ReadRoutesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c034cd6598ba7249, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -4237,6 +4287,8 @@
 
   inline  ::uint64_t getSuspectVersion() const;
 
+  inline  ::uint32_t getMaxRouteBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4315,6 +4367,9 @@
   inline  ::uint64_t getSuspectVersion();
   inline void setSuspectVersion( ::uint64_t value);
 
+  inline  ::uint32_t getMaxRouteBytes();
+  inline void setMaxRouteBytes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4341,6 +4396,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class RoutePiece::Reader {
+public:
+  typedef RoutePiece Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getTotalBytes() const;
+
+  inline  ::uint64_t getOffset() const;
+
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RoutePiece::Builder {
+public:
+  typedef RoutePiece Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getTotalBytes();
+  inline void setTotalBytes( ::uint64_t value);
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RoutePiece::Pipeline {
+public:
+  typedef RoutePiece Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SuspectPart::Reader {
 public:
   typedef SuspectPart Reads;
@@ -4972,6 +5123,8 @@
 
   inline  ::int64_t getRouteProofAgeMicros() const;
 
+  inline  ::uint64_t getOfferedRouteVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5078,6 +5231,9 @@
   inline  ::int64_t getRouteProofAgeMicros();
   inline void setRouteProofAgeMicros( ::int64_t value);
 
+  inline  ::uint64_t getOfferedRouteVersion();
+  inline void setOfferedRouteVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5722,6 +5878,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::celeryspread::wire::ControlNode::TakeQuotaParams,  ::celeryspread::wire::ControlNode::TakeQuotaResults> takeQuotaRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::ReadRoutesParams,  ::celeryspread::wire::ControlNode::ReadRoutesResults> readRoutesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -5798,6 +5956,10 @@
   typedef  ::celeryspread::wire::ControlNode::TakeQuotaResults TakeQuotaResults;
   typedef ::capnp::CallContext<TakeQuotaParams, TakeQuotaResults> TakeQuotaContext;
   virtual ::kj::Promise<void> takeQuota(TakeQuotaContext context);
+  typedef  ::celeryspread::wire::ControlNode::ReadRoutesParams ReadRoutesParams;
+  typedef  ::celeryspread::wire::ControlNode::ReadRoutesResults ReadRoutesResults;
+  typedef ::capnp::CallContext<ReadRoutesParams, ReadRoutesResults> ReadRoutesContext;
+  virtual ::kj::Promise<void> readRoutes(ReadRoutesContext context);
 
   inline  ::celeryspread::wire::ControlNode::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -8226,6 +8388,169 @@
 };
 #endif  // !CAPNP_LITE
 
+class ControlNode::ReadRoutesParams::Reader {
+public:
+  typedef ReadRoutesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getOffset() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::ReadRoutesParams::Builder {
+public:
+  typedef ReadRoutesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::ReadRoutesParams::Pipeline {
+public:
+  typedef ReadRoutesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::ReadRoutesResults::Reader {
+public:
+  typedef ReadRoutesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPiece() const;
+  inline  ::celeryspread::wire::RoutePiece::Reader getPiece() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::ReadRoutesResults::Builder {
+public:
+  typedef ReadRoutesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPiece();
+  inline  ::celeryspread::wire::RoutePiece::Builder getPiece();
+  inline void setPiece( ::celeryspread::wire::RoutePiece::Reader value);
+  inline  ::celeryspread::wire::RoutePiece::Builder initPiece();
+  inline void adoptPiece(::capnp::Orphan< ::celeryspread::wire::RoutePiece>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::RoutePiece> disownPiece();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::ReadRoutesResults::Pipeline {
+public:
+  typedef ReadRoutesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::celeryspread::wire::RoutePiece::Pipeline getPiece();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -12138,6 +12463,96 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t FollowRequest::Reader::getMaxRouteBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FollowRequest::Builder::getMaxRouteBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setMaxRouteBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RoutePiece::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RoutePiece::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RoutePiece::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RoutePiece::Reader::getTotalBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RoutePiece::Builder::getTotalBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RoutePiece::Builder::setTotalBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RoutePiece::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RoutePiece::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RoutePiece::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RoutePiece::Reader::hasBytes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RoutePiece::Builder::hasBytes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader RoutePiece::Reader::getBytes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder RoutePiece::Builder::getBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RoutePiece::Builder::setBytes( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder RoutePiece::Builder::initBytes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RoutePiece::Builder::adoptBytes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> RoutePiece::Builder::disownBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool SuspectPart::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -12996,6 +13411,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::uint64_t FollowReply::Reader::getOfferedRouteVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getOfferedRouteVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setOfferedRouteVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaDemand::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -14650,6 +15079,73 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ControlNode::ReadRoutesParams::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ControlNode::ReadRoutesParams::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::ReadRoutesParams::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ControlNode::ReadRoutesParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ControlNode::ReadRoutesParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::ReadRoutesParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ControlNode::ReadRoutesResults::Reader::hasPiece() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlNode::ReadRoutesResults::Builder::hasPiece() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::RoutePiece::Reader ControlNode::ReadRoutesResults::Reader::getPiece() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RoutePiece>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::RoutePiece::Builder ControlNode::ReadRoutesResults::Builder::getPiece() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RoutePiece>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::RoutePiece::Pipeline ControlNode::ReadRoutesResults::Pipeline::getPiece() {
+  return  ::celeryspread::wire::RoutePiece::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ControlNode::ReadRoutesResults::Builder::setPiece( ::celeryspread::wire::RoutePiece::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::RoutePiece>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::RoutePiece::Builder ControlNode::ReadRoutesResults::Builder::initPiece() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RoutePiece>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ControlNode::ReadRoutesResults::Builder::adoptPiece(
+    ::capnp::Orphan< ::celeryspread::wire::RoutePiece>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::RoutePiece>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::RoutePiece> ControlNode::ReadRoutesResults::Builder::disownPiece() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RoutePiece>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
