Route documents of any size reach entries, piece by piece

Callers saw an older configuration for as long as it took: a document came whole in the answer to one follow call, which ends after 1.4 s whatever has arrived. Over 7 Mbit/s that is 1.2 MB on an idle link and less beside callers, and each call began anew. News of the engines waited behind it.

A document above 32 KB is only offered in the answer and read in pieces of that size by RouteFetch, beside the follow calls. What has arrived is kept over failed calls and changes of the instance; a document that is being read stays available for 3 s, so that changes in series can't keep an entry from finishing one. Entries of an earlier release ask without a limit and get the document whole.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -377,6 +377,16 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> ControlService::readRoutes(ReadRoutesContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  const auto params = aContext.getParams();
+  m_fleet->ReadRoutes(Revision(params.getVersion()),
+                      params.getOffset(),
+                      aContext.getResults().initPiece());
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> ControlService::join(JoinContext aContext)
 {
   const auto params = aContext.getParams();
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -45,6 +45,7 @@
   kj::Promise<void> requestTrial(RequestTrialContext aContext) override;
   kj::Promise<void> takeRate(TakeRateContext aContext) override;
   kj::Promise<void> takeQuota(TakeQuotaContext aContext) override;
+  kj::Promise<void> readRoutes(ReadRoutesContext aContext) override;
   kj::Promise<void> endRateLimit(EndRateLimitContext aContext) override;
 
 private:
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -44,6 +44,19 @@
 {
 }
 
+void FleetService::ReadRoutes(Revision aVersion,
+                              uint64_t aOffset,
+                              wire::RoutePiece::Builder aOut)
+{
+  KJ_REQUIRE(m_routes.Version() != Revision(), "no routes are known yet");
+  const RoutePiece piece =
+    m_routes.Read(aVersion, aOffset, m_deps.m_clock.Now());
+  aOut.setVersion(piece.m_version.Value());
+  aOut.setTotalBytes(piece.m_totalBytes);
+  aOut.setOffset(piece.m_offset);
+  aOut.setBytes(DataOf(piece.m_bytes));
+}
+
 void FleetService::ApplyRoutes()
 {
   const RouteChange& routes = m_deps.m_host.State().Routes();
@@ -51,6 +64,7 @@
     return;
   }
   m_appliedRouteVersion = routes.m_version;
+  m_routes.SetReplicated(routes, m_deps.m_clock.Now());
   std::string reason;
   auto config = m_deps.m_reader.Read(routes.m_document, reason);
   if (config == nullptr) {
@@ -143,7 +157,7 @@
 
 bool FleetService::HasUpdate(const FollowState& aState) const
 {
-  if (m_deps.m_host.State().Routes().m_version > aState.m_routeVersion) {
+  if (m_routes.Version() > aState.m_routeVersion) {
     return true;
   }
   const EngineDirectory* directory = ServedDirectory();
@@ -176,8 +190,7 @@
     return false;
   }
   const bool isUrgent =
-    aState.m_isRelay ||
-    m_deps.m_host.State().Routes().m_version > aState.m_routeVersion;
+    aState.m_isRelay || m_routes.Version() > aState.m_routeVersion;
   return isUrgent || !NeedsWhole(aState) ||
          m_pacer.MaySend(m_deps.m_clock.Now());
 }
@@ -230,11 +243,13 @@
   const std::function<wire::FollowReply::Builder()>& aReply)
 {
   RecordReport(aRequest);
-  const FollowState state{
-    Revision(aRequest.getRouteVersion()), aRequest.getEpoch(),
-    aRequest.getDirectoryVersion(),       aRequest.getSuspectEpoch(),
-    aRequest.getSuspectVersion(),         aRequest.getIsRelay()
-  };
+  const FollowState state{ Revision(aRequest.getRouteVersion()),
+                           aRequest.getMaxRouteBytes(),
+                           aRequest.getEpoch(),
+                           aRequest.getDirectoryVersion(),
+                           aRequest.getSuspectEpoch(),
+                           aRequest.getSuspectVersion(),
+                           aRequest.getIsRelay() };
   const auto answer = [=, this] { WriteReply(state, aReply()); };
   if (IsAnswerDue(state)) {
     answer();
@@ -361,18 +376,25 @@
   }
 }
 
+void FleetService::WriteRoutes(const FollowState& aState,
+                               wire::FollowReply::Builder aOut) const
+{
+  aOut.setOfferedRouteVersion(m_routes.Version().Value());
+  const bool fits = aState.m_maxRouteBytes == 0 ||
+                    m_routes.Document().size() <= aState.m_maxRouteBytes;
+  if (m_routes.Version() > aState.m_routeVersion && fits) {
+    auto out = aOut.initRoutes();
+    out.setVersion(m_routes.Version().Value());
+    out.setDocument(DataOf(m_routes.Document()));
+  }
+}
+
 void FleetService::WriteReply(const FollowState& aState,
                               wire::FollowReply::Builder aOut)
 {
   WriteControlInstances(aOut);
   WriteRouteProof(aOut);
-  const RouteChange& routes = m_deps.m_host.State().Routes();
-  aOut.setOfferedRouteVersion(routes.m_version.Value());
-  if (routes.m_version > aState.m_routeVersion) {
-    auto out = aOut.initRoutes();
-    out.setVersion(routes.m_version.Value());
-    out.setDocument(DataOf(routes.m_document));
-  }
+  WriteRoutes(aState, aOut);
   const bool isOwner = m_deps.m_owner.Term().has_value();
   aOut.setIsLeader(isOwner);
   const ReplicaAddress* leader = m_deps.m_host.LeaderAddress();
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -8,6 +8,7 @@
 #include "control/directory_relay.h"
 #include "control/quota_service.h"
 #include "control/replica_host.h"
+#include "control/route_source.h"
 #include "fleet/fleet_owner.h"
 #include "wire/celeryspread.capnp.h"
 #include "wire/event_loop_port.h"
@@ -47,6 +48,11 @@
   kj::Promise<void> Follow(
     wire::FollowRequest::Reader aRequest,
     const std::function<wire::FollowReply::Builder()>& aReply);
+  /// Writes a piece of a route document. @pre none. @error throws if this
+  /// instance has no document.
+  void ReadRoutes(Revision aVersion,
+                  uint64_t aOffset,
+                  wire::RoutePiece::Builder aOut);
   /// Has an adapter loaded. @pre none. @return the engine that holds it, empty
   /// when no engine can load it now.
   kj::Promise<std::string> LoadAdapter(wire::AdapterRequest::Reader aRequest);
@@ -74,6 +80,8 @@
   struct FollowState
   {
     Revision m_routeVersion;
+    /// Largest document that an answer may carry, 0 for any.
+    uint32_t m_maxRouteBytes = 0;
     /// Term whose owner sent the directory version.
     uint64_t m_epoch = 0;
     uint64_t m_directoryVersion = 0;
@@ -126,6 +134,9 @@
   [[nodiscard]] uint64_t ServedSuspectVersion() const;
   /// Passes on what an entry or a relay reports.
   void RecordReport(wire::FollowRequest::Reader aRequest);
+  /// Writes the routes that the sender of a follow call lacks.
+  void WriteRoutes(const FollowState& aState,
+                   wire::FollowReply::Builder aOut) const;
   /// Writes which route version is the newest, if this instance can prove it.
   void WriteRouteProof(wire::FollowReply::Builder aOut) const;
   void WriteRelays(wire::FollowReply::Builder aOut) const;
@@ -147,6 +158,7 @@
   QuotaService m_quotas;
   DirectoryPacer m_pacer;
   std::map<InstanceId, Relay> m_relays;
+  RouteSource m_routes;
   Revision m_appliedRouteVersion;
   /// Since when the owner has proved a newer route version than the replica's.
   std::optional<TimePoint> m_replicaBehindSince;
--- /dev/null
+++ b/control/route_source.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "control/commands.h"
+#include "core/clock.h"
+#include "wire/route_assembly.h"
+
+namespace celeryspread {
+
+/// The route documents that a control instance serves to entries: the newest of
+/// those that its replica has and those that it has read from the owner.
+///
+/// A replica may lag behind what the owner proves, or take no part for a time,
+/// as when its disk is full. The instance then reads the document from the
+/// owner, so that its entries need not wait for the replica.
+/// @thread loop thread only.
+class RouteSource
+{
+public:
+  /// The replica usually has a committed version within this time after the
+  /// owner has proved it.
+  static constexpr Duration kMaxReplicaLag = std::chrono::milliseconds(300);
+
+  /// Records the document that the replica has. @pre none; an older one is
+  /// ignored.
+  void SetReplicated(const RouteChange& aRoutes, TimePoint aNow);
+  /// Records a document that was read from the owner. @pre none.
+  void SetFetched(RouteDocument aDocument, TimePoint aNow);
+  /// Records that a version is proved to be committed. @pre none.
+  void RecordProven(Revision aVersion, TimePoint aNow);
+
+  /// Returns the version served, 0 for none. @pre none.
+  [[nodiscard]] Revision Version() const { return m_version; }
+  /// Returns the newest version that was proved. @pre none.
+  [[nodiscard]] Revision Proven() const { return m_proven; }
+  /// Returns the document served. @pre none.
+  [[nodiscard]] const std::string& Document() const { return *m_document; }
+  /// Returns the time for which a newer version than the one served has been
+  /// proved; zero if none is. @pre none.
+  [[nodiscard]] Duration Lag(TimePoint aNow) const;
+  /// Returns whether the document has to be read from the owner. @pre none.
+  [[nodiscard]] bool NeedsFetch(TimePoint aNow) const
+  {
+    return Lag(aNow) >= kMaxReplicaLag;
+  }
+  /// Returns a piece of a document. If the version is not kept, the piece is
+  /// the first one of the document served. @pre Version() is not 0; the piece
+  /// is valid until the next call of another method.
+  [[nodiscard]] RoutePiece Read(Revision aVersion,
+                                uint64_t aOffset,
+                                TimePoint aNow);
+
+private:
+  /// A former document that some entry is still reading.
+  struct FormerDocument
+  {
+    std::shared_ptr<const std::string> m_bytes;
+    TimePoint m_readAt;
+  };
+
+  void Serve(Revision aVersion, std::string aDocument, TimePoint aNow);
+
+  Revision m_version;
+  std::shared_ptr<const std::string> m_document =
+    std::make_shared<const std::string>();
+  /// When the document served was last read in pieces.
+  std::optional<TimePoint> m_readAt;
+  std::map<Revision, FormerDocument> m_former;
+  Revision m_proven;
+  std::optional<TimePoint> m_behindSince;
+};
+
+} // namespace celeryspread
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -46,8 +46,13 @@
   : m_deps(aDependencies)
   , m_key(aKey)
   , m_settings(std::move(aSettings))
-  , m_routes({ aDependencies.m_clock, aDependencies.m_log, aDependencies.m_access },
-             std::move(aListener))
+  , m_routes(
+      { aDependencies.m_port,
+        aDependencies.m_clock,
+        aDependencies.m_log,
+        aDependencies.m_access },
+      [this] { return UsableLink(); },
+      std::move(aListener))
   , m_follow(nullptr)
   , m_report(nullptr)
 {
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -111,7 +111,8 @@
   /// Records how old the list is that a reply shows. @unit microseconds;
   /// negative for unknown.
   void RecordListAge(int64_t aAgeMicros);
-  /// Changes to the owner because this instance has no directory.
+  /// Changes to the owner because this instance has no directory, or its routes
+  /// are outdated.
   void FollowOwner(wire::FollowReply::Reader aReply);
   /// Changes to the relay in the own failure domain, if there is one.
   void FollowRelay(wire::FollowReply::Reader aReply);
@@ -135,8 +136,8 @@
   std::string m_currentAddress;
   /// Address of the instance that owns the engines; empty while unknown.
   std::string m_ownerAddress;
-  /// Until then the owner is followed, because a relay did not answer or had no
-  /// recent directory.
+  /// Until then the owner is followed, because a relay did not answer, had no
+  /// recent directory or outdated routes.
   TimePoint m_noRelayUntil;
   RouteFollower m_routes;
   /// Term of the leader that sent the directory, called epoch in messages.
--- a/gateway/route_follower.cpp
+++ b/gateway/route_follower.cpp
@@ -21,30 +21,49 @@
 
 } // namespace
 
-RouteFollower::RouteFollower(Dependencies aDependencies, Listener aListener)
+RouteFollower::RouteFollower(Dependencies aDependencies,
+                             RouteFetch::LinkSource aLinks,
+                             Listener aListener)
   : m_deps(aDependencies)
   , m_listener(std::move(aListener))
+  , m_fetch(aDependencies.m_port,
+            std::move(aLinks),
+            [this](RouteDocument aDocument) {
+              PutInForce(aDocument.m_version, aDocument.m_bytes);
+            })
 {
 }
 
+void RouteFollower::PutInForce(Revision aVersion, const std::string& aDocument)
+{
+  if (aVersion > m_freshness.Version()) {
+    m_freshness.RecordInForce(aVersion, m_control, m_deps.m_clock.Now());
+    m_fetch.RecordReceived(aVersion);
+    m_listener(aVersion, aDocument);
+  }
+}
+
 void RouteFollower::WriteRequest(wire::FollowRequest::Builder aOut) const
 {
-  aOut.setRouteVersion(m_freshness.Version().Value());
+  // A version that is being read is not offered again.
+  aOut.setRouteVersion(m_fetch.Wanted().Value());
+  aOut.setMaxRouteBytes(RouteAssembly::kPieceBytes);
 }
 
-void RouteFollower::Apply(wire::FollowReply::Reader aReply,
+bool RouteFollower::Apply(wire::FollowReply::Reader aReply,
                           const std::string& aControl,
                           TimePoint aSentAt)
 {
   const TimePoint now = m_deps.m_clock.Now();
-  const Revision version(aReply.getRoutes().getVersion());
-  if (version > m_freshness.Version()) {
-    m_freshness.RecordInForce(version, aControl, now);
-    m_listener(version, BytesOf(aReply.getRoutes().getDocument()));
+  m_control = aControl;
+  if (aReply.hasRoutes()) {
+    PutInForce(Revision(aReply.getRoutes().getVersion()),
+               BytesOf(aReply.getRoutes().getDocument()));
   }
   RouteStatement statement{ aControl,
                             Revision(aReply.getOfferedRouteVersion()),
                             Revision() };
+  m_fetch.Want(statement.m_offered);
   if (aReply.getRouteProofAgeMicros() >= 0) {
     statement.m_proven = Revision(aReply.getProvenRouteVersion());
     m_deps.m_access.RecordProof(
@@ -52,6 +71,7 @@
   }
   m_freshness.RecordStatement(statement, now);
   LogLag(statement);
+  return !m_freshness.IsInstanceOutdated(statement, now);
 }
 
 void RouteFollower::LogLag(const RouteStatement& aStatement)
--- a/gateway/route_follower.h
+++ b/gateway/route_follower.h
@@ -8,11 +8,13 @@
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
 #include "wire/celeryspread.capnp.h"
+#include "wire/route_fetch.h"
 
 namespace celeryspread {
 
 /// Takes route configurations and proofs of their age from the answers of
-/// control instances, and shows how old the one in force is.
+/// control instances, reads documents that are too large for one answer, and
+/// shows how old the one in force is.
 /// @thread loop thread only.
 class RouteFollower
 {
@@ -25,17 +27,22 @@
   /// Objects that the follower uses. All of them outlive it.
   struct Dependencies
   {
+    EventLoopPort& m_port;
     const Clock& m_clock;
     EventLog& m_log;
     AccessControl& m_access;
   };
 
-  /// Starts without a configuration. @pre none.
-  RouteFollower(Dependencies aDependencies, Listener aListener);
+  /// Starts without a configuration. aLinks returns the link to the instance
+  /// that is followed now. @pre none.
+  RouteFollower(Dependencies aDependencies,
+                RouteFetch::LinkSource aLinks,
+                Listener aListener);
 
   /// Takes what an answer of aControl to a request sent at aSentAt says about
-  /// routes. @pre none.
-  void Apply(wire::FollowReply::Reader aReply,
+  /// routes. @pre none. @return false if another instance has to be followed,
+  /// as this one lacks a version that is overdue.
+  bool Apply(wire::FollowReply::Reader aReply,
              const std::string& aControl,
              TimePoint aSentAt);
   /// Writes which versions the entry has. @pre none.
@@ -44,12 +51,16 @@
   void WriteGauges(Metrics& aMetrics) const;
 
 private:
+  void PutInForce(Revision aVersion, const std::string& aDocument);
   /// Logs that an overdue version has not arrived yet.
   void LogLag(const RouteStatement& aStatement);
 
   Dependencies m_deps;
   Listener m_listener;
   RouteFreshness m_freshness;
+  RouteFetch m_fetch;
+  /// The instance that answered last.
+  std::string m_control;
   TimePoint m_lagLogDue;
 };
 
--- a/tests/control/route_proof_test.cpp
+++ b/tests/control/route_proof_test.cpp
@@ -8,6 +8,7 @@
 #include "tests/support/fake_file_system.h"
 #include "tests/support/null_event_log.h"
 #include "tests/support/test_loop.h"
+#include "wire/message_bytes.h"
 #include "wire/wire_server.h"
 
 namespace celeryspread::test {
@@ -27,6 +28,7 @@
   bool m_isSilent = false;
   /// Negative for no proof.
   milliseconds m_proofAge{ 0 };
+  uint64_t m_version = kProvenVersion;
 };
 
 class FakeOwnerNode : public wire::ControlNode::Server
@@ -48,12 +50,23 @@
     reply.setHasDirectory(m_script.m_hasDirectory);
     reply.setEpoch(2);
     if (m_script.m_proofAge >= milliseconds::zero()) {
-      reply.setProvenRouteVersion(kProvenVersion);
+      reply.setProvenRouteVersion(m_script.m_version);
       reply.setRouteProofAgeMicros(Duration(m_script.m_proofAge).count());
     }
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> readRoutes(ReadRoutesContext aContext) override
+  {
+    const std::string document =
+      "document " + std::to_string(m_script.m_version);
+    auto piece = aContext.getResults().initPiece();
+    piece.setVersion(m_script.m_version);
+    piece.setTotalBytes(document.size());
+    piece.setBytes(DataOf(document));
+    return kj::READY_NOW;
+  }
+
 private:
   OwnerScript& m_script;
 };
@@ -153,7 +166,7 @@
     RaftMessage message;
     message.m_from = ReplicaId("c1.1");
     message.m_to = ReplicaId("c2.1");
-    message.m_term = Term(2);
+    message.m_term = m_term;
     message.m_index = LogIndex(1);
     message.m_indexTerm = Term(1);
     message.m_commit = LogIndex(1);
@@ -176,8 +189,24 @@
     ASSERT_TRUE(m_loop.RunUntil([&] { return isDone; }));
     const auto answer = reply.getRoot<wire::FollowReply>().asReader();
     m_version = answer.getProvenRouteVersion();
+    m_offered = answer.getOfferedRouteVersion();
+    m_document = BytesOf(answer.getRoutes().getDocument());
     m_age = Duration(answer.getRouteProofAgeMicros());
   }
+  /// Follows the instance until it offers a version, within the time in which
+  /// a change has to be in force.
+  [[nodiscard]] bool FollowUntilOffered(uint64_t aVersion)
+  {
+    const TimePoint end = m_clock.Now() + milliseconds(3000);
+    while (m_clock.Now() < end) {
+      Follow();
+      if (m_offered == aVersion) {
+        return true;
+      }
+      m_loop.RunFor(milliseconds(20));
+    }
+    return false;
+  }
   /// Follows the instance until it has a proof.
   [[nodiscard]] bool FollowUntilProven()
   {
@@ -213,7 +242,11 @@
   std::unique_ptr<FleetOwner> m_fleetOwner;
   std::unique_ptr<FleetService> m_fleet;
   std::unique_ptr<Timer> m_tick;
+  /// Term of the leader's messages.
+  Term m_term{ 2 };
   uint64_t m_version = 0;
+  uint64_t m_offered = 0;
+  std::string m_document;
   Duration m_age{};
 };
 
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -26,6 +26,12 @@
   bool m_hasDirectory = true;
   /// Age of the proof of route version 3; negative for none.
   std::chrono::milliseconds m_proofAge{ -1 };
+  /// Newest route version that the instance has, 0 for none.
+  uint64_t m_offeredVersion = 0;
+  std::string m_document = "document";
+  /// Bytes of routes that pass the link in a second, 0 for any number.
+  uint64_t m_routeBytesPerSecond = 0;
+  size_t m_pieces = 0;
   bool m_failsFollows = false;
   /// Takes calls and never answers, as a frozen process.
   bool m_isSilent = false;
@@ -74,9 +80,35 @@
       m_script.m_demandedCalls += demand.getCalls();
     }
     const uint64_t knownEpoch = request.getEpoch();
-    return PromiseAfter(m_port.Base(), kAnswerDelayMicros)
-      .then([this, aContext, knownEpoch]() mutable {
+    const uint64_t routeVersion = request.getRouteVersion();
+    const uint32_t maxBytes = request.getMaxRouteBytes();
+    const bool sendsRoutes =
+      m_script.m_offeredVersion > routeVersion &&
+      (maxBytes == 0 || m_script.m_document.size() <= maxBytes);
+    const int64_t delay =
+      kAnswerDelayMicros +
+      (sendsRoutes ? TransferMicros(m_script.m_document.size()) : 0);
+    return PromiseAfter(m_port.Base(), delay)
+      .then([this, aContext, knownEpoch, sendsRoutes]() mutable {
         Answer(knownEpoch, aContext.getResults().initReply());
+        AnswerRoutes(sendsRoutes, aContext.getResults().getReply());
+      });
+  }
+  kj::Promise<void> readRoutes(ReadRoutesContext aContext) override
+  {
+    const auto params = aContext.getParams();
+    const uint64_t offset =
+      params.getVersion() == m_script.m_offeredVersion ? params.getOffset() : 0;
+    const std::string bytes =
+      m_script.m_document.substr(offset, RouteAssembly::kPieceBytes);
+    ++m_script.m_pieces;
+    return PromiseAfter(m_port.Base(), TransferMicros(bytes.size()))
+      .then([this, aContext, offset, bytes]() mutable {
+        auto piece = aContext.getResults().initPiece();
+        piece.setVersion(m_script.m_offeredVersion);
+        piece.setTotalBytes(m_script.m_document.size());
+        piece.setOffset(offset);
+        piece.setBytes(DataOf(bytes));
       });
   }
   kj::Promise<void> loadAdapter(LoadAdapterContext aContext) override
@@ -114,6 +146,24 @@
   }
 
 private:
+  /// Returns how long bytes take on the link.
+  [[nodiscard]] int64_t TransferMicros(uint64_t aBytes) const
+  {
+    constexpr uint64_t kMicrosPerSecond = 1'000'000;
+    return m_script.m_routeBytesPerSecond == 0
+             ? 0
+             : static_cast<int64_t>(aBytes * kMicrosPerSecond /
+                                    m_script.m_routeBytesPerSecond);
+  }
+  void AnswerRoutes(bool aSendsRoutes, wire::FollowReply::Builder aReply)
+  {
+    aReply.setOfferedRouteVersion(m_script.m_offeredVersion);
+    if (aSendsRoutes) {
+      auto routes = aReply.initRoutes();
+      routes.setVersion(m_script.m_offeredVersion);
+      routes.setDocument(DataOf(m_script.m_document));
+    }
+  }
   void Answer(uint64_t aKnownEpoch, wire::FollowReply::Builder aReply)
   {
     aReply.setIsLeader(m_script.m_isOwner);
@@ -192,7 +242,10 @@
                                    m_access },
       m_key,
       settings,
-      [](Revision, const std::string&) {});
+      [this](Revision aVersion, const std::string& aDocument) {
+        m_routeVersion = aVersion;
+        m_document = aDocument;
+      });
   }
   /// Runs until an instance has answered two more follow calls.
   bool RunUntilFollowed(const ControlScript& aScript)
@@ -234,6 +287,9 @@
   PartQuarantine m_quarantine;
   AccessControl m_access{ {} };
   std::unique_ptr<DirectoryLink> m_link;
+  /// What the entry received last.
+  Revision m_routeVersion;
+  std::string m_document;
 };
 
 TEST_F(DirectoryLinkTest, FollowsTheRelayOfItsFailureDomain)
@@ -269,6 +325,48 @@
   EXPECT_EQ(m_relayScript.m_lastKnownVersion, 20U);
 }
 
+// Guards against a document that is larger than what a slow link carries in the
+// time of one call: it was asked for again and again, and never arrived.
+TEST_F(DirectoryLinkTest, LargeDocumentArrivesOverASlowLink)
+{
+  // 7 Mbit/s, and the platform's bound for a change to be in force.
+  constexpr uint64_t kBytesPerSecond = 875'000;
+  constexpr Duration kApplyTime = std::chrono::milliseconds(3000);
+  constexpr size_t kDocumentBytes = 1'500'000;
+  for (ControlScript* script : { &m_ownerScript, &m_relayScript }) {
+    script->m_routeBytesPerSecond = kBytesPerSecond;
+    script->m_document = std::string(kDocumentBytes, 'd');
+    script->m_offeredVersion = kProvenVersion;
+  }
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  const size_t follows = m_relayScript.m_follows;
+  m_loop.RunFor(kApplyTime);
+  EXPECT_EQ(m_routeVersion, Revision(kProvenVersion));
+  EXPECT_EQ(m_document.size(), kDocumentBytes);
+  // Engines that leave are heard of meanwhile.
+  EXPECT_GT(m_relayScript.m_follows, follows + 10);
+}
+
+// Guards against a document of which nothing is kept when an instance stops
+// answering halfway.
+TEST_F(DirectoryLinkTest, DocumentGoesOnWhereAnotherInstanceStopped)
+{
+  constexpr size_t kDocumentBytes = 20 * RouteAssembly::kPieceBytes;
+  for (ControlScript* script : { &m_ownerScript, &m_relayScript }) {
+    script->m_routeBytesPerSecond = 10 * RouteAssembly::kPieceBytes;
+    script->m_document = std::string(kDocumentBytes, 'd');
+    script->m_offeredVersion = kProvenVersion;
+  }
+  StartEntry();
+  ASSERT_TRUE(m_loop.RunUntil([this] { return m_relayScript.m_pieces >= 10; }));
+  m_relayScript.m_failsFollows = true;
+  ASSERT_TRUE(m_loop.RunUntil(
+    [this] { return m_routeVersion == Revision(kProvenVersion); }));
+  EXPECT_EQ(m_document.size(), kDocumentBytes);
+  EXPECT_LE(m_relayScript.m_pieces + m_ownerScript.m_pieces, 24U);
+}
+
 /// A relay may not know yet that the owner was replaced.
 TEST_F(DirectoryLinkTest, LeavesARelayOfAnEarlierTerm)
 {
