Entries leave a relay whose routes are outdated, and relays read them from the owner

Callers got 404 for a route that had been acknowledged long before, and calls went by routes that had been changed, at all entries of one failure domain and no other.

Cause: a relay is trusted as long as its copy of the engine directory is confirmed by the owner, but it served the routes of its own replica, which may take no part (full disk), lag, have been removed, or still replay its log. Nothing compared the two.

The owner's proof, which relays pass on anyway, is what decides now, twice.

--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -41,9 +41,36 @@
             m_self,
             m_domain)
   , m_quotas(aDeps.m_clock, aQuotaBounds)
+  , m_routeFetch(
+      aDeps.m_port,
+      [this] { return LeaderLink(); },
+      [this](RouteDocument aDocument) {
+        m_routes.SetFetched(std::move(aDocument), m_deps.m_clock.Now());
+      })
 {
 }
 
+WireLink* FleetService::LeaderLink()
+{
+  const ReplicaAddress* leader = m_deps.m_host.LeaderAddress();
+  if (leader == nullptr || m_deps.m_host.Replica().IsLeader()) {
+    return nullptr;
+  }
+  WireLink& link = m_deps.m_peers.LinkTo(*leader);
+  return link.IsUp() ? &link : nullptr;
+}
+
+void FleetService::FetchRoutes()
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  if (const auto& proof = m_relay.Proof()) {
+    m_routes.RecordProven(proof->m_version, now);
+  }
+  if (m_routes.NeedsFetch(now)) {
+    m_routeFetch.Want(m_routes.Proven());
+  }
+}
+
 void FleetService::ReadRoutes(Revision aVersion,
                               uint64_t aOffset,
                               wire::RoutePiece::Builder aOut)
@@ -65,6 +92,7 @@
   }
   m_appliedRouteVersion = routes.m_version;
   m_routes.SetReplicated(routes, m_deps.m_clock.Now());
+  m_routeFetch.RecordReceived(routes.m_version);
   std::string reason;
   auto config = m_deps.m_reader.Read(routes.m_document, reason);
   if (config == nullptr) {
@@ -121,6 +149,7 @@
 void FleetService::Tick()
 {
   ApplyRoutes();
+  FetchRoutes();
   LogReplicaLag();
   UpdateOwnership();
   m_deps.m_owner.Tick();
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -12,6 +12,7 @@
 #include "fleet/fleet_owner.h"
 #include "wire/celeryspread.capnp.h"
 #include "wire/event_loop_port.h"
+#include "wire/route_fetch.h"
 
 namespace celeryspread {
 
@@ -106,6 +107,11 @@
   };
 
   void ApplyRoutes();
+  /// Reads the routes from the owner if the replica lags.
+  void FetchRoutes();
+  /// Returns the link to the leader, null if there is none or this instance
+  /// leads.
+  [[nodiscard]] WireLink* LeaderLink();
   /// Logs that the replica lacks a version that the owner has proved.
   void LogReplicaLag();
   void UpdateOwnership();
@@ -159,6 +165,7 @@
   DirectoryPacer m_pacer;
   std::map<InstanceId, Relay> m_relays;
   RouteSource m_routes;
+  RouteFetch m_routeFetch;
   Revision m_appliedRouteVersion;
   /// Since when the owner has proved a newer route version than the replica's.
   std::optional<TimePoint> m_replicaBehindSince;
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -250,8 +250,9 @@
 void DirectoryLink::Apply(wire::FollowReply::Reader aReply, TimePoint aSentAt)
 {
   AddControlLinks(aReply);
-  m_routes.Apply(aReply, m_currentAddress, aSentAt);
-  if (!aReply.getIsLeader() && !aReply.getHasDirectory()) {
+  const bool hasRoutes = m_routes.Apply(aReply, m_currentAddress, aSentAt);
+  KJ_REQUIRE(hasRoutes || !aReply.getIsLeader(), "the routes are outdated");
+  if (!hasRoutes || (!aReply.getIsLeader() && !aReply.getHasDirectory())) {
     FollowOwner(aReply);
     return;
   }
--- a/tests/control/route_proof_test.cpp
+++ b/tests/control/route_proof_test.cpp
@@ -303,4 +303,29 @@
   EXPECT_LT(m_age, Duration::zero());
 }
 
+/// Guards against entries on an older configuration while the replica of their
+/// relay lags: it was removed, or still replays its log.
+TEST_F(RouteProofTest, RelayWhoseReplicaLagsServesTheOwnersRoutes)
+{
+  Start(false);
+  ASSERT_TRUE(FollowUntilProven());
+  EXPECT_TRUE(FollowUntilOffered(kProvenVersion));
+  EXPECT_EQ(m_document, "document 3");
+  EXPECT_EQ(m_host->State().Routes().m_version, Revision());
+}
+
+/// Guards against entries on an older configuration for as long as the disk of
+/// their relay is full, since its replica takes no part meanwhile.
+TEST_F(RouteProofTest, RelayWithAFullDiskServesTheOwnersRoutes)
+{
+  Start(false);
+  ASSERT_TRUE(FollowUntilProven());
+  m_disk.SetFull(true);
+  m_term = Term(3);
+  ASSERT_TRUE(m_loop.RunUntil([this] { return m_host->IsSuspended(); }));
+  m_script.m_version = kProvenVersion + 1;
+  EXPECT_TRUE(FollowUntilOffered(kProvenVersion + 1));
+  EXPECT_TRUE(m_host->IsSuspended());
+}
+
 } // namespace celeryspread::test
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -325,6 +325,24 @@
   EXPECT_EQ(m_relayScript.m_lastKnownVersion, 20U);
 }
 
+// Guards against entries that obey an older configuration for as long as their
+// relay's replica lags, because its copy of the engine directory is fresh.
+TEST_F(DirectoryLinkTest, LeavesARelayThatLacksTheProvenRoutes)
+{
+  // The platform's bound for a change to be in force everywhere.
+  constexpr Duration kApplyTime = std::chrono::milliseconds(3000);
+  m_ownerScript.m_offeredVersion = kProvenVersion - 1;
+  m_relayScript.m_offeredVersion = kProvenVersion - 1;
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  ASSERT_EQ(m_routeVersion, Revision(kProvenVersion - 1));
+  m_ownerScript.m_offeredVersion = kProvenVersion;
+  m_relayScript.m_proofAge = std::chrono::milliseconds(0);
+  m_loop.RunFor(kApplyTime);
+  EXPECT_EQ(m_routeVersion, Revision(kProvenVersion));
+  EXPECT_TRUE(m_log.Has(EventId::RoutesOutdated));
+}
+
 // Guards against a document that is larger than what a slow link carries in the
 // time of one call: it was asked for again and again, and never arrived.
 TEST_F(DirectoryLinkTest, LargeDocumentArrivesOverASlowLink)
