Not found needs a recent proof, and so does the first configuration

Callers saw 404 for a route that had been added. An entry said so with certainty however long it had heard of no change, and an entry that had just started was ready with, and obeyed, whatever document it got first, from whichever instance.

Cause by reading, the same as with relays: the presence of a document was taken for its freshness. The proof of the newest version, known for calls with keys, existed and nobody asked for it.

A call that no route matches gets 404 only if the version in force was proved to be the newest within route_proof_ms (the platform's ConfigApplyMs), else 503 with Retry-After 1 s: a newer version may have the route. An entry is ready, and takes calls, once its configuration was proved since its start; after that a former proof is enough, so that an entry that is cut off goes on. GatewayTest.NotFoundNeedsARecentProof and RefusesUntilItsFirstConfigurationIsProven cover both; the code before had no such check.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -64,6 +64,36 @@
               "");
 }
 
+bool Gateway::HasProvenConfig() const
+{
+  m_hasProvenConfig =
+    m_hasProvenConfig ||
+    (m_config != nullptr &&
+     m_context.m_access.ProofAge(m_context.m_clock.Now()).has_value());
+  return m_hasProvenConfig;
+}
+
+void Gateway::RefuseUnmatched(CallerCall& aCall, const CallFields& aCallFields)
+{
+  const std::string version = std::to_string(m_config->Version().Value());
+  const auto proofAge = m_context.m_access.ProofAge(m_context.m_clock.Now());
+  if (proofAge && *proofAge <= m_context.m_routeProofTime) {
+    RefuseUnrouted(aCall,
+                   HttpStatus::kNotFound,
+                   &aCallFields,
+                   std::nullopt,
+                   "no route matches at version " + version);
+    return;
+  }
+  // A newer version may have the route.
+  RefuseUnrouted(aCall,
+                 HttpStatus::kUnavailable,
+                 &aCallFields,
+                 AccessControl::kUnprovenRetryAfter,
+                 "no route matches at version " + version +
+                   ", which can't be proved to be current");
+}
+
 const PoolId& Gateway::ChoosePool(const Route& aRoute,
                                   const AttemptId& aAttempt)
 {
@@ -93,23 +123,20 @@
                    "the request's headers are malformed");
     return;
   }
-  if (m_config == nullptr) {
+  if (!HasProvenConfig()) {
     RefuseUnrouted(*aCall,
                    HttpStatus::kUnavailable,
                    &*callFields,
                    kStartupRetryAfter,
-                   "no route configuration is known yet");
+                   m_config == nullptr
+                     ? "no route configuration is known yet"
+                     : "no route configuration was proved to be current yet");
     return;
   }
   const Route* route =
     m_config->Find(aCall->Header("Host").value_or(""), aCall->Path());
   if (route == nullptr) {
-    RefuseUnrouted(*aCall,
-                   HttpStatus::kNotFound,
-                   &*callFields,
-                   std::nullopt,
-                   "no route matches at version " +
-                     std::to_string(m_config->Version().Value()));
+    RefuseUnmatched(*aCall, *callFields);
     return;
   }
   GatewayCall::Input input;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -30,6 +30,10 @@
   {
     return m_config;
   }
+  /// Returns whether a configuration is known that was proved to be the newest
+  /// one since the start. Before that, the first document may have come from an
+  /// instance that lags. @pre none.
+  [[nodiscard]] bool HasProvenConfig() const;
   void OnCall(std::unique_ptr<CallerCall> aCall) override;
   /// Returns the number of calls in progress. @pre none.
   [[nodiscard]] size_t CallCount() const { return m_calls.size(); }
@@ -40,6 +44,8 @@
                       const CallFields* aCallFields,
                       std::optional<Duration> aRetryAfter,
                       const std::string& aReason);
+  /// Refuses a call that no route matches.
+  void RefuseUnmatched(CallerCall& aCall, const CallFields& aCallFields);
   [[nodiscard]] static const PoolId& ChoosePool(const Route& aRoute,
                                                 const AttemptId& aAttempt);
   /// Identifies the caller's team; refuses the call if its key does not permit
@@ -55,6 +61,8 @@
 
   GatewayContext& m_context;
   std::shared_ptr<const RouteConfig> m_config;
+  /// Whether some configuration was proved; a former proof stays.
+  mutable bool m_hasProvenConfig = false;
   std::unordered_map<GatewayCall*, std::unique_ptr<GatewayCall>> m_calls;
   std::multimap<TimePoint, GatewayCall*> m_deadlines;
   std::vector<std::unique_ptr<GatewayCall>> m_endedCalls;
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -94,6 +94,8 @@
   EngineLearning* m_learning = nullptr;
   /// Null unless the settings switch the decisions for overload on.
   OverloadControl* m_overload = nullptr;
+  /// Age of the proof up to which the absence of a route is certain.
+  Duration m_routeProofTime = std::chrono::seconds(3);
 };
 
 } // namespace celeryspread
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -128,7 +128,8 @@
                  m_metrics,
                  m_log,
                  Learning(),
-                 m_settings.m_hasOverloadAdmission ? &m_overload : nullptr }
+                 m_settings.m_hasOverloadAdmission ? &m_overload : nullptr,
+                 m_settings.m_routeProofTime }
     , m_gateway(m_context)
     , m_probes(
         m_platform.m_readyPath,
@@ -213,7 +214,7 @@
 
   [[nodiscard]] bool IsReady() const
   {
-    return !m_isDraining && m_gateway.Config() != nullptr &&
+    return !m_isDraining && m_gateway.HasProvenConfig() &&
            m_directory.HasDirectory();
   }
 
--- a/settings/node_settings.cpp
+++ b/settings/node_settings.cpp
@@ -195,6 +195,8 @@
   settings.m_keysFailClosed = fields.BooleanText("keys_fail_closed", false);
   settings.m_keyProofTime = fields.DurationFromText(
     "key_proof_ms", kMillisecondsPerSecond, settings.m_keyProofTime);
+  settings.m_routeProofTime = fields.DurationFromText(
+    "route_proof_ms", kMillisecondsPerSecond, settings.m_routeProofTime);
   settings.m_quotaWindow =
     fields.DurationFromText("quota_window_s", 1, settings.m_quotaWindow);
   settings.m_quotaOverage = fields.DecimalNumber("quota_overage", 0);
--- a/settings/node_settings.h
+++ b/settings/node_settings.h
@@ -60,6 +60,9 @@
   /// can't be proved to be newer than m_keyProofTime.
   bool m_keysFailClosed = false;
   Duration m_keyProofTime = std::chrono::seconds(5);
+  /// Entries: an answer that no route matches is certain only if the route
+  /// configuration was proved to be the newest within this time.
+  Duration m_routeProofTime = std::chrono::seconds(3);
   /// Control instances: bounds on the use of teams' quotas over all entries. In
   /// any window it stays within the quota, increased by the overage, plus the
   /// slack. @unit m_quotaSlack: tokens.
--- a/tests/gateway/gateway_overload_test.cpp
+++ b/tests/gateway/gateway_overload_test.cpp
@@ -53,6 +53,7 @@
     data.m_teams = std::move(aTeams);
     std::string reason;
     m_gateway.SetConfig(RouteConfig::Make(std::move(data), reason));
+    m_access.RecordProof(Revision(aVersion), m_clock.Now());
   }
   /// Sends a call and has the engine answer it at once.
   void Serve(const HttpHeaders& aHeaders)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -39,6 +39,7 @@
     data.m_routes.back().m_isResumable = true;
     std::string reason;
     m_gateway.SetConfig(RouteConfig::Make(std::move(data), reason));
+    m_access.RecordProof(Revision(3), m_clock.Now());
     m_table.Update(MakeEngine("e1", "here", "m"));
     m_table.Update(MakeEngine("e2", "far", "m"));
     m_retries.SetEntryCount(1, m_clock.Now());
@@ -144,6 +145,45 @@
   EXPECT_EQ(m_caller.m_status, 404);
 }
 
+// Guards against a certain "not found" for a route that a newer configuration
+// has added, from an entry that has not heard of any change for long.
+TEST_F(GatewayTest, NotFoundNeedsARecentProof)
+{
+  m_time.RunFor(m_context.m_routeProofTime + std::chrono::milliseconds(1));
+  Call("/elsewhere/");
+  EXPECT_EQ(m_caller.m_status, 503);
+  m_access.RecordProof(Revision(3), m_clock.Now());
+  m_time.RunFor(m_context.m_routeProofTime / 2);
+  Call("/elsewhere/");
+  EXPECT_EQ(m_caller.m_status, 404);
+  // A version that the entry does not have yet is the newest by now.
+  m_access.RecordProof(Revision(4), m_clock.Now());
+  m_time.RunFor(m_context.m_routeProofTime);
+  Call("/elsewhere/");
+  EXPECT_EQ(m_caller.m_status, 503);
+}
+
+// Guards against an entry that has just started and obeys an older document,
+// which an instance that lags gave it.
+TEST_F(GatewayTest, RefusesUntilItsFirstConfigurationIsProven)
+{
+  AccessControl access({});
+  GatewayContext context{ m_clock,   m_timers,   m_client,  m_codec,
+                          m_table,   m_selector, m_retries, m_prefill,
+                          m_control, m_control,  m_crashes, m_rates,
+                          access,    m_quota,    m_domain,  m_metrics,
+                          m_log };
+  Gateway fresh(context);
+  fresh.SetConfig(m_gateway.Config());
+  access.RecordProof(Revision(4), m_clock.Now());
+  EXPECT_FALSE(fresh.HasProvenConfig());
+  fresh.OnCall(std::make_unique<FakeCallerCall>(
+    m_caller, "GET", "/look/1", HttpHeaders{ { "id", "a1" } }));
+  EXPECT_EQ(m_caller.m_status, 503);
+  access.RecordProof(Revision(3), m_clock.Now());
+  EXPECT_TRUE(fresh.HasProvenConfig());
+}
+
 TEST_F(GatewayTest, KeepsTheConfigurationWhenAnOlderOneArrives)
 {
   RouteConfigData data;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -592,6 +592,7 @@
     { "Bounds.RetryWindowS", "9.5" },
     { "Bounds.FailClosed", "true" },
     { "Bounds.RevokeMs", "4500.5" },
+    { "Bounds.ConfigApplyMs", "3500" },
     { "Bounds.QuotaWindowS", "7.5" },
     { "Bounds.QuotaOverage", "0.125" },
     { "Bounds.QuotaSlack", "7400.5" },
@@ -612,6 +613,7 @@
       EXPECT_EQ(settings->m_retryWindow, std::chrono::milliseconds(9500));
       EXPECT_TRUE(settings->m_keysFailClosed);
       EXPECT_EQ(settings->m_keyProofTime, std::chrono::microseconds(4'500'500));
+      EXPECT_EQ(settings->m_routeProofTime, std::chrono::milliseconds(3500));
     } else {
       EXPECT_EQ(settings->m_engineListCallsPerSecond, 44.25);
       EXPECT_EQ(settings->m_ownerLease, std::chrono::microseconds(3'000'500));
--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -481,6 +481,7 @@
                     MakeStreamRoute("/report/", true) };
   std::string reason;
   m_gateway->SetConfig(RouteConfig::Make(std::move(data), reason));
+  m_access.RecordProof(Revision(1), m_clock.Now());
   m_retries.SetEntryCount(aEntryCount, m_clock.Now());
   aEngines.AddListener(
     [self = m_self](const EngineRecord& aRecord, bool aIsGone) {
