--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -50,6 +50,21 @@
   return route;
 }
 
+/// Returns a route whose calls have no prompt.
+Route MakePlainRoute(const std::string& aPrefix, CallKind aKind)
+{
+  Route route;
+  route.m_id = RouteId("r" + aPrefix);
+  route.m_host = "shop.example";
+  route.m_pathPrefix = aPrefix;
+  route.m_kind = aKind;
+  route.m_timeout = std::chrono::seconds(6);
+  route.m_objective = std::chrono::milliseconds(400);
+  route.m_maxRuns = aKind == CallKind::Idempotent ? 3 : 1;
+  route.m_pools = { { PoolId("pool"), 1 } };
+  return route;
+}
+
 constexpr uint32_t kSlots = 32;
 
 } // namespace
@@ -85,6 +100,7 @@
     request->m_address = aRequest.m_address.m_address;
     request->m_attempt = IdOf(aRequest.m_headers);
     request->m_parts = SplitParts(aRequest.m_headers);
+    request->m_parts.push_back(aRequest.m_path);
     for (const HttpHeader& header : aRequest.m_headers) {
       if (header.m_name == "upstream") {
         request->m_expected = UpstreamId(header.m_value);
@@ -478,7 +494,9 @@
   data.m_version = Revision(1);
   data.m_pools = { Pool{ PoolId("pool"), "/healthz", 240, std::nullopt } };
   data.m_routes = { MakeStreamRoute("/chat/", false),
-                    MakeStreamRoute("/report/", true) };
+                    MakeStreamRoute("/report/", true),
+                    MakePlainRoute("/status/", CallKind::Idempotent),
+                    MakePlainRoute("/pay/", CallKind::NonIdempotent) };
   std::string reason;
   m_gateway->SetConfig(RouteConfig::Make(std::move(data), reason));
   m_access.RecordProof(Revision(1), m_clock.Now());
@@ -604,25 +622,52 @@
 SimulatedEntry::Sent& SimulatedEntry::Call(
   const std::string& aPath,
   const std::vector<std::string>& aParts)
+{
+  // No two prompts are alike.
+  return CallPrompt(
+    aPath, aParts, m_domain.Value() + std::to_string(m_calls.size()));
+}
+
+SimulatedEntry::Sent& SimulatedEntry::CallPrompt(
+  const std::string& aPath,
+  const std::vector<std::string>& aParts,
+  const std::string& aBody)
 {
   std::string parts;
   for (const std::string& part : aParts) {
     parts += part + ",";
   }
+  // The last part belongs to the call itself.
+  return Send("POST",
+              aPath,
+              aParts,
+              { { "model", "m" }, { "parts", parts + "own" + aBody } },
+              aBody);
+}
+
+SimulatedEntry::Sent& SimulatedEntry::CallPlain(const std::string& aPath)
+{
+  return Send("GET", aPath, {}, {}, "");
+}
+
+SimulatedEntry::Sent& SimulatedEntry::Send(
+  const std::string& aMethod,
+  const std::string& aPath,
+  const std::vector<std::string>& aParts,
+  const HttpHeaders& aHeaders,
+  const std::string& aBody)
+{
   m_calls.emplace_back();
   Sent& sent = m_calls.back();
   sent.m_at = m_time.Now();
   sent.m_attempt =
     m_domain.Value() + std::to_string(reinterpret_cast<uintptr_t>(&sent));
   sent.m_parts = aParts;
+  HttpHeaders headers = aHeaders;
+  headers.push_back({ "Host", "shop.example" });
+  headers.push_back({ "id", sent.m_attempt });
   m_gateway->OnCall(std::make_unique<FakeCallerCall>(
-    sent.m_record,
-    "POST",
-    aPath,
-    HttpHeaders{ { "Host", "shop.example" },
-                 { "id", sent.m_attempt },
-                 { "model", "m" },
-                 { "parts", parts + sent.m_attempt } }));
+    sent.m_record, aMethod, aPath, std::move(headers), aBody));
   return sent;
 }
 
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -17,8 +17,9 @@
 ///
 /// An engine streams its answers: headers once the prompt was read, then events
 /// at a steady pace. It ends when it begins an answer to a prompt with a part
-/// from m_poisonParts, breaks off all its calls, and is replaced by an empty
-/// process with another id at its address some seconds later.
+/// from m_poisonParts, or to a request with such a path, breaks off all its
+/// calls, and is replaced by an empty process with another id at its address
+/// some seconds later.
 class SimulatedEngines
 {
 public:
@@ -241,9 +242,22 @@
   };
   /// Sends a call on a route with a prompt of aParts and a part of its own.
   Sent& Call(const std::string& aPath, const std::vector<std::string>& aParts);
+  /// Sends a call without a prompt; its path stands for what it asks for.
+  Sent& CallPlain(const std::string& aPath);
+  /// Sends a call with a prompt of aParts and a body, so that the same request
+  /// may be sent again.
+  Sent& CallPrompt(const std::string& aPath,
+                   const std::vector<std::string>& aParts,
+                   const std::string& aBody);
   [[nodiscard]] const std::deque<Sent>& Calls() const { return m_calls; }
 
 private:
+  Sent& Send(const std::string& aMethod,
+             const std::string& aPath,
+             const std::vector<std::string>& aParts,
+             const HttpHeaders& aHeaders,
+             const std::string& aBody);
+
   SimulatedTime& m_time;
   SkewedClock m_clock;
   SimulatedTimers m_timers;
