Requests that end engines are held back like parts of prompts

Callers of a service without models got 502 and 503 for minutes: one request, with the same path and body, ended each engine that ran it, came again at any entry, and was sent to the next engine at once.

Cause: only shared parts of prompts could be suspect. A call without them left no trace in CrashWatch, so that nobody learned anything from the crash, and each of its retries ended one more engine.

A request as a whole is now one more thing that can be suspect, in the same investigation, list, relays and state that is carried to a new owner. RequestNamer names it by a keyed hash of method, host, path, query, caller's key and body. It takes three crashes to hold one back, as nearly every request is new and none of its fellow calls has a sound answer to clear it; it never diverts suspicion from a part. A request that was in progress in one crash goes to no second engine after another. A record without prompt parts makes the owner ask no engine: lost connections don't look like three crashes without a sound answer in between, and upstreams without models could not be asked.

--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -203,6 +203,12 @@
   const TimePoint now = m_deps.m_clock.Now();
   const UpstreamId engine = aRecord.m_engine;
   m_crashes.RecordCrash(aRecord, now);
+  if (!aRecord.HasPromptParts()) {
+    // A request is held back only after several crashes without a sound answer
+    // in between, which lost connections don't look like. Upstreams without
+    // models could not be asked.
+    return;
+  }
   const EngineRecord* record = m_directory.Find(engine);
   const auto failed = m_checkFailedAt.find(engine);
   const bool isKnownDead = failed != m_checkFailedAt.end() &&
--- a/gateway/call_attempt.cpp
+++ b/gateway/call_attempt.cpp
@@ -245,8 +245,7 @@
   // An error says nothing about an answer: something in front of the engine may
   // have written it.
   if (m_unprovenSince && IsSuccess()) {
-    m_context.m_crashes.RecordSound(m_call.m_callFields.m_sharedParts,
-                                    *m_unprovenSince);
+    m_context.m_crashes.RecordSound(m_call.m_suspects, *m_unprovenSince);
     m_unprovenSince.reset();
   }
 }
--- a/gateway/crash_watch.cpp
+++ b/gateway/crash_watch.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "quarantine/request_namer.h"
+
 namespace celeryspread {
 
 namespace {
@@ -63,6 +65,13 @@
     });
 }
 
+bool CrashWatch::IsSuspectRequest(const PromptParts& aParts) const
+{
+  return !aParts.empty() && RequestNamer::IsRequest(aParts.back()) &&
+         m_deps.m_quarantine.CrashCount(aParts.back(),
+                                        m_sound.SoundAt(aParts.back())) > 0;
+}
+
 void CrashWatch::RecordSound(const PromptParts& aParts, TimePoint aBegunAt)
 {
   const TimePoint now = m_deps.m_clock.Now();
@@ -88,9 +97,14 @@
     aSettled(false);
     return;
   }
+  const bool hasSuspectPart = !RequestNamer::IsRequest(suspects.front());
   Breaks& breaks = WatchBreaks(aEngine);
   breaks.m_record.m_calls.push_back(std::move(suspects));
-  breaks.m_callbacks.push_back(std::move(aSettled));
+  if (hasSuspectPart) {
+    breaks.m_callbacks.push_back(std::move(aSettled));
+  } else {
+    aSettled(false);
+  }
 }
 
 void CrashWatch::RecordUnansweredBreak(const UpstreamId& aEngine,
--- a/gateway/crash_watch.h
+++ b/gateway/crash_watch.h
@@ -69,11 +69,15 @@
   /// Returns whether enough engines ended under a part that calls with it are
   /// withdrawn from engines that have not begun their answers. @pre none.
   [[nodiscard]] bool IsWithdrawn(const PromptParts& aParts) const;
+  /// Returns whether the request that the last of the parts names was in
+  /// progress when an engine ended, and had no sound answer since. @pre none.
+  [[nodiscard]] bool IsSuspectRequest(const PromptParts& aParts) const;
   /// Records an answer that began at aBegunAt and was sound. @pre none.
   void RecordSound(const PromptParts& aParts, TimePoint aBegunAt);
   /// Records that an answer of aEngine, which began at aBegunAt and was not yet
   /// known to be sound, broke off. aSettled is called once it is clear whether
-  /// the engine has ended, perhaps at once. @pre the attempt was closed.
+  /// the engine has ended, perhaps at once; false if no part of a prompt is
+  /// suspect. @pre the attempt was closed.
   void RecordBreak(const UpstreamId& aEngine,
                    const PromptParts& aParts,
                    TimePoint aBegunAt,
--- a/gateway/engine_choice.cpp
+++ b/gateway/engine_choice.cpp
@@ -163,7 +163,7 @@
 
 bool EngineChoice::IsHeld() const
 {
-  return m_context.m_crashes.Check(m_call.m_callFields.m_sharedParts).m_kind !=
+  return m_context.m_crashes.Check(m_call.m_suspects).m_kind !=
          QuarantineVerdict::Kind::Free;
 }
 
@@ -173,7 +173,7 @@
     return false;
   }
   const QuarantineVerdict verdict =
-    m_context.m_crashes.Check(m_call.m_callFields.m_sharedParts);
+    m_context.m_crashes.Check(m_call.m_suspects);
   if (verdict.m_kind == QuarantineVerdict::Kind::Free) {
     return false;
   }
@@ -181,12 +181,16 @@
   const bool mayAsk =
     verdict.m_kind == QuarantineVerdict::Kind::TrialDue && !m_isAwaitingTrial;
   if (!mayAsk) {
-    m_listener.OnChoiceFailed("engines ended under calls with prompt part " +
-                                verdict.m_part.Value() + ", which is held back",
-                              std::max(kMinHeldRetryAfter, verdict.m_heldFor));
+    const std::string what =
+      RequestNamer::IsRequest(verdict.m_part) ? "this " : "prompt part ";
+    m_listener.OnChoiceFailed(
+      "engines ended under calls with " + what + verdict.m_part.Value() +
+        ", which is held back",
+      std::clamp(verdict.m_heldFor, kMinHeldRetryAfter, kMaxHeldRetryAfter));
     return true;
   }
   m_isAwaitingTrial = true;
+  m_trialPart = verdict.m_part;
   m_context.m_crashes.RequestTrial(
     verdict.m_part, [this, isAlive = m_isAlive](bool aIsPermitted) {
       if (!*isAlive || m_isStopped) {
--- a/gateway/engine_choice.h
+++ b/gateway/engine_choice.h
@@ -45,6 +45,8 @@
   /// Shortest time after which a caller is asked to return while a part of its
   /// prompt is held back.
   static constexpr Duration kMinHeldRetryAfter = std::chrono::seconds(1);
+  /// Longest such time; an operator may have released the part by then.
+  static constexpr Duration kMaxHeldRetryAfter = std::chrono::hours(1);
   /// After this time some calls of a full batch have ended.
   static constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(400);
 
@@ -76,6 +78,12 @@
   /// Returns whether the call may be sent although a part of its prompt is held
   /// back. @pre none.
   [[nodiscard]] bool IsTrial() const { return m_isTrial; }
+  /// Returns whether an engine may be chosen again after the trial call was
+  /// turned away. @pre IsTrial().
+  [[nodiscard]] bool MayRepeatTrial() const
+  {
+    return !RequestNamer::IsRequest(m_trialPart);
+  }
   /// Returns whether the call waits for that permission. @pre none.
   [[nodiscard]] bool IsAwaitingTrial() const { return m_isAwaitingTrial; }
 
@@ -114,6 +122,8 @@
   /// Requests to limited upstreams that were not granted.
   uint32_t m_rateDenials = 0;
   bool m_isTrial = false;
+  /// What the trial is for.
+  PromptPartId m_trialPart;
   bool m_isAwaitingTrial = false;
   bool m_isStopped = false;
   /// False once the choice is destroyed; shared with callbacks that may come
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -143,6 +143,7 @@
   if (!IdentifyCaller(*aCall, *callFields, *route, input.m_identity)) {
     return;
   }
+  input.m_suspects = SuspectsOf(*aCall, *callFields);
   input.m_caller = std::move(aCall);
   input.m_callFields = std::move(*callFields);
   input.m_config = m_config;
@@ -190,6 +191,22 @@
   return verdict == AccessControl::Verdict::Allowed;
 }
 
+PromptParts Gateway::SuspectsOf(CallerCall& aCall,
+                                const CallFields& aCallFields) const
+{
+  PromptParts suspects = aCallFields.m_sharedParts;
+  if (m_context.m_requests != nullptr) {
+    const std::string target = aCall.Target();
+    suspects.push_back(m_context.m_requests->Name(
+      { aCall.Method(),
+        aCall.Header("Host").value_or(""),
+        target,
+        m_context.m_codec.ReadKey(aCall).value_or(""),
+        aCall.Body() }));
+  }
+  return suspects;
+}
+
 void Gateway::RemoveCall(GatewayCall& aCall)
 {
   const auto range = m_deadlines.equal_range(aCall.Deadline());
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -54,6 +54,9 @@
                       const CallFields& aCallFields,
                       const Route& aRoute,
                       CallerIdentity& aIdentity);
+  /// Returns what of a call may end engines.
+  [[nodiscard]] PromptParts SuspectsOf(CallerCall& aCall,
+                                       const CallFields& aCallFields) const;
   void RemoveCall(GatewayCall& aCall);
   void CheckDeadlines();
   /// Ends the calls with parts that are newly held back.
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -96,16 +96,15 @@
 {
   const bool hasBegun = m_relay.IsStreaming() || m_attempt.Status() != 0;
   if (m_isFinished || m_choice.IsTrial() || m_choice.IsAwaitingTrial() ||
-      hasBegun ||
-      !m_context.m_crashes.IsWithdrawn(m_input.m_callFields.m_sharedParts)) {
+      hasBegun || !m_context.m_crashes.IsWithdrawn(m_input.m_suspects)) {
     return;
   }
   if (m_attempt.IsOpen()) {
     m_mayHaveRun = true;
     m_attempt.Close(AttemptOutcome::Cancelled);
   }
-  Refuse("engines ended under calls with a prompt part that is held back by "
-         "now",
+  Refuse("engines ended under calls with a prompt part or request that is "
+         "held back by now",
          EngineChoice::kMinHeldRetryAfter);
 }
 
@@ -295,11 +294,23 @@
     HandleBrokenAnswer(aFailure.m_reason);
     return;
   }
+  HandleUnansweredBreak(aFailure);
+}
+
+void GatewayCall::HandleUnansweredBreak(const UpstreamFailure& aFailure)
+{
   const UpstreamId engine = m_attempt.Upstream();
+  const bool mayRetry = !aFailure.m_mayHaveSentBytes ||
+                        (m_input.MayRetryAfterRun() && !IsSuspectRequest());
+  m_mayHaveRun = m_mayHaveRun || aFailure.m_mayHaveSentBytes;
   m_attempt.Close(AttemptOutcome::Failed);
-  m_context.m_crashes.RecordUnansweredBreak(engine,
-                                            m_input.m_callFields.m_sharedParts);
-  HandleFailedAttempt(aFailure.m_mayHaveSentBytes, aFailure.m_reason);
+  m_context.m_crashes.RecordUnansweredBreak(engine, m_input.m_suspects);
+  FinishFailedAttempt(mayRetry, aFailure.m_mayHaveSentBytes, aFailure.m_reason);
+}
+
+bool GatewayCall::IsSuspectRequest() const
+{
+  return m_context.m_crashes.IsSuspectRequest(m_input.m_suspects);
 }
 
 void GatewayCall::HandleBrokenAnswer(const std::string& aReason)
@@ -312,10 +323,10 @@
   const UpstreamId engine = m_attempt.Upstream();
   m_mayHaveRun = true;
   m_attempt.Close(AttemptOutcome::Failed);
-  const bool mayRetry = m_input.MayRetryAfterRun();
+  const bool mayRetry = m_input.MayRetryAfterRun() && !IsSuspectRequest();
   m_context.m_crashes.RecordBreak(
     engine,
-    m_input.m_callFields.m_sharedParts,
+    m_input.m_suspects,
     begunAt,
     [this, isAlive = m_isAlive, mayRetry, aReason](bool aHasEngineEnded) {
       if (mayRetry && *isAlive && !m_isFinished) {
@@ -361,7 +372,8 @@
   const bool isAllowed = m_possibleRuns < m_input.m_route->m_maxRuns &&
                          m_attempt.Count() < kMaxDispatches &&
                          m_input.m_deadline - now > EngineChoice::kMinTimeLeft;
-  const bool mayBeHeld = !aMayHaveRun && m_choice.IsTrial();
+  const bool mayBeHeld =
+    !aMayHaveRun && m_choice.IsTrial() && m_choice.MayRepeatTrial();
   if (!isAllowed || (m_choice.IsHeld() && !mayBeHeld)) {
     return false;
   }
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -75,6 +75,11 @@
   /// Handles an answer that its engine broke off. If the call may have ended
   /// the engine, it is not sent to another one.
   void HandleBrokenAnswer(const std::string& aReason);
+  /// Handles a connection that broke before any byte of the answer.
+  void HandleUnansweredBreak(const UpstreamFailure& aFailure);
+  /// Returns whether an engine is known to have ended under the same request,
+  /// so that it is not sent to a second one after another break.
+  [[nodiscard]] bool IsSuspectRequest() const;
   /// Retries or ends the call after its attempt was closed.
   void FinishFailedAttempt(bool aMayRetry,
                            bool aMayHaveRun,
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -13,6 +13,7 @@
 #include "gateway/quota_gate.h"
 #include "gateway/retry_budget_share.h"
 #include "http/upstream_client.h"
+#include "quarantine/request_namer.h"
 #include "routes/route_config.h"
 #include "teams/access_control.h"
 #include "telemetry/event_log.h"
@@ -96,6 +97,8 @@
   OverloadControl* m_overload = nullptr;
   /// Age of the proof up to which the absence of a route is certain.
   Duration m_routeProofTime = std::chrono::seconds(3);
+  /// Null if only parts of prompts are suspected when engines end.
+  const RequestNamer* m_requests = nullptr;
 };
 
 } // namespace celeryspread
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -110,6 +110,7 @@
                   m_metrics,
                   m_log })
     , m_overload(m_random, m_selector, m_prefill, m_metrics)
+    , m_requests(kDefaultClusterKey)
     , m_context{ m_clock,
                  m_timers,
                  m_client,
@@ -129,7 +130,8 @@
                  m_log,
                  Learning(),
                  m_settings.m_hasOverloadAdmission ? &m_overload : nullptr,
-                 m_settings.m_routeProofTime }
+                 m_settings.m_routeProofTime,
+                 &m_requests }
     , m_gateway(m_context)
     , m_probes(
         m_platform.m_readyPath,
@@ -344,6 +346,7 @@
   QuotaLink m_quota;
   CrashWatch m_crashes;
   OverloadControl m_overload;
+  const RequestNamer m_requests;
   GatewayContext m_context;
   Gateway m_gateway;
   ProbeHandler m_probes;
--- a/gateway/routed_call.h
+++ b/gateway/routed_call.h
@@ -21,6 +21,9 @@
   /// Its team belongs to m_config.
   CallerIdentity m_identity;
   PoolId m_pool;
+  /// What of the call may end engines: the shared parts of its prompt, then the
+  /// request itself.
+  PromptParts m_suspects;
   TimePoint m_arrivedAt;
   TimePoint m_deadline;
 
--- a/quarantine/crash_investigation.cpp
+++ b/quarantine/crash_investigation.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "quarantine/request_namer.h"
+
 namespace celeryspread {
 
 namespace {
@@ -17,6 +19,10 @@
 /// Crashes at different moments with one suspect part that are enough to hold
 /// it back.
 constexpr size_t kCrashesToHold = 2;
+constexpr size_t kCrashesToHoldRequest = 3;
+/// A request is listed from this many crashes on; those in a single crash are
+/// many, and nearly all innocent.
+constexpr size_t kCrashesToListRequest = 2;
 /// Crashes and sound answers older than this count no more.
 constexpr Duration kCrashMemory = std::chrono::minutes(5);
 /// A released part stays listed this long, so that all entries hear of it.
@@ -32,6 +38,15 @@
 /// Parts in the list that goes to every entry, and those of them held back.
 constexpr size_t kMaxParts = 64;
 constexpr size_t kMaxHeldParts = 48;
+/// Requests in the list that are not held back. As many may be held back as
+/// parts.
+constexpr size_t kMaxSuspectRequests = 16;
+
+size_t CrashesToHold(const PromptPartId& aPart)
+{
+  return RequestNamer::IsRequest(aPart) ? kCrashesToHoldRequest
+                                        : kCrashesToHold;
+}
 
 } // namespace
 
@@ -60,12 +75,16 @@
       continue;
     }
     suspects.emplace(part, position);
-    if (!SoundAt(part)) {
+    // Nearly every request is new, so this says nothing of a request.
+    if (!SoundAt(part) && !RequestNamer::IsRequest(part)) {
       neverSound.emplace(part, position);
     }
   }
   if (!neverSound.empty()) {
-    suspects = std::move(neverSound);
+    std::erase_if(suspects, [&](const auto& aSuspect) {
+      return !RequestNamer::IsRequest(aSuspect.first) &&
+             !neverSound.contains(aSuspect.first);
+    });
   }
   for (const auto& [part, position] : aCrash.m_unansweredParts) {
     if (!IsCleared(part, aCrash.m_at)) {
@@ -138,6 +157,7 @@
     if (part.m_isHeld && IsCleared(aPart, part.m_lastCrashAt)) {
       part.m_isHeld = false;
       part.m_crashes = 0;
+      part.m_trials = 0;
       ++m_version;
     }
     part.m_soundAt = soundAt;
@@ -175,6 +195,7 @@
   part.m_crashes = std::max(part.m_crashes, aPart.m_crashes);
   part.m_lastCrashAt = std::max(part.m_lastCrashAt, aPart.m_lastCrashAt);
   part.m_trialAt = std::max(part.m_trialAt, aPart.m_trialAt);
+  part.m_trials = std::max(part.m_trials, aPart.m_trials);
   part.m_soundAt = SoundAt(aPart.m_part);
   m_version += part.IsSameForEntries(former) ? 0 : 1;
 }
@@ -190,6 +211,7 @@
     return false;
   }
   known->second.m_trialAt = aNow;
+  ++known->second.m_trials;
   ++m_version;
   return true;
 }
@@ -222,7 +244,8 @@
       }
       for (const auto& [part, position] : SuspectsOf(crash)) {
         Candidate& candidate = candidates[part];
-        candidate.m_isNeverSound = !SoundAt(part);
+        candidate.m_isNeverSound =
+          !SoundAt(part) && !RequestNamer::IsRequest(part);
         candidate.m_position = std::max(candidate.m_position, position);
         if (crash.m_at >= candidate.m_countedAt + kSameMomentTime) {
           candidate.m_countedAt = crash.m_at;
@@ -231,7 +254,7 @@
       }
     }
     std::erase_if(candidates, [](const auto& aCandidate) {
-      return aCandidate.second.m_crashes < kCrashesToHold;
+      return aCandidate.second.m_crashes < CrashesToHold(aCandidate.first);
     });
     const auto best = std::max_element(
       candidates.begin(), candidates.end(), [](const auto& aA, const auto& aB) {
@@ -255,13 +278,24 @@
   }
 }
 
-void CrashInvestigation::LimitHeldParts()
+size_t CrashInvestigation::CrashCount(const PromptPartId& aPart,
+                                      std::optional<TimePoint> aSoundAt) const
+{
+  return static_cast<size_t>(
+    std::count_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
+      const bool isCleared = aSoundAt && *aSoundAt > aCrash.m_at - kSoundMemory;
+      return !isCleared && aCrash.Contains(aPart);
+    }));
+}
+
+void CrashInvestigation::LimitHeldParts(bool aAreRequests)
 {
   for (;;) {
     auto oldest = m_parts.end();
     size_t held = 0;
     for (auto it = m_parts.begin(); it != m_parts.end(); ++it) {
-      if (!it->second.m_isHeld) {
+      if (!it->second.m_isHeld ||
+          RequestNamer::IsRequest(it->first) != aAreRequests) {
         continue;
       }
       ++held;
@@ -307,6 +341,12 @@
       part.m_soundAt = SoundAt(id);
     }
   }
+  size_t requests = 0;
+  std::erase_if(suspects, [&](const auto& aSuspect) {
+    return RequestNamer::IsRequest(aSuspect.first) &&
+           (aSuspect.second.m_crashes < kCrashesToListRequest ||
+            ++requests > kMaxSuspectRequests);
+  });
   for (const auto& [id, part] : m_parts) {
     const bool isLatelyReleased = part.m_crashes == 0 && part.m_soundAt &&
                                   aNow < *part.m_soundAt + kReleaseMemory;
@@ -314,9 +354,15 @@
       suspects[id] = part;
     }
   }
-  for (auto it = suspects.begin();
-       suspects.size() > kMaxParts && it != suspects.end();) {
-    it = it->second.m_isHeld ? std::next(it) : suspects.erase(it);
+  auto parts = static_cast<size_t>(
+    std::count_if(suspects.begin(), suspects.end(), [](const auto& aSuspect) {
+      return !RequestNamer::IsRequest(aSuspect.first);
+    }));
+  for (auto it = suspects.begin(); parts > kMaxParts && it != suspects.end();) {
+    const bool stays =
+      it->second.m_isHeld || RequestNamer::IsRequest(it->first);
+    parts -= stays ? 0 : 1;
+    it = stays ? std::next(it) : suspects.erase(it);
   }
   const bool isSame = std::equal(suspects.begin(),
                                  suspects.end(),
@@ -368,7 +414,8 @@
 void CrashInvestigation::Decide(TimePoint aNow)
 {
   HoldParts(aNow);
-  LimitHeldParts();
+  LimitHeldParts(false);
+  LimitHeldParts(true);
   m_decideAt.reset();
   for (const Crash& crash : m_crashes) {
     const TimePoint decideAt = crash.m_receivedAt + kGraceTime;
--- a/quarantine/crash_investigation.h
+++ b/quarantine/crash_investigation.h
@@ -19,6 +19,11 @@
 /// crashes that no part held back explains; among several, one that never had a
 /// sound answer, then the one in most crashes, then the one furthest back in
 /// the prompt, which fewest calls share.
+///
+/// A request as a whole is suspect like a part, behind all parts of its prompt.
+/// It takes one crash more to hold it back: nearly each request is new, so that
+/// none has a sound answer to clear it, and the innocent calls of a crash may
+/// be sent to the next engine together with the one that is the reason.
 /// @thread loop thread only.
 class CrashInvestigation
 {
@@ -55,6 +60,10 @@
   /// Returns the parts that are suspect, held back or lately released.
   /// @pre none.
   [[nodiscard]] const Parts& Suspects() const { return m_parts; }
+  /// Returns the number of crashes in which a part is suspect, given when it
+  /// last had a sound answer. @pre none.
+  [[nodiscard]] size_t CrashCount(const PromptPartId& aPart,
+                                  std::optional<TimePoint> aSoundAt) const;
   /// Returns a number that grows with each change of Suspects(). @pre none.
   [[nodiscard]] uint64_t Version() const { return m_version; }
   /// Returns how often Suspects() was computed. @pre none.
@@ -103,9 +112,9 @@
   void Decide(TimePoint aNow);
   /// Holds back parts until no other is suspect in two unexplained crashes.
   void HoldParts(TimePoint aNow);
-  /// Forgets the part whose last crash is longest ago, of those held back,
-  /// while there are too many.
-  void LimitHeldParts();
+  /// Forgets the part or request whose last crash is longest ago, of those held
+  /// back, while there are too many.
+  void LimitHeldParts(bool aAreRequests);
   /// Lists what entries have to know, now or, if that was done a moment ago,
   /// with a later report or tick.
   void ScheduleUpdate(TimePoint aNow);
--- a/quarantine/crash_record.h
+++ b/quarantine/crash_record.h
@@ -7,7 +7,8 @@
 
 namespace celeryspread {
 
-/// Parts of a prompt that other prompts may share, in order.
+/// What may end an engine: the parts of a prompt that other prompts may share,
+/// in order, and then the name of the request as a whole.
 using PromptParts = std::vector<PromptPartId>;
 
 /// An engine that ended, and the calls that may be the reason.
@@ -22,6 +23,10 @@
   /// The same for the calls without any byte of an answer. The engine may have
   /// ended before what it wrote had left; most of these calls only waited.
   std::vector<PromptParts> m_unansweredCalls{};
+
+  /// Returns whether a part of a prompt is suspect, and not only requests as a
+  /// whole. @pre none. @thread any.
+  [[nodiscard]] bool HasPromptParts() const;
 };
 
 /// Time for which a part that was part of a sound answer is not suspected. A
--- a/quarantine/part_quarantine.cpp
+++ b/quarantine/part_quarantine.cpp
@@ -75,6 +75,14 @@
   return listed == m_listed.end() ? nullptr : &listed->second;
 }
 
+size_t PartQuarantine::CrashCount(const PromptPartId& aPart,
+                                  std::optional<TimePoint> aSoundAt) const
+{
+  const SuspectPart* listed = Find(aPart);
+  const size_t known = listed == nullptr ? 0 : listed->m_crashes;
+  return std::max(known, m_own.CrashCount(aPart, aSoundAt));
+}
+
 const SuspectPart* PartQuarantine::FindHeld(const PromptPartId& aPart,
                                             TimePoint aNow) const
 {
--- a/quarantine/part_quarantine.h
+++ b/quarantine/part_quarantine.h
@@ -24,10 +24,10 @@
   Duration m_heldFor{};
 };
 
-/// The prompt parts that an entry holds back: those that the owner of the
-/// engines lists and, while no owner can be reached, those that the entry's own
-/// crashes point at. What an owner listed stays in force after that owner is
-/// lost, until its successor has decided about it.
+/// The prompt parts and requests that an entry holds back: those that the owner
+/// of the engines lists and, while no owner can be reached, those that the
+/// entry's own crashes point at. What an owner listed stays in force after that
+/// owner is lost, until its successor has decided about it.
 /// @thread loop thread only.
 class PartQuarantine
 {
@@ -63,6 +63,11 @@
                                         TimePoint aNow);
   /// Returns what the owner lists about a part; null if nothing. @pre none.
   [[nodiscard]] const SuspectPart* Find(const PromptPartId& aPart) const;
+  /// Returns the number of crashes in which a part is suspect, as the owner
+  /// lists them or as this entry saw them, given when the entry last saw a
+  /// sound answer. @pre none.
+  [[nodiscard]] size_t CrashCount(const PromptPartId& aPart,
+                                  std::optional<TimePoint> aSoundAt) const;
   /// Returns the owner's list. @pre none.
   [[nodiscard]] const Parts& Listed() const { return m_listed; }
   /// Returns the term whose list this is, 0 for none. @pre none.
--- a/quarantine/sound_parts.cpp
+++ b/quarantine/sound_parts.cpp
@@ -2,29 +2,39 @@
 
 #include <algorithm>
 
+#include "quarantine/request_namer.h"
+
 namespace celeryspread {
 
+const SoundParts::Memory& SoundParts::MemoryOf(const PromptPartId& aPart) const
+{
+  return RequestNamer::IsRequest(aPart) ? m_requests : m_parts;
+}
+
 void SoundParts::Record(const PromptPartId& aPart, TimePoint aBegunAt)
 {
-  const auto found = m_byPart.find(aPart);
-  if (found != m_byPart.end()) {
+  Memory& memory = RequestNamer::IsRequest(aPart) ? m_requests : m_parts;
+  std::list<Entry>& entries = memory.m_entries;
+  const auto found = memory.m_byPart.find(aPart);
+  if (found != memory.m_byPart.end()) {
     Entry& entry = *found->second;
     entry.m_soundAt = std::max(entry.m_soundAt, aBegunAt);
-    m_entries.splice(m_entries.begin(), m_entries, found->second);
+    entries.splice(entries.begin(), entries, found->second);
     return;
   }
-  m_entries.push_front({ aPart, aBegunAt });
-  m_byPart[aPart] = m_entries.begin();
-  if (m_entries.size() > kMaxParts) {
-    m_byPart.erase(m_entries.back().m_part);
-    m_entries.pop_back();
+  entries.push_front({ aPart, aBegunAt });
+  memory.m_byPart[aPart] = entries.begin();
+  if (entries.size() > kMaxParts) {
+    memory.m_byPart.erase(entries.back().m_part);
+    entries.pop_back();
   }
 }
 
 std::optional<TimePoint> SoundParts::SoundAt(const PromptPartId& aPart) const
 {
-  const auto found = m_byPart.find(aPart);
-  return found == m_byPart.end()
+  const auto& byPart = MemoryOf(aPart).m_byPart;
+  const auto found = byPart.find(aPart);
+  return found == byPart.end()
            ? std::nullopt
            : std::optional<TimePoint>(found->second->m_soundAt);
 }
--- a/quarantine/sound_parts.h
+++ b/quarantine/sound_parts.h
@@ -9,7 +9,8 @@
 namespace celeryspread {
 
 /// Remembers when the last sound answer with each prompt part began, for the
-/// parts that were used last.
+/// parts that were used last. Requests have a memory of their own, as nearly
+/// each one is new and would displace a part.
 /// @thread loop thread only.
 class SoundParts
 {
@@ -24,8 +25,11 @@
   /// @pre none.
   [[nodiscard]] PromptParts WithoutRecentAnswer(const PromptParts& aParts,
                                                 TimePoint aAt) const;
-  /// Returns how many parts are remembered. @pre none.
-  [[nodiscard]] size_t Size() const { return m_byPart.size(); }
+  /// Returns how many parts and requests are remembered. @pre none.
+  [[nodiscard]] size_t Size() const
+  {
+    return m_parts.m_byPart.size() + m_requests.m_byPart.size();
+  }
 
   static constexpr size_t kMaxParts = 4096;
 
@@ -36,9 +40,17 @@
     TimePoint m_soundAt;
   };
 
-  /// The part used last comes first.
-  std::list<Entry> m_entries;
-  std::unordered_map<PromptPartId, std::list<Entry>::iterator> m_byPart;
+  struct Memory
+  {
+    /// The part used last comes first.
+    std::list<Entry> m_entries;
+    std::unordered_map<PromptPartId, std::list<Entry>::iterator> m_byPart;
+  };
+
+  [[nodiscard]] const Memory& MemoryOf(const PromptPartId& aPart) const;
+
+  Memory m_parts;
+  Memory m_requests;
 };
 
 } // namespace celeryspread
--- a/quarantine/suspect_part.cpp
+++ b/quarantine/suspect_part.cpp
@@ -1,6 +1,9 @@
 #include "quarantine/suspect_part.h"
 
 #include <algorithm>
+#include <array>
+
+#include "quarantine/request_namer.h"
 
 namespace celeryspread {
 
@@ -8,6 +11,17 @@
 
 constexpr Duration kInitialHoldTime = std::chrono::seconds(15);
 constexpr Duration kMaxHoldTime = std::chrono::hours(1);
+/// How long a request is held back before each of its trials. The same request
+/// may be sent for as long as its caller likes, so its trials nearly end.
+constexpr std::array kRequestHoldTimes = { Duration(std::chrono::seconds(15)),
+                                           Duration(std::chrono::minutes(1)),
+                                           Duration(std::chrono::hours(24)) };
+
+Duration RequestHoldTime(uint32_t aTrials)
+{
+  return kRequestHoldTimes[std::min<size_t>(aTrials,
+                                            kRequestHoldTimes.size() - 1)];
+}
 
 } // namespace
 
@@ -21,7 +35,10 @@
       : std::min(m_crashes - kFirstDoubling, kMaxDoublings);
   const Duration holdTime =
     std::min(kMaxHoldTime, kInitialHoldTime * (int64_t{ 1 } << doublings));
-  return std::max(m_lastCrashAt, m_trialAt.value_or(m_lastCrashAt)) + holdTime;
+  const TimePoint since =
+    std::max(m_lastCrashAt, m_trialAt.value_or(m_lastCrashAt));
+  return since + (RequestNamer::IsRequest(m_part) ? RequestHoldTime(m_trials)
+                                                  : holdTime);
 }
 
 } // namespace celeryspread
--- a/quarantine/suspect_part.h
+++ b/quarantine/suspect_part.h
@@ -7,7 +7,7 @@
 
 namespace celeryspread {
 
-/// What is known about a prompt part under which engines ended.
+/// What is known about a prompt part, or a request, under which engines ended.
 struct SuspectPart
 {
   PromptPartId m_part;
@@ -20,10 +20,13 @@
   std::optional<TimePoint> m_trialAt;
   /// Whether calls with the part are held back.
   bool m_isHeld = false;
+  /// Trial calls that were permitted since the part was held back.
+  uint32_t m_trials = 0;
 
   /// Returns when the next trial call may be sent. Each crash doubles the time
-  /// that the part is held back, so that an innocent part is soon free again
-  /// and a poisonous one costs few engines. @pre none. @thread any.
+  /// that a part is held back, so that an innocent part is soon free again
+  /// and a poisonous one costs few engines. A request gets few trials in all,
+  /// as it is known that no other one is like it. @pre none. @thread any.
   [[nodiscard]] TimePoint HeldUntil() const;
   /// Returns whether entries would treat both alike: to them it matters that
   /// there was a sound answer, not when. @pre none. @thread any.
--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -484,10 +484,12 @@
   , m_crashes(
       { m_clock, m_timers, m_table, m_quarantine, *this, m_metrics, m_log })
   , m_domain(aDomain)
-  , m_context{ m_clock,    m_timers,  *m_client, m_codec,   m_table,
-               m_selector, m_retries, m_prefill, m_control, m_control,
-               m_crashes,  *this,     m_access,  m_quota,   m_domain,
-               m_metrics,  m_log }
+  , m_context{ m_clock,    m_timers,   *m_client, m_codec,
+               m_table,    m_selector, m_retries, m_prefill,
+               m_control,  m_control,  m_crashes, *this,
+               m_access,   m_quota,    m_domain,  m_metrics,
+               m_log,      nullptr,    nullptr,   std::chrono::seconds(3),
+               &m_requests }
   , m_gateway(std::make_unique<Gateway>(m_context))
 {
   RouteConfigData data;
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -279,6 +279,7 @@
   CrashWatch m_crashes;
   PrefillEstimator m_prefill;
   AccessControl m_access{ {} };
+  const RequestNamer m_requests{ "key" };
   FakeQuotaGate m_quota;
   FailureDomainId m_domain;
   GatewayContext m_context;
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -261,6 +261,8 @@
   soundAgeMicros @3 :Int64;
   trialAgeMicros @4 :Int64;
   isHeld @5 :Bool;
+  # Trial calls that were permitted since it was held back.
+  trials @6 :UInt32;
 }
 
 struct SuspectCall {
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -562,7 +562,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9658daba4af7d143, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9658daba4af7d143, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4522,6 +4522,8 @@
 
   inline bool getIsHeld() const;
 
+  inline  ::uint32_t getTrials() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4572,6 +4574,9 @@
   inline bool getIsHeld();
   inline void setIsHeld(bool value);
 
+  inline  ::uint32_t getTrials();
+  inline void setTrials( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12657,6 +12662,20 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t SuspectPart::Reader::getTrials() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SuspectPart::Builder::getTrials() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setTrials( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SuspectCall::Reader::hasParts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/wire/crash_codec.cpp
+++ b/wire/crash_codec.cpp
@@ -42,6 +42,7 @@
   aOut.setSoundAgeMicros(AgeOf(aPart.m_soundAt, aNow));
   aOut.setTrialAgeMicros(AgeOf(aPart.m_trialAt, aNow));
   aOut.setIsHeld(aPart.m_isHeld);
+  aOut.setTrials(aPart.m_trials);
 }
 
 SuspectPart ReadSuspect(wire::SuspectPart::Reader aIn, TimePoint aNow)
@@ -51,7 +52,8 @@
            TimeOf(aIn.getLastCrashAgeMicros(), aNow),
            OptionalTimeOf(aIn.getSoundAgeMicros(), aNow),
            OptionalTimeOf(aIn.getTrialAgeMicros(), aNow),
-           aIn.getIsHeld() };
+           aIn.getIsHeld(),
+           aIn.getTrials() };
 }
 
 void WriteCalls(const std::vector<PromptParts>& aCalls,
