A document that entries are reading is not displaced by changes in series

Found by the test of the size to design for: 83 entries that follow one relay start to read a large document at different moments while a change comes each 200 ms. Each change displaced the oldest of the two former documents that were kept, the one whose readers were furthest; after 24 s of simulated time none of the 83 had finished (RouteSourceTest.EntriesOfADomainFinishReadingDuringChanges, 83 failures before).

The newest former document yields instead: its readers have read least, and join the current one. All 83 finish.

--- a/control/route_source.cpp
+++ b/control/route_source.cpp
@@ -1,6 +1,7 @@
 #include "control/route_source.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace celeryspread {
@@ -38,8 +39,10 @@
   if (m_readAt && aNow < *m_readAt + kReadMemory) {
     m_former[m_version] = { m_document, *m_readAt };
   }
+  // The older ones stay, as their readers are further. If each change displaced
+  // the oldest one, changes in series could keep every entry from finishing.
   while (m_former.size() > kMaxFormer) {
-    m_former.erase(m_former.begin());
+    m_former.erase(std::prev(m_former.end()));
   }
   m_version = aVersion;
   m_document = std::make_shared<const std::string>(std::move(aDocument));
