--- a/tests/quarantine/crash_investigation_size_test.cpp
+++ b/tests/quarantine/crash_investigation_size_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "quarantine/crash_investigation.h"
+#include "quarantine/request_namer.h"
 
 namespace celeryspread::test {
 
@@ -54,4 +55,36 @@
   EXPECT_TRUE(crashes.Suspects().contains(PromptPartId("b")));
 }
 
+// Guards against a list that grows with the number of different requests that
+// end engines, and against requests that displace the parts held back.
+TEST(CrashInvestigationSizeTest, ThousandsOfRequestsDisplaceNoPart)
+{
+  constexpr size_t kRequests = 1000;
+  constexpr size_t kMaxListed = 128;
+  const RequestNamer namer("key");
+  CrashInvestigation crashes;
+  TimePoint now{ std::chrono::seconds(1000) };
+  size_t engine = 0;
+  const auto crash = [&](const PromptParts& aParts) {
+    now += std::chrono::milliseconds(100);
+    crashes.RecordCrash(
+      { UpstreamId("e" + std::to_string(++engine)), now, {}, { aParts } }, now);
+    crashes.Tick(now);
+  };
+  const PromptPartId part("bad");
+  for (int i = 0; i < 4; ++i) {
+    crash({ part });
+  }
+  for (size_t i = 0; i < kRequests; ++i) {
+    const std::string target = "/status/" + std::to_string(i);
+    const PromptPartId name = namer.Name({ "GET", "host", target, "", "" });
+    for (int run = 0; run < 3; ++run) {
+      crash({ name });
+    }
+    ASSERT_LE(crashes.Suspects().size(), kMaxListed);
+  }
+  EXPECT_TRUE(crashes.Suspects().contains(part));
+  EXPECT_TRUE(crashes.Suspects().at(part).m_isHeld);
+}
+
 } // namespace celeryspread::test
