--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -44,8 +44,8 @@
   , m_routeFetch(
       aDeps.m_port,
       [this] { return LeaderLink(); },
-      [this](RouteDocument aDocument) {
-        m_routes.SetFetched(std::move(aDocument), m_deps.m_clock.Now());
+      [this](const RouteDocument& aDocument) {
+        m_routes.SetFetched(aDocument, m_deps.m_clock.Now());
       })
 {
 }
--- a/control/route_source.cpp
+++ b/control/route_source.cpp
@@ -22,10 +22,10 @@
   }
 }
 
-void RouteSource::SetFetched(RouteDocument aDocument, TimePoint aNow)
+void RouteSource::SetFetched(const RouteDocument& aDocument, TimePoint aNow)
 {
   if (aDocument.m_version > m_version) {
-    Serve(aDocument.m_version, std::move(aDocument.m_bytes), aNow);
+    Serve(aDocument.m_version, aDocument.m_bytes, aNow);
   }
 }
 
--- a/control/route_source.h
+++ b/control/route_source.h
@@ -29,7 +29,7 @@
   /// ignored.
   void SetReplicated(const RouteChange& aRoutes, TimePoint aNow);
   /// Records a document that was read from the owner. @pre none.
-  void SetFetched(RouteDocument aDocument, TimePoint aNow);
+  void SetFetched(const RouteDocument& aDocument, TimePoint aNow);
   /// Records that a version is proved to be committed. @pre none.
   void RecordProven(Revision aVersion, TimePoint aNow);
 
--- a/gateway/route_follower.cpp
+++ b/gateway/route_follower.cpp
@@ -28,7 +28,7 @@
   , m_listener(std::move(aListener))
   , m_fetch(aDependencies.m_port,
             std::move(aLinks),
-            [this](RouteDocument aDocument) {
+            [this](const RouteDocument& aDocument) {
               PutInForce(aDocument.m_version, aDocument.m_bytes);
             })
 {
--- a/wire/route_fetch.cpp
+++ b/wire/route_fetch.cpp
@@ -88,7 +88,7 @@
   auto document = m_assembly.Add(piece);
   if (document) {
     RecordReceived(document->m_version);
-    m_listener(std::move(*document));
+    m_listener(*document);
     return;
   }
   const bool hasProgress =
--- a/wire/route_fetch.h
+++ b/wire/route_fetch.h
@@ -16,7 +16,7 @@
 public:
   /// Returns the link to read from now, null for none.
   using LinkSource = std::function<WireLink*()>;
-  using Listener = std::function<void(RouteDocument)>;
+  using Listener = std::function<void(const RouteDocument&)>;
 
   /// Creates a fetch that is idle. @pre aPort outlives it; aListener may call
   /// Want().
