--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -251,8 +251,7 @@
 {
   AddControlLinks(aReply);
   const bool hasRoutes = m_routes.Apply(aReply, m_currentAddress, aSentAt);
-  KJ_REQUIRE(hasRoutes || !aReply.getIsLeader(), "the routes are outdated");
-  if (!hasRoutes || (!aReply.getIsLeader() && !aReply.getHasDirectory())) {
+  if (!aReply.getIsLeader() && !aReply.getHasDirectory()) {
     FollowOwner(aReply);
     return;
   }
@@ -274,6 +273,12 @@
     ApplyEngines(aReply);
     FollowRelay(aReply);
   }
+  // The engines of the answer are used all the same: no other instance may be
+  // in reach.
+  if (!hasRoutes) {
+    KJ_REQUIRE(!aReply.getIsLeader(), "the routes are outdated");
+    FollowOwner(aReply);
+  }
 }
 
 void DirectoryLink::ApplySuspects(wire::FollowReply::Reader aReply)
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -343,6 +343,24 @@
   EXPECT_TRUE(m_log.Has(EventId::RoutesOutdated));
 }
 
+// Guards against an entry that hears nothing of the engines any more because
+// the only instance in reach has outdated routes.
+TEST_F(DirectoryLinkTest, EnginesOfAnOutdatedRelayAreUsed)
+{
+  constexpr Duration kMaxAge = std::chrono::milliseconds(1500);
+  m_relayScript.m_offeredVersion = kProvenVersion - 1;
+  m_relayScript.m_proofAge = std::chrono::milliseconds(0);
+  m_ownerScript.m_failsFollows = true;
+  StartEntry();
+  ASSERT_TRUE(m_loop.RunUntil([this] { return m_link->HasDirectory(); }));
+  for (int i = 0; i < 6; ++i) {
+    m_loop.RunFor(std::chrono::milliseconds(700));
+    ASSERT_TRUE(m_link->ListAge());
+    EXPECT_LE(*m_link->ListAge(), kMaxAge);
+  }
+  EXPECT_TRUE(m_log.Has(EventId::RoutesOutdated));
+}
+
 // Guards against a document that is larger than what a slow link carries in the
 // time of one call: it was asked for again and again, and never arrived.
 TEST_F(DirectoryLinkTest, LargeDocumentArrivesOverASlowLink)
