--- a/quarantine/suspect_part.cpp
+++ b/quarantine/suspect_part.cpp
@@ -11,8 +11,9 @@
 
 constexpr Duration kInitialHoldTime = std::chrono::seconds(15);
 constexpr Duration kMaxHoldTime = std::chrono::hours(1);
-/// How long a request is held back before each of its trials. The same request
-/// may be sent for as long as its caller likes, so its trials nearly end.
+/// How long a request is held back before its first, second and each later
+/// trial. The same request may be sent for as long as its caller likes, so that
+/// the number of trials has to stay small.
 constexpr std::array kRequestHoldTimes = { Duration(std::chrono::seconds(15)),
                                            Duration(std::chrono::minutes(1)),
                                            Duration(std::chrono::hours(24)) };
--- a/quarantine/suspect_part.h
+++ b/quarantine/suspect_part.h
@@ -24,9 +24,9 @@
   uint32_t m_trials = 0;
 
   /// Returns when the next trial call may be sent. Each crash doubles the time
-  /// that a part is held back, so that an innocent part is soon free again
-  /// and a poisonous one costs few engines. A request gets few trials in all,
-  /// as it is known that no other one is like it. @pre none. @thread any.
+  /// that a part is held back, so that an innocent part is soon free again and
+  /// a poisonous one costs few engines. The time of a request grows with its
+  /// trials instead. @pre none. @thread any.
   [[nodiscard]] TimePoint HeldUntil() const;
   /// Returns whether entries would treat both alike: to them it matters that
   /// there was a sound answer, not when. @pre none. @thread any.
