Reading routes goes on after no control instance was in reach

Cause, by reading: without a link, ReadPiece threw before it returned a promise. The exception left ReadAll past its handler, or out of Want(), and m_isReading stayed set, so that the process never read a document again.

DirectoryLinkTest.ReadingGoesOnAfterNoInstanceWasInReach failed before: an exception out of Want(), and nothing read afterwards.

--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -384,6 +384,34 @@
   EXPECT_GT(m_relayScript.m_follows, follows + 10);
 }
 
+// Guards against an entry that never reads a document again, because no control
+// instance was in reach when the next piece was due.
+TEST_F(DirectoryLinkTest, ReadingGoesOnAfterNoInstanceWasInReach)
+{
+  m_ownerScript.m_offeredVersion = kProvenVersion;
+  m_ownerScript.m_document = std::string(20 * RouteAssembly::kPieceBytes, 'd');
+  m_ownerScript.m_routeBytesPerSecond = 40 * RouteAssembly::kPieceBytes;
+  WireLink link(
+    m_port, m_key, WireEndpoint{ kOwnerAddress, m_owner.Port() }, [](bool) {});
+  ASSERT_TRUE(m_loop.RunUntil([&] { return link.IsUp(); }));
+  bool isInReach = false;
+  size_t bytes = 0;
+  RouteFetch fetch(
+    m_port,
+    [&] { return isInReach ? &link : nullptr; },
+    [&](const RouteDocument& aDocument) { bytes = aDocument.m_bytes.size(); });
+  EXPECT_NO_THROW(fetch.Want(Revision(kProvenVersion)));
+  m_loop.RunFor(std::chrono::milliseconds(50));
+  isInReach = true;
+  m_loop.RunFor(std::chrono::milliseconds(300));
+  EXPECT_GE(m_ownerScript.m_pieces, 2U);
+  isInReach = false;
+  m_loop.RunFor(std::chrono::milliseconds(300));
+  isInReach = true;
+  m_loop.RunFor(std::chrono::milliseconds(2000));
+  EXPECT_EQ(bytes, m_ownerScript.m_document.size());
+}
+
 // Guards against a document of which nothing is kept when an instance stops
 // answering halfway.
 TEST_F(DirectoryLinkTest, DocumentGoesOnWhereAnotherInstanceStopped)
--- a/wire/route_fetch.cpp
+++ b/wire/route_fetch.cpp
@@ -47,7 +47,8 @@
 
 kj::Promise<void> RouteFetch::ReadAll()
 {
-  return ReadPiece()
+  // Exceptions before the call is sent must not end the loop either.
+  return kj::evalNow([this] { return ReadPiece(); })
     .catch_([this](kj::Exception&&) {
       return PromiseAfter(m_port.Base(), kRetryDelayMicros);
     })
