Tests of entries that are cut off while a request ends engines

Half of eight entries are cut off in turn after the request is held back, or from the beginning for 15 s.

--- a/tests/quarantine/poison_request_test.cpp
+++ b/tests/quarantine/poison_request_test.cpp
@@ -236,6 +236,51 @@
   EXPECT_LE(LateArrivals("/status/bad"), kToleratedArrivals);
 }
 
+// Guards against entries that forget what the owner listed while they are cut
+// off from it.
+TEST_F(PoisonRequestTest, StaysHeldBackAtEntriesThatAreCutOff)
+{
+  m_engines.m_poisonParts = { "/status/bad" };
+  const TimePoint end = m_time.Now() + seconds(70);
+  SendSound(milliseconds(40), end);
+  SendPoison("/status/bad", milliseconds(300), end);
+  m_time.RunFor(seconds(6));
+  for (size_t i = 0; i < 5; ++i) {
+    for (size_t entry = i % 2; entry < kEntries; entry += 2) {
+      m_entries[entry]->SetCutOff(true);
+    }
+    m_time.RunFor(seconds(9));
+    for (const auto& entry : m_entries) {
+      entry->SetCutOff(false);
+    }
+    m_time.RunFor(seconds(3));
+  }
+  EXPECT_GE(m_engines.CrashesUnder("/status/bad").size(), kToleratedCrashes);
+  EXPECT_LE(LateArrivals("/status/bad"), kToleratedArrivals);
+}
+
+// Entries that were cut off while engines ended may send the request until they
+// are in touch again, and no longer.
+TEST_F(PoisonRequestTest, EntriesThatWereCutOffHoldItBackOnceInTouch)
+{
+  m_engines.m_poisonParts = { "/status/bad" };
+  const TimePoint end = m_time.Now() + seconds(70);
+  for (size_t entry = 0; entry < kEntries; entry += 2) {
+    m_entries[entry]->SetCutOff(true);
+  }
+  SendSound(milliseconds(40), end);
+  SendPoison("/status/bad", milliseconds(300), end);
+  m_time.RunFor(seconds(15));
+  for (const auto& entry : m_entries) {
+    entry->SetCutOff(false);
+  }
+  const TimePoint inTouchAt = m_time.Now() + kContactTime;
+  m_time.RunFor(seconds(50));
+  EXPECT_GE(m_engines.CrashesUnder("/status/bad").size(), kToleratedCrashes);
+  EXPECT_LE(m_engines.ArrivalsAfter("/status/bad", inTouchAt),
+            kToleratedArrivals);
+}
+
 // What was held back by mistake, or whose cause was mended, is served again.
 TEST_F(PoisonRequestTest, MendedRequestIsServedAgain)
 {
