Log of an entry: from whom a configuration came and how old it was

E206 says that a version is in force, not from whom it came nor for how long a newer version had been known by then, so the logs could not tell an entry that is told late from one that reads for long. E213 says both for each version. No logic is changed.

--- a/gateway/route_follower.cpp
+++ b/gateway/route_follower.cpp
@@ -37,6 +37,12 @@
 void RouteFollower::PutInForce(Revision aVersion, const std::string& aDocument)
 {
   if (aVersion > m_freshness.Version()) {
+    const Duration lag = m_freshness.Lag(m_deps.m_clock.Now());
+    m_deps.m_log.Write(
+      EventId::RoutesReceived,
+      "version=" + std::to_string(aVersion.Value()) + " control=" + m_control +
+        " lag_ms=" + std::to_string(lag / kOneMs) +
+        " bytes=" + std::to_string(aDocument.size()));
     m_freshness.RecordInForce(aVersion, m_control, m_deps.m_clock.Now());
     m_fetch.RecordReceived(aVersion);
     m_listener(aVersion, aDocument);
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -36,6 +36,7 @@
   DirectoryOutdated = 210,
   RoutesOutdated = 211,
   ReplicaRoutesOutdated = 212,
+  RoutesReceived = 213,
   UpstreamEjected = 300,
   UpstreamReturned = 301,
   UpstreamLeaving = 302,
