Entry: judge an instance by what it lacks, not by how far the entry is behind

Seen by callers: calls run as only an older configuration allows (CONFIG). Cause: an instance counted as outdated if it offered less than the newest version heard of while the entry itself had lacked some version for a second. An entry that reads slowly during changes always lacks one, and any instance lacks the one that another has just named; so the entry left sound instances, the owner too, in the middle of documents, and fell further behind. Now an instance has to lack a version that was first heard of a second ago.

--- a/gateway/route_freshness.cpp
+++ b/gateway/route_freshness.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr size_t kMaxMissing = 32;
+constexpr size_t kMaxHeard = 32;
 
 } // namespace
 
@@ -34,6 +35,13 @@
   if (m_newest > m_version && m_missing.size() < kMaxMissing) {
     m_missing.emplace(m_newest, aNow);
   }
+  const bool isNews = m_heard.empty() || m_newest > m_heard.back().first;
+  if (isNews && m_heard.size() < kMaxHeard) {
+    m_heard.emplace_back(m_newest, aNow);
+  }
+  while (m_heard.size() > 1 && m_heard[1].second + kMaxLag <= aNow) {
+    m_heard.pop_front();
+  }
 }
 
 std::optional<Duration> RouteFreshness::TimeInForce(TimePoint aNow) const
@@ -51,7 +59,9 @@
                                         TimePoint aNow) const
 {
   const bool canTell = aStatement.m_offered != Revision();
-  return canTell && aStatement.m_offered < m_newest && Lag(aNow) >= kMaxLag;
+  const bool isOverdue =
+    !m_heard.empty() && m_heard.front().second + kMaxLag <= aNow;
+  return canTell && isOverdue && aStatement.m_offered < m_heard.front().first;
 }
 
 } // namespace celeryspread
--- a/gateway/route_freshness.h
+++ b/gateway/route_freshness.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -31,8 +33,8 @@
 class RouteFreshness
 {
 public:
-  /// A version that is this much older than the newest one heard of is overdue.
-  /// A relay's replica has the newest version within a fraction of it.
+  /// A version that was first heard of this long ago is overdue. A relay's
+  /// replica has the newest version within a fraction of it.
   static constexpr Duration kMaxLag = std::chrono::milliseconds(1000);
 
   /// Records that a version received from aControl is in force. @pre none; an
@@ -56,13 +58,17 @@
   /// known to exist; zero if none is. @pre none.
   [[nodiscard]] Duration Lag(TimePoint aNow) const;
   /// Returns whether the instance that made a statement lacks a version that is
-  /// overdue, so that another one has to be asked. @pre none.
+  /// overdue, so that another one has to be asked. How far the entry is behind
+  /// plays no part. @pre none.
   [[nodiscard]] bool IsInstanceOutdated(const RouteStatement& aStatement,
                                         TimePoint aNow) const;
 
 private:
   Revision m_version;
   Revision m_newest;
+  /// The newest versions heard of, in order, and when. The first one is the
+  /// newest that is overdue, once it is.
+  std::deque<std::pair<Revision, TimePoint>> m_heard;
   std::string m_source;
   std::optional<TimePoint> m_inForceSince;
   /// When each newer version than the one in force was first heard of. During
--- a/tests/gateway/route_freshness_test.cpp
+++ b/tests/gateway/route_freshness_test.cpp
@@ -34,6 +34,26 @@
   EXPECT_FALSE(freshness.IsInstanceOutdated(Statement(5, 5), At(kMaxLag)));
 }
 
+// Guards against entries that take their own lag for that of the instance: one
+// that reads slowly while changes come in quick succession always lacks some
+// version, and every instance lacks the one that another has just named.
+TEST(RouteFreshnessTest, LagOfTheEntryDoesNotMakeAnInstanceOutdated)
+{
+  constexpr Duration kPeriod = kMaxLag / 4;
+  RouteFreshness freshness;
+  freshness.RecordInForce(Revision(1), "relay", At({}));
+  for (uint64_t version = 2; version < 200; ++version) {
+    const TimePoint now = At(kPeriod * static_cast<int64_t>(version));
+    freshness.RecordStatement(Statement(version, version), now);
+    const RouteStatement behind = Statement(version - 1, version - 1);
+    freshness.RecordStatement(behind, now);
+    EXPECT_FALSE(freshness.IsInstanceOutdated(behind, now)) << version;
+  }
+  const TimePoint end = At(kPeriod * 199);
+  EXPECT_GT(freshness.Lag(end), kMaxLag);
+  EXPECT_TRUE(freshness.IsInstanceOutdated(Statement(190, 190), end));
+}
+
 // An instance of an earlier release does not say what it offers.
 TEST(RouteFreshnessTest, InstanceThatOffersNothingIsNotJudged)
 {
