Entry: a failed control instance keeps nobody from the relay nearby

Cause: after any failed follow call, of whichever instance, an entry did not follow the relay of its own failure domain for three seconds, and each further failure began the time anew. After a cut, entries read each piece of the document over 60 ms from another region, for 10 s after the links were back. Now an instance is avoided only for its own failures, and no longer once it has accepted a new connection.

--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -21,8 +21,6 @@
 /// old.
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
 constexpr Duration kAdapterTimeout = std::chrono::milliseconds(1500);
-/// Time for which the owner is followed after a relay failed.
-constexpr Duration kRelayRetryDelay = std::chrono::seconds(3);
 /// Delay before the next follow request after a failed one.
 constexpr int64_t kRetryDelayMicros = 100'000;
 /// A call waits this long for the owner to grant a request.
@@ -82,6 +80,9 @@
         m_deps.m_log.Write(aIsUp ? EventId::ControlLinkUp
                                  : EventId::ControlLinkLost,
                            "control=" + aAddress);
+        if (aIsUp) {
+          m_avoidance.RecordConnected(aAddress);
+        }
       });
   }
   return *link;
@@ -118,7 +119,7 @@
   return FollowOnce()
     .catch_([this](kj::Exception&& aException) {
       LogFollowFailure(aException.getDescription().cStr());
-      m_noRelayUntil = m_deps.m_clock.Now() + kRelayRetryDelay;
+      m_avoidance.RecordFailure(m_currentAddress, m_deps.m_clock.Now());
       SelectNextLink();
       return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
     })
@@ -307,7 +308,7 @@
 
 void DirectoryLink::FollowOwner(wire::FollowReply::Reader aReply)
 {
-  m_noRelayUntil = m_deps.m_clock.Now() + kRelayRetryDelay;
+  m_avoidance.RecordFailure(m_currentAddress, m_deps.m_clock.Now());
   const std::string leader = TextOf(aReply.getLeader().getAddress());
   KJ_REQUIRE(!leader.empty() && leader != m_currentAddress,
              "no leader is known there");
@@ -321,14 +322,12 @@
 
 void DirectoryLink::FollowRelay(wire::FollowReply::Reader aReply)
 {
-  if (m_deps.m_clock.Now() < m_noRelayUntil) {
-    return;
-  }
+  const TimePoint now = m_deps.m_clock.Now();
   for (const auto relay : aReply.getRelays()) {
     const std::string address = TextOf(relay.getAddress());
     if (TextOf(relay.getFailureDomain()) ==
           m_settings.m_failureDomain.Value() &&
-        LinkTo(address).IsUp()) {
+        !m_avoidance.IsAvoided(address, now) && LinkTo(address).IsUp()) {
       m_currentAddress = address;
       return;
     }
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -9,6 +9,7 @@
 
 #include "gateway/engine_table.h"
 #include "gateway/gateway_context.h"
+#include "gateway/instance_avoidance.h"
 #include "gateway/route_follower.h"
 #include "routes/call_demand.h"
 #include "settings/node_settings.h"
@@ -136,9 +137,8 @@
   std::string m_currentAddress;
   /// Address of the instance that owns the engines; empty while unknown.
   std::string m_ownerAddress;
-  /// Until then the owner is followed, because a relay did not answer, had no
-  /// recent directory or outdated routes.
-  TimePoint m_noRelayUntil;
+  /// Instances that did not answer, had no recent directory or outdated routes.
+  InstanceAvoidance m_avoidance;
   RouteFollower m_routes;
   /// Term of the leader that sent the directory, called epoch in messages.
   uint64_t m_directoryTerm = 0;
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -302,6 +302,25 @@
   EXPECT_NE(m_table.Find(UpstreamId("e1")), nullptr);
 }
 
+// Guards against entries that stay with a distant instance for seconds, because
+// a call to another one failed before.
+TEST_F(DirectoryLinkTest, FailureOfAnotherInstanceDoesNotKeepItFromItsRelay)
+{
+  constexpr auto kAtOnce = std::chrono::milliseconds(1000);
+  m_ownerScript.m_failsFollows = true;
+  ControlScript otherScript;
+  WireServer other(
+    m_port, m_key, kj::heap<FakeControlNode>(m_port, otherScript));
+  ASSERT_TRUE(other.Listen(kOtherAddress, m_owner.Port()));
+  StartEntry({ kOtherAddress });
+  ASSERT_TRUE(
+    m_loop.RunUntil([this] { return m_ownerScript.m_follows >= 1; }));
+  m_loop.RunFor(kAtOnce);
+  const size_t otherFollows = otherScript.m_follows;
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  EXPECT_EQ(otherScript.m_follows, otherFollows);
+}
+
 /// A relay that was cut off from the owner has no recent copy.
 TEST_F(DirectoryLinkTest, FollowsTheOwnerWhileTheRelayHasNoDirectory)
 {
