Entry: leave an instance whose proof of the configuration gets old

Cause: an entry stayed with a control instance that answered, whatever the age of its proof. A relay that still follows a former owner has a directory that this owner confirms and offers nothing newer, while a new owner elsewhere has committed changes. Now an instance without a proof younger than 1.5 s is left for the next one, once any instance has proved something.

--- a/gateway/route_follower.cpp
+++ b/gateway/route_follower.cpp
@@ -68,12 +68,13 @@
   }
   RouteStatement statement{ aControl,
                             Revision(aReply.getOfferedRouteVersion()),
-                            Revision() };
+                            Revision(),
+                            std::nullopt };
   m_fetch.Want(statement.m_offered);
   if (aReply.getRouteProofAgeMicros() >= 0) {
     statement.m_proven = Revision(aReply.getProvenRouteVersion());
-    m_deps.m_access.RecordProof(
-      statement.m_proven, aSentAt - Duration(aReply.getRouteProofAgeMicros()));
+    statement.m_provenAt = aSentAt - Duration(aReply.getRouteProofAgeMicros());
+    m_deps.m_access.RecordProof(statement.m_proven, *statement.m_provenAt);
   }
   m_freshness.RecordStatement(statement, now);
   LogLag(statement);
--- a/gateway/route_follower.h
+++ b/gateway/route_follower.h
@@ -41,7 +41,8 @@
 
   /// Takes what an answer of aControl to a request sent at aSentAt says about
   /// routes. @pre none. @return false if another instance has to be followed,
-  /// as this one lacks a version that is overdue.
+  /// as this one lacks a version that is overdue or has no recent proof, while
+  /// others had one.
   bool Apply(wire::FollowReply::Reader aReply,
              const std::string& aControl,
              TimePoint aSentAt);
--- a/gateway/route_freshness.cpp
+++ b/gateway/route_freshness.cpp
@@ -42,6 +42,10 @@
   while (m_heard.size() > 1 && m_heard[1].second + kMaxLag <= aNow) {
     m_heard.pop_front();
   }
+  if (aStatement.m_provenAt) {
+    m_lastProofAt = std::max(m_lastProofAt.value_or(*aStatement.m_provenAt),
+                             *aStatement.m_provenAt);
+  }
 }
 
 std::optional<Duration> RouteFreshness::TimeInForce(TimePoint aNow) const
@@ -58,6 +62,14 @@
 bool RouteFreshness::IsInstanceOutdated(const RouteStatement& aStatement,
                                         TimePoint aNow) const
 {
+  const auto isRecent = [&](TimePoint aProvenAt) {
+    return aNow <= aProvenAt + kMaxProofAge;
+  };
+  const bool hasRecentProof =
+    aStatement.m_provenAt && isRecent(*aStatement.m_provenAt);
+  if (m_lastProofAt && !isRecent(*m_lastProofAt) && !hasRecentProof) {
+    return true;
+  }
   const bool canTell = aStatement.m_offered != Revision();
   const bool isOverdue =
     !m_heard.empty() && m_heard.front().second + kMaxLag <= aNow;
--- a/gateway/route_freshness.h
+++ b/gateway/route_freshness.h
@@ -20,6 +20,8 @@
   Revision m_offered;
   /// The newest version that is proved to be committed; 0 for no proof.
   Revision m_proven;
+  /// When it was the newest; empty for no proof.
+  std::optional<TimePoint> m_provenAt;
 };
 
 /// Compares the route configuration that an entry obeys with what control
@@ -36,6 +38,8 @@
   /// A version that was first heard of this long ago is overdue. A relay's
   /// replica has the newest version within a fraction of it.
   static constexpr Duration kMaxLag = std::chrono::milliseconds(1000);
+  /// The proofs of an instance that is in touch with the owner are younger.
+  static constexpr Duration kMaxProofAge = std::chrono::milliseconds(1500);
 
   /// Records that a version received from aControl is in force. @pre none; an
   /// older version is ignored.
@@ -58,8 +62,9 @@
   /// known to exist; zero if none is. @pre none.
   [[nodiscard]] Duration Lag(TimePoint aNow) const;
   /// Returns whether the instance that made a statement lacks a version that is
-  /// overdue, so that another one has to be asked. How far the entry is behind
-  /// plays no part. @pre none.
+  /// overdue or has no recent proof, so that another one has to be asked. How
+  /// far the entry is behind plays no part. Proofs are expected only once some
+  /// instance gave one. @pre none.
   [[nodiscard]] bool IsInstanceOutdated(const RouteStatement& aStatement,
                                         TimePoint aNow) const;
 
@@ -69,6 +74,7 @@
   /// The newest versions heard of, in order, and when. The first one is the
   /// newest that is overdue, once it is.
   std::deque<std::pair<Revision, TimePoint>> m_heard;
+  std::optional<TimePoint> m_lastProofAt;
   std::string m_source;
   std::optional<TimePoint> m_inForceSince;
   /// When each newer version than the one in force was first heard of. During
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -362,6 +362,24 @@
   EXPECT_TRUE(m_log.Has(EventId::RoutesOutdated));
 }
 
+// Guards against an entry that stays with a former owner, or with a relay that
+// follows one, which others have replaced without its knowledge: it answers,
+// but proves nothing any more.
+TEST_F(DirectoryLinkTest, LeavesARelayWhoseProofGetsOld)
+{
+  constexpr Duration kApplyTime = std::chrono::milliseconds(3000);
+  for (ControlScript* script : { &m_ownerScript, &m_relayScript }) {
+    script->m_proofAge = std::chrono::milliseconds(0);
+    script->m_offeredVersion = kProvenVersion;
+  }
+  StartEntry();
+  ASSERT_TRUE(RunUntilFollowed(m_relayScript));
+  m_relayScript.m_proofAge = std::chrono::milliseconds(5000);
+  m_ownerScript.m_offeredVersion = kProvenVersion + 1;
+  m_loop.RunFor(kApplyTime);
+  EXPECT_EQ(m_routeVersion, Revision(kProvenVersion + 1));
+}
+
 // Guards against an entry that hears nothing of the engines any more because
 // the only instance in reach has outdated routes.
 TEST_F(DirectoryLinkTest, EnginesOfAnOutdatedRelayAreUsed)
--- a/tests/gateway/route_freshness_test.cpp
+++ b/tests/gateway/route_freshness_test.cpp
@@ -16,7 +16,7 @@
 
 RouteStatement Statement(uint64_t aOffered, uint64_t aProven)
 {
-  return { "control", Revision(aOffered), Revision(aProven) };
+  return { "control", Revision(aOffered), Revision(aProven), std::nullopt };
 }
 
 } // namespace
@@ -79,6 +79,24 @@
   EXPECT_EQ(freshness.Lag(At(kPeriod * 300)), Duration::zero());
 }
 
+// Guards against an entry that stays with an instance which follows a former
+// owner: its proof gets older, and nothing newer is heard of there.
+TEST(RouteFreshnessTest, InstanceWhoseProofGetsOldIsOutdated)
+{
+  constexpr Duration kMaxProofAge = RouteFreshness::kMaxProofAge;
+  const RouteStatement proven{ "relay", Revision(4), Revision(4), At({}) };
+  const RouteStatement unproven = Statement(4, 0);
+  RouteFreshness freshness;
+  freshness.RecordStatement(unproven, At({}));
+  EXPECT_FALSE(freshness.IsInstanceOutdated(unproven, At(4 * kMaxProofAge)));
+  freshness.RecordStatement(proven, At({}));
+  EXPECT_FALSE(freshness.IsInstanceOutdated(proven, At(kMaxProofAge)));
+  EXPECT_TRUE(freshness.IsInstanceOutdated(proven, At(kMaxProofAge + kOneMs)));
+  EXPECT_FALSE(freshness.IsInstanceOutdated(unproven, At(kMaxProofAge)));
+  EXPECT_TRUE(
+    freshness.IsInstanceOutdated(unproven, At(kMaxProofAge + kOneMs)));
+}
+
 TEST(RouteFreshnessTest, KnowsSinceWhenAndFromWhomAVersionIsInForce)
 {
   RouteFreshness freshness;
