Loops of the links go on whatever fails in a round

Cause: the loops by which entries follow control instances, report to the owner and fetch settings, and by which relays follow the owner, ended for good if a round threw before its promise existed, or the handler of a failure threw. An entry would then have obeyed one configuration for the rest of its life, without a line in its log. RepeatForever() runs each round so that any exception counts as a failed one.

No way was found to make a round of the former loops throw from outside, so it was not seen failing on them.

--- a/control/directory_relay.cpp
+++ b/control/directory_relay.cpp
@@ -7,6 +7,7 @@
 #include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
+#include "wire/retry_loop.h"
 
 namespace celeryspread {
 
@@ -32,7 +33,11 @@
   , m_domain(std::move(aDomain))
   , m_follow(nullptr)
 {
-  m_follow = FollowLoop().eagerlyEvaluate(nullptr);
+  m_follow = RepeatForever(m_deps.m_port,
+                           { [this] { return FollowOnce(); },
+                             [](const kj::Exception&) {},
+                             Duration(kRetryDelayMicros) })
+               .eagerlyEvaluate(nullptr);
 }
 
 const EngineDirectory* DirectoryRelay::Directory() const
@@ -48,15 +53,6 @@
   m_demand[aKey] += aDemand;
 }
 
-kj::Promise<void> DirectoryRelay::FollowLoop()
-{
-  return FollowOnce()
-    .catch_([this](kj::Exception&&) {
-      return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
-    })
-    .then([this] { return FollowLoop(); });
-}
-
 kj::Promise<void> DirectoryRelay::FollowOnce()
 {
   const ReplicaAddress* leader = m_deps.m_host.LeaderAddress();
--- a/control/directory_relay.h
+++ b/control/directory_relay.h
@@ -96,7 +96,6 @@
   void SetFollowerCount(uint32_t aCount) { m_followerCount = aCount; }
 
 private:
-  kj::Promise<void> FollowLoop();
   kj::Promise<void> FollowOnce();
   void WriteRequest(wire::FollowRequest::Builder aOut);
   void Apply(wire::FollowReply::Reader aReply);
--- a/entry/control_link.cpp
+++ b/entry/control_link.cpp
@@ -5,6 +5,7 @@
 #include "http/http_status.h"
 #include "wire/claim_codec.h"
 #include "wire/message_bytes.h"
+#include "wire/retry_loop.h"
 
 namespace celeryspread {
 
@@ -53,7 +54,15 @@
   for (const PeerAddress& peer : aSettings.m_control) {
     AddLink(peer);
   }
-  m_fetchLoop = FetchLoop().eagerlyEvaluate(nullptr);
+  m_fetchLoop = RepeatForever(m_port,
+                              { [this] { return FetchOnce(); },
+                                [this](const kj::Exception&) {
+                                  // The next attempt starts with another
+                                  // control instance.
+                                  ++m_preferredLink;
+                                },
+                                Duration(kRetryDelayMicros) })
+                  .eagerlyEvaluate(nullptr);
 }
 
 ControlLink::~ControlLink() noexcept = default;
@@ -83,17 +92,6 @@
   return nullptr;
 }
 
-kj::Promise<void> ControlLink::FetchLoop()
-{
-  return FetchOnce()
-    .catch_([this](kj::Exception&&) {
-      // The next attempt starts with another control instance.
-      ++m_preferredLink;
-      return PromiseAfter(m_port.Base(), kRetryDelayMicros);
-    })
-    .then([this] { return FetchLoop(); });
-}
-
 kj::Promise<void> ControlLink::FetchOnce()
 {
   WireLink* link = ConnectedLink();
--- a/entry/control_link.h
+++ b/entry/control_link.h
@@ -54,7 +54,6 @@
   /// null if there is none.
   WireLink* ConnectedLink();
   void AddLink(const PeerAddress& aPeer);
-  kj::Promise<void> FetchLoop();
   kj::Promise<void> FetchOnce();
   void HandleReply(wire::FetchReply::Reader aReply);
   bool UpdateTree(wire::FetchReply::Reader aReply);
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -6,6 +6,7 @@
 #include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
+#include "wire/retry_loop.h"
 
 namespace celeryspread {
 
@@ -55,8 +56,19 @@
   , m_report(nullptr)
 {
   SetSeeds(m_settings.m_seeds);
-  m_follow = FollowLoop().eagerlyEvaluate(nullptr);
-  m_report = ReportLoop().eagerlyEvaluate(nullptr);
+  m_follow =
+    RepeatForever(m_deps.m_port,
+                  { [this] { return FollowOnce(); },
+                    [this](const kj::Exception& aException) {
+                      HandleFollowFailure(aException);
+                    },
+                    Duration(kRetryDelayMicros) })
+      .eagerlyEvaluate(nullptr);
+  m_report = RepeatForever(m_deps.m_port,
+                           { [this] { return ReportOnce(); },
+                             [](const kj::Exception&) {},
+                             Duration(kRetryDelayMicros) })
+               .eagerlyEvaluate(nullptr);
 }
 
 DirectoryLink::~DirectoryLink() noexcept = default;
@@ -114,16 +126,11 @@
   }
 }
 
-kj::Promise<void> DirectoryLink::FollowLoop()
+void DirectoryLink::HandleFollowFailure(const kj::Exception& aException)
 {
-  return FollowOnce()
-    .catch_([this](kj::Exception&& aException) {
-      LogFollowFailure(aException.getDescription().cStr());
-      m_avoidance.RecordFailure(m_currentAddress, m_deps.m_clock.Now());
-      SelectNextLink();
-      return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
-    })
-    .then([this] { return FollowLoop(); });
+  LogFollowFailure(aException.getDescription().cStr());
+  m_avoidance.RecordFailure(m_currentAddress, m_deps.m_clock.Now());
+  SelectNextLink();
 }
 
 void DirectoryLink::LogFollowFailure(const std::string& aReason)
@@ -432,17 +439,11 @@
   return kj::mv(paf.promise);
 }
 
-kj::Promise<void> DirectoryLink::ReportLoop()
+kj::Promise<void> DirectoryLink::ReportOnce()
 {
   return WaitForReports()
     .then([this] { return SendReportsOnce(); })
-    .then([this](bool aIsSent) -> kj::Promise<void> {
-      if (aIsSent) {
-        return kj::READY_NOW;
-      }
-      return PromiseAfter(m_deps.m_port.Base(), kRetryDelayMicros);
-    })
-    .then([this] { return ReportLoop(); });
+    .then([](bool aIsSent) { KJ_REQUIRE(aIsSent, "the owner has no report"); });
 }
 
 kj::Promise<bool> DirectoryLink::SendReportsOnce()
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -102,8 +102,8 @@
   WireLink& LinkTo(const std::string& aAddress);
   WireLink* UsableLink();
   void SelectNextLink();
-  kj::Promise<void> FollowLoop();
   kj::Promise<void> FollowOnce();
+  void HandleFollowFailure(const kj::Exception& aException);
   void Apply(wire::FollowReply::Reader aReply, TimePoint aSentAt);
   void ApplyEngines(wire::FollowReply::Reader aReply);
   void ApplySuspects(wire::FollowReply::Reader aReply);
@@ -122,7 +122,8 @@
   void SendReports();
   /// Waits until there is something to report.
   kj::Promise<void> WaitForReports();
-  kj::Promise<void> ReportLoop();
+  /// Sends reports once there are some; fails unless the owner has them now.
+  kj::Promise<void> ReportOnce();
   /// @return whether the owner has the reports now.
   kj::Promise<bool> SendReportsOnce();
   /// Returns what the owner does not know yet.
