Entry: a document counts as received once it is in force

Cause: a document was recorded as received, and as the version in force, before the listener had checked and indexed it. If that threw, the document was never asked for again, and logs and gauges named it as the one in force. Now the listener says whether it is in force; a document that is not is read again after a second, without being sent with each follow call.

Evidence: DirectoryLinkTest.DocumentThatFailedOnceIsPutInForceLater failed on, for a document in the answer and for one in pieces.

--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -46,6 +46,7 @@
       [this] { return LeaderLink(); },
       [this](const RouteDocument& aDocument) {
         m_routes.SetFetched(aDocument, m_deps.m_clock.Now());
+        return true;
       })
 {
 }
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -96,7 +96,7 @@
         ClusterKey(kDefaultClusterKey),
         m_settings,
         [this](Revision, const std::string& aDocument) {
-          ApplyDocument(aDocument);
+          return ApplyDocument(aDocument);
         })
     , m_quota({ m_clock, m_timers, m_metrics },
               m_settings.m_instance,
@@ -269,17 +269,19 @@
     }
   }
 
-  void ApplyDocument(const std::string& aDocument)
+  /// Puts a document in force. @return whether it is.
+  bool ApplyDocument(const std::string& aDocument)
   {
     std::string reason;
     auto config = m_platform.m_documentReader->Read(aDocument, reason);
     if (config == nullptr) {
       m_log.Write(EventId::RoutesRefused, "reason=\"" + reason + "\"");
-      return;
+      return false;
     }
     m_callServer.SetLimits(ServerLimits(config->Limits()));
     m_quota.SetTeams(config->Teams());
     m_gateway.SetConfig(std::move(config));
+    return true;
   }
 
   static void OnTerminate(int /*aSignal*/, short /*aWhat*/, void* aSelf)
--- a/gateway/route_follower.cpp
+++ b/gateway/route_follower.cpp
@@ -29,24 +29,24 @@
   , m_fetch(aDependencies.m_port,
             std::move(aLinks),
             [this](const RouteDocument& aDocument) {
-              PutInForce(aDocument.m_version, aDocument.m_bytes);
+              return PutInForce(aDocument);
             })
 {
 }
 
-void RouteFollower::PutInForce(Revision aVersion, const std::string& aDocument)
+bool RouteFollower::PutInForce(const RouteDocument& aDocument)
 {
-  if (aVersion > m_freshness.Version()) {
-    const Duration lag = m_freshness.Lag(m_deps.m_clock.Now());
-    m_deps.m_log.Write(
-      EventId::RoutesReceived,
-      "version=" + std::to_string(aVersion.Value()) + " control=" + m_control +
-        " lag_ms=" + std::to_string(lag / kOneMs) +
-        " bytes=" + std::to_string(aDocument.size()));
-    m_freshness.RecordInForce(aVersion, m_control, m_deps.m_clock.Now());
-    m_fetch.RecordReceived(aVersion);
-    m_listener(aVersion, aDocument);
+  if (!m_listener(aDocument.m_version, aDocument.m_bytes)) {
+    return false;
   }
+  const TimePoint now = m_deps.m_clock.Now();
+  m_deps.m_log.Write(EventId::RoutesReceived,
+                     "version=" + std::to_string(aDocument.m_version.Value()) +
+                       " control=" + m_control + " lag_ms=" +
+                       std::to_string(m_freshness.Lag(now) / kOneMs) +
+                       " bytes=" + std::to_string(aDocument.m_bytes.size()));
+  m_freshness.RecordInForce(aDocument.m_version, m_control, now);
+  return true;
 }
 
 void RouteFollower::WriteRequest(wire::FollowRequest::Builder aOut) const
@@ -63,8 +63,8 @@
   const TimePoint now = m_deps.m_clock.Now();
   m_control = aControl;
   if (aReply.hasRoutes()) {
-    PutInForce(Revision(aReply.getRoutes().getVersion()),
-               BytesOf(aReply.getRoutes().getDocument()));
+    m_fetch.Receive({ Revision(aReply.getRoutes().getVersion()),
+                      BytesOf(aReply.getRoutes().getDocument()) });
   }
   RouteStatement statement{ aControl,
                             Revision(aReply.getOfferedRouteVersion()),
--- a/gateway/route_follower.h
+++ b/gateway/route_follower.h
@@ -19,10 +19,10 @@
 class RouteFollower
 {
 public:
-  /// Called with the operator's document when a newer route configuration
-  /// arrives.
+  /// Puts the operator's document in force when a newer route configuration
+  /// arrives. @return whether it is in force; otherwise it is read again.
   using Listener =
-    std::function<void(Revision aVersion, const std::string& aDocument)>;
+    std::function<bool(Revision aVersion, const std::string& aDocument)>;
 
   /// Objects that the follower uses. All of them outlive it.
   struct Dependencies
@@ -52,7 +52,7 @@
   void WriteGauges(Metrics& aMetrics) const;
 
 private:
-  void PutInForce(Revision aVersion, const std::string& aDocument);
+  bool PutInForce(const RouteDocument& aDocument);
   /// Logs that an overdue version has not arrived yet.
   void LogLag(const RouteStatement& aStatement);
 
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -243,8 +243,11 @@
       m_key,
       settings,
       [this](Revision aVersion, const std::string& aDocument) {
+        KJ_REQUIRE(m_failingDocuments == 0 || m_failingDocuments-- == 0,
+                   "scripted failure");
         m_routeVersion = aVersion;
         m_document = aDocument;
+        return true;
       });
   }
   /// Runs until an instance has answered two more follow calls.
@@ -287,6 +290,8 @@
   PartQuarantine m_quarantine;
   AccessControl m_access{ {} };
   std::unique_ptr<DirectoryLink> m_link;
+  /// Documents that can't be put in force before one can.
+  size_t m_failingDocuments = 0;
   /// What the entry received last.
   Revision m_routeVersion;
   std::string m_document;
@@ -362,6 +367,26 @@
   EXPECT_TRUE(m_log.Has(EventId::RoutesOutdated));
 }
 
+// Guards against an entry that obeys an older configuration for good, because
+// the newer document failed once on its way into the table.
+TEST_F(DirectoryLinkTest, DocumentThatFailedOnceIsPutInForceLater)
+{
+  constexpr Duration kApplyTime = std::chrono::milliseconds(3000);
+  constexpr size_t kSizes[] = { 100, 3 * RouteAssembly::kPieceBytes };
+  for (const size_t bytes : kSizes) {
+    m_ownerScript.m_document = std::string(bytes, 'd');
+    m_relayScript.m_document = m_ownerScript.m_document;
+    m_ownerScript.m_offeredVersion = kProvenVersion;
+    m_relayScript.m_offeredVersion = kProvenVersion;
+    m_routeVersion = Revision();
+    m_failingDocuments = 1;
+    StartEntry();
+    m_loop.RunFor(kApplyTime);
+    EXPECT_EQ(m_routeVersion, Revision(kProvenVersion)) << bytes;
+    m_link.reset();
+  }
+}
+
 // Guards against an entry that stays with a former owner, or with a relay that
 // follows one, which others have replaced without its knowledge: it answers,
 // but proves nothing any more.
@@ -436,7 +461,10 @@
   RouteFetch fetch(
     m_port,
     [&] { return isInReach ? &link : nullptr; },
-    [&](const RouteDocument& aDocument) { bytes = aDocument.m_bytes.size(); });
+    [&](const RouteDocument& aDocument) {
+      bytes = aDocument.m_bytes.size();
+      return true;
+    });
   EXPECT_NO_THROW(fetch.Want(Revision(kProvenVersion)));
   m_loop.RunFor(std::chrono::milliseconds(50));
   isInReach = true;
--- a/wire/route_fetch.cpp
+++ b/wire/route_fetch.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kPieceTimeout = std::chrono::milliseconds(1400);
 /// Delay before the next call after a failed one.
 constexpr int64_t kRetryDelayMicros = 100'000;
+/// Delay before a document is read again that could not be put in force.
+constexpr int64_t kRefusedDelayMicros = 1'000'000;
 
 } // namespace
 
@@ -45,10 +47,31 @@
   }
 }
 
+void RouteFetch::Receive(const RouteDocument& aDocument)
+{
+  if (aDocument.m_version > m_received && !Accept(aDocument)) {
+    Want(aDocument.m_version);
+  }
+}
+
+bool RouteFetch::Accept(const RouteDocument& aDocument)
+{
+  bool isInForce = false;
+  kj::runCatchingExceptions([&] { isInForce = m_listener(aDocument); });
+  m_wasRefused = !isInForce;
+  if (isInForce) {
+    RecordReceived(aDocument.m_version);
+  }
+  return isInForce;
+}
+
 kj::Promise<void> RouteFetch::ReadAll()
 {
+  const bool isRetry = std::exchange(m_wasRefused, false);
+  auto begin = isRetry ? PromiseAfter(m_port.Base(), kRefusedDelayMicros)
+                       : kj::Promise<void>(kj::READY_NOW);
   // Exceptions before the call is sent must not end the loop either.
-  return kj::evalNow([this] { return ReadPiece(); })
+  return begin.then([this] { return ReadPiece(); })
     .catch_([this](kj::Exception&&) {
       return PromiseAfter(m_port.Base(), kRetryDelayMicros);
     })
@@ -63,6 +86,9 @@
 
 kj::Promise<void> RouteFetch::ReadPiece()
 {
+  if (m_received >= m_wanted) {
+    return kj::READY_NOW;
+  }
   WireLink* link = m_links();
   KJ_REQUIRE(link != nullptr, "no control instance can be asked");
   auto call = link->Node().readRoutesRequest();
@@ -88,8 +114,7 @@
   const Revision versionBefore = m_assembly.Version();
   auto document = m_assembly.Add(piece);
   if (document) {
-    RecordReceived(document->m_version);
-    m_listener(*document);
+    KJ_REQUIRE(Accept(*document), "the document can't be put in force");
     return;
   }
   const bool hasProgress =
--- a/wire/route_fetch.h
+++ b/wire/route_fetch.h
@@ -16,7 +16,9 @@
 public:
   /// Returns the link to read from now, null for none.
   using LinkSource = std::function<WireLink*()>;
-  using Listener = std::function<void(const RouteDocument&)>;
+  /// Puts a document in force. @return false if it can't be; it is read again
+  /// after a while. An exception counts as false.
+  using Listener = std::function<bool(const RouteDocument&)>;
 
   /// Creates a fetch that is idle. @pre aPort outlives it; aListener may call
   /// Want().
@@ -27,6 +29,9 @@
   /// read is completed first, as newer ones may follow faster than they can be
   /// read. @pre none; does nothing if such a document was asked for before.
   void Want(Revision aVersion);
+  /// Takes a document that arrived in another way. @pre none; an older one is
+  /// ignored.
+  void Receive(const RouteDocument& aDocument);
   /// Records that a document arrived in another way, so that older ones are not
   /// needed. @pre none.
   void RecordReceived(Revision aVersion);
@@ -37,6 +42,8 @@
   kj::Promise<void> ReadAll();
   kj::Promise<void> ReadPiece();
   void Apply(wire::RoutePiece::Reader aPiece);
+  /// Puts a document in force. @return whether it is.
+  bool Accept(const RouteDocument& aDocument);
 
   EventLoopPort& m_port;
   LinkSource m_links;
@@ -44,6 +51,8 @@
   RouteAssembly m_assembly;
   Revision m_wanted;
   Revision m_received;
+  /// Whether the last document could not be put in force.
+  bool m_wasRefused = false;
   bool m_isReading = false;
   kj::Promise<void> m_reading;
 };
