Route documents are sent as their difference to the one that the entry has

Seen by callers: calls run as only an older configuration allows (CONFIG). Cause: a document was sent whole for each change, above 32 KB in pieces of a round trip each. The time from a change until it is in force grew with the number of routes; where it exceeded the time between changes, an entry that had fallen behind stayed so. Besides, an instance kept two former documents for their readers and dropped the newest of them, so two slow readers made all others begin anew at each change.

Now a document is compressed (libzstd) against the one that the entry has, as long as the instance still keeps that one among the newest 32 (or 32 MB), else by itself. Pieces remain for larger ones. Which documents are kept no longer depends on who reads them. The bytes are the same everywhere, so reading goes on at another instance; a checksum shows a wrong base, and then the whole document is read. Entries and instances of the former release exchange documents as before.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -381,7 +381,9 @@
 {
   KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
   const auto params = aContext.getParams();
-  m_fleet->ReadRoutes(Revision(params.getVersion()),
+  m_fleet->ReadRoutes({ Revision(params.getVersion()),
+                        Revision(params.getBase()),
+                        params.getIsEncoded() },
                       params.getOffset(),
                       aContext.getResults().initPiece());
   return kj::READY_NOW;
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -44,8 +44,8 @@
   , m_routeFetch(
       aDeps.m_port,
       [this] { return LeaderLink(); },
-      [this](const RouteDocument& aDocument) {
-        m_routes.SetFetched(aDocument, m_deps.m_clock.Now());
+      [this](const RouteArrival& aArrival) {
+        m_routes.SetFetched(aArrival.m_document);
         return true;
       })
 {
@@ -72,14 +72,15 @@
   }
 }
 
-void FleetService::ReadRoutes(Revision aVersion,
+void FleetService::ReadRoutes(const RouteTransfer& aTransfer,
                               uint64_t aOffset,
                               wire::RoutePiece::Builder aOut)
 {
   KJ_REQUIRE(m_routes.Version() != Revision(), "no routes are known yet");
-  const RoutePiece piece =
-    m_routes.Read(aVersion, aOffset, m_deps.m_clock.Now());
-  aOut.setVersion(piece.m_version.Value());
+  const RoutePiece piece = m_routes.Read(aTransfer, aOffset);
+  aOut.setVersion(piece.m_transfer.m_version.Value());
+  aOut.setBase(piece.m_transfer.m_base.Value());
+  aOut.setIsEncoded(piece.m_transfer.m_isEncoded);
   aOut.setTotalBytes(piece.m_totalBytes);
   aOut.setOffset(piece.m_offset);
   aOut.setBytes(DataOf(piece.m_bytes));
@@ -92,8 +93,8 @@
     return;
   }
   m_appliedRouteVersion = routes.m_version;
-  m_routes.SetReplicated(routes, m_deps.m_clock.Now());
-  m_routeFetch.RecordReceived(routes.m_version);
+  m_routes.SetReplicated(routes);
+  m_routeFetch.RecordHeld(m_routes.Version(), m_routes.Document());
   std::string reason;
   auto config = m_deps.m_reader.Read(routes.m_document, reason);
   if (config == nullptr) {
@@ -274,6 +275,8 @@
 {
   RecordReport(aRequest);
   const FollowState state{ Revision(aRequest.getRouteVersion()),
+                           Revision(aRequest.getRouteBase()),
+                           aRequest.getAcceptsEncodedRoutes(),
                            aRequest.getMaxRouteBytes(),
                            aRequest.getEpoch(),
                            aRequest.getDirectoryVersion(),
@@ -407,15 +410,25 @@
 }
 
 void FleetService::WriteRoutes(const FollowState& aState,
-                               wire::FollowReply::Builder aOut) const
+                               wire::FollowReply::Builder aOut)
 {
   aOut.setOfferedRouteVersion(m_routes.Version().Value());
+  if (m_routes.Version() <= aState.m_routeVersion) {
+    return;
+  }
+  const RouteSource::Content content =
+    aState.m_acceptsEncodedRoutes
+      ? m_routes.Encode(aState.m_routeBase)
+      : RouteSource::Content{ { m_routes.Version(), Revision(), false },
+                              m_routes.Document() };
   const bool fits = aState.m_maxRouteBytes == 0 ||
-                    m_routes.Document().size() <= aState.m_maxRouteBytes;
-  if (m_routes.Version() > aState.m_routeVersion && fits) {
+                    content.m_bytes->size() <= aState.m_maxRouteBytes;
+  if (fits) {
     auto out = aOut.initRoutes();
-    out.setVersion(m_routes.Version().Value());
-    out.setDocument(DataOf(m_routes.Document()));
+    out.setVersion(content.m_transfer.m_version.Value());
+    out.setDocument(DataOf(*content.m_bytes));
+    aOut.setRoutesEncoded(content.m_transfer.m_isEncoded);
+    aOut.setRoutesBase(content.m_transfer.m_base.Value());
   }
 }
 
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -51,7 +51,7 @@
     const std::function<wire::FollowReply::Builder()>& aReply);
   /// Writes a piece of a route document. @pre none. @error throws if this
   /// instance has no document.
-  void ReadRoutes(Revision aVersion,
+  void ReadRoutes(const RouteTransfer& aTransfer,
                   uint64_t aOffset,
                   wire::RoutePiece::Builder aOut);
   /// Has an adapter loaded. @pre none. @return the engine that holds it, empty
@@ -81,6 +81,9 @@
   struct FollowState
   {
     Revision m_routeVersion;
+    /// Version that newer documents may be compressed against, 0 for none.
+    Revision m_routeBase;
+    bool m_acceptsEncodedRoutes = false;
     /// Largest document that an answer may carry, 0 for any.
     uint32_t m_maxRouteBytes = 0;
     /// Term whose owner sent the directory version.
@@ -141,8 +144,7 @@
   /// Passes on what an entry or a relay reports.
   void RecordReport(wire::FollowRequest::Reader aRequest);
   /// Writes the routes that the sender of a follow call lacks.
-  void WriteRoutes(const FollowState& aState,
-                   wire::FollowReply::Builder aOut) const;
+  void WriteRoutes(const FollowState& aState, wire::FollowReply::Builder aOut);
   /// Writes which route version is the newest, if this instance can prove it.
   void WriteRouteProof(wire::FollowReply::Builder aOut) const;
   void WriteRelays(wire::FollowReply::Builder aOut) const;
--- a/control/route_source.cpp
+++ b/control/route_source.cpp
@@ -1,52 +1,54 @@
 #include "control/route_source.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
+#include "wire/route_encoding.h"
+
 namespace celeryspread {
 
 namespace {
 
-/// A former document is kept for this long after the last piece was read.
-constexpr Duration kReadMemory = std::chrono::seconds(3);
-/// Former documents that are kept, each of up to a few megabytes.
-constexpr size_t kMaxFormer = 2;
+/// Documents beyond this are dropped, but for the newest two. @unit bytes.
+constexpr size_t kMaxDocumentBytes = 33'554'432;
+constexpr size_t kMinDocuments = 2;
 
 } // namespace
 
-void RouteSource::SetReplicated(const RouteChange& aRoutes, TimePoint aNow)
+void RouteSource::SetReplicated(const RouteChange& aRoutes)
 {
   if (aRoutes.m_version > m_version) {
-    Serve(aRoutes.m_version, aRoutes.m_document, aNow);
+    Serve(aRoutes.m_version, aRoutes.m_document);
   }
 }
 
-void RouteSource::SetFetched(const RouteDocument& aDocument, TimePoint aNow)
+void RouteSource::SetFetched(const RouteDocument& aDocument)
 {
   if (aDocument.m_version > m_version) {
-    Serve(aDocument.m_version, aDocument.m_bytes, aNow);
+    Serve(aDocument.m_version, aDocument.m_bytes);
   }
 }
 
-void RouteSource::Serve(Revision aVersion,
-                        std::string aDocument,
-                        TimePoint aNow)
+void RouteSource::Serve(Revision aVersion, std::string aDocument)
 {
-  std::erase_if(m_former, [&](const auto& aFormer) {
-    return aFormer.second.m_readAt + kReadMemory < aNow;
-  });
-  if (m_readAt && aNow < *m_readAt + kReadMemory) {
-    m_former[m_version] = { m_document, *m_readAt };
-  }
-  // The older ones stay, as their readers are further. If each change displaced
-  // the oldest one, changes in series could keep every entry from finishing.
-  while (m_former.size() > kMaxFormer) {
-    m_former.erase(std::prev(m_former.end()));
-  }
   m_version = aVersion;
   m_document = std::make_shared<const std::string>(std::move(aDocument));
-  m_readAt.reset();
+  m_documents.emplace(aVersion, m_document);
+  m_documentBytes += m_document->size();
+  // Which entries still read a document plays no part: a slow reader must not
+  // take the place of one that others read.
+  while (m_documents.size() > kMaxDocuments ||
+         (m_documentBytes > kMaxDocumentBytes &&
+          m_documents.size() > kMinDocuments)) {
+    m_documentBytes -= m_documents.begin()->second->size();
+    m_documents.erase(m_documents.begin());
+  }
+  std::erase_if(m_encoded, [this](const auto& aEncoded) {
+    const RouteTransfer& transfer = aEncoded.first;
+    return !m_documents.contains(transfer.m_version) ||
+           (transfer.m_base != Revision() &&
+            !m_documents.contains(transfer.m_base));
+  });
   if (m_version >= m_proven) {
     m_behindSince.reset();
   }
@@ -65,25 +67,52 @@
   return m_behindSince ? aNow - *m_behindSince : Duration::zero();
 }
 
-RoutePiece RouteSource::Read(Revision aVersion,
-                             uint64_t aOffset,
-                             TimePoint aNow)
+std::shared_ptr<const std::string> RouteSource::BytesOf(
+  const RouteTransfer& aTransfer)
+{
+  const auto document = m_documents.find(aTransfer.m_version);
+  const auto base = m_documents.find(aTransfer.m_base);
+  const bool hasBase = aTransfer.m_base != Revision();
+  if (document == m_documents.end() ||
+      (hasBase && base == m_documents.end())) {
+    return nullptr;
+  }
+  if (!aTransfer.m_isEncoded) {
+    return hasBase ? nullptr : document->second;
+  }
+  auto& encoded = m_encoded[aTransfer];
+  if (encoded == nullptr) {
+    encoded = std::make_shared<const std::string>(EncodeRoutes(
+      *document->second, hasBase ? *base->second : std::string()));
+  }
+  return encoded;
+}
+
+RouteSource::Content RouteSource::Encode(Revision aBase)
+{
+  const bool hasBase = aBase < m_version && m_documents.contains(aBase);
+  const RouteTransfer transfer{ m_version,
+                                hasBase ? aBase : Revision(),
+                                true };
+  return { transfer, BytesOf(transfer) };
+}
+
+RoutePiece RouteSource::Read(const RouteTransfer& aTransfer, uint64_t aOffset)
 {
-  const auto former = m_former.find(aVersion);
-  const bool isFormer = former != m_former.end();
-  if (isFormer) {
-    former->second.m_readAt = aNow;
-  } else {
-    m_readAt = aNow;
+  Content content{ aTransfer, BytesOf(aTransfer) };
+  uint64_t offset = aOffset;
+  if (content.m_bytes == nullptr) {
+    content = aTransfer.m_isEncoded
+                ? Encode(aTransfer.m_base)
+                : Content{ { m_version, Revision(), false }, m_document };
+    offset = 0;
   }
-  const std::string& bytes = isFormer ? *former->second.m_bytes : *m_document;
-  const Revision version = isFormer ? aVersion : m_version;
-  const uint64_t offset =
-    version == aVersion ? std::min<uint64_t>(aOffset, bytes.size()) : 0;
-  return { version,
+  const std::string_view bytes(*content.m_bytes);
+  offset = std::min<uint64_t>(offset, bytes.size());
+  return { content.m_transfer,
            bytes.size(),
            offset,
-           std::string_view(bytes).substr(offset, RouteAssembly::kPieceBytes) };
+           bytes.substr(offset, RouteAssembly::kPieceBytes) };
 }
 
 } // namespace celeryspread
--- a/control/route_source.h
+++ b/control/route_source.h
@@ -12,7 +12,8 @@
 namespace celeryspread {
 
 /// The route documents that a control instance serves to entries: the newest of
-/// those that its replica has and those that it has read from the owner.
+/// those that its replica has and those that it has read from the owner, and
+/// some former ones, against which newer ones are compressed.
 ///
 /// A replica may lag behind what the owner proves, or take no part for a time,
 /// as when its disk is full. The instance then reads the document from the
@@ -24,12 +25,21 @@
   /// The replica usually has a committed version within this time after the
   /// owner has proved it.
   static constexpr Duration kMaxReplicaLag = std::chrono::milliseconds(300);
+  /// Documents that are kept, the one served included.
+  static constexpr size_t kMaxDocuments = 32;
+
+  /// Bytes that are sent for a document, and what they are.
+  struct Content
+  {
+    RouteTransfer m_transfer;
+    std::shared_ptr<const std::string> m_bytes;
+  };
 
   /// Records the document that the replica has. @pre none; an older one is
   /// ignored.
-  void SetReplicated(const RouteChange& aRoutes, TimePoint aNow);
+  void SetReplicated(const RouteChange& aRoutes);
   /// Records a document that was read from the owner. @pre none.
-  void SetFetched(const RouteDocument& aDocument, TimePoint aNow);
+  void SetFetched(const RouteDocument& aDocument);
   /// Records that a version is proved to be committed. @pre none.
   void RecordProven(Revision aVersion, TimePoint aNow);
 
@@ -38,7 +48,10 @@
   /// Returns the newest version that was proved. @pre none.
   [[nodiscard]] Revision Proven() const { return m_proven; }
   /// Returns the document served. @pre none.
-  [[nodiscard]] const std::string& Document() const { return *m_document; }
+  [[nodiscard]] const std::shared_ptr<const std::string>& Document() const
+  {
+    return m_document;
+  }
   /// Returns the time for which a newer version than the one served has been
   /// proved; zero if none is. @pre none.
   [[nodiscard]] Duration Lag(TimePoint aNow) const;
@@ -47,29 +60,29 @@
   {
     return Lag(aNow) >= kMaxReplicaLag;
   }
-  /// Returns a piece of a document. If the version is not kept, the piece is
-  /// the first one of the document served. @pre Version() is not 0; the piece
-  /// is valid until the next call of another method.
-  [[nodiscard]] RoutePiece Read(Revision aVersion,
-                                uint64_t aOffset,
-                                TimePoint aNow);
+  /// Returns the document served as it is sent to an entry that has aBase, 0
+  /// for no document. @pre none.
+  [[nodiscard]] Content Encode(Revision aBase);
+  /// Returns a piece of a transfer. If it can't be continued here, the piece is
+  /// the first one of the document served, for an entry that has the same base.
+  /// @pre Version() is not 0; the piece is valid until the next call of another
+  /// method.
+  [[nodiscard]] RoutePiece Read(const RouteTransfer& aTransfer,
+                                uint64_t aOffset);
 
 private:
-  /// A former document that some entry is still reading.
-  struct FormerDocument
-  {
-    std::shared_ptr<const std::string> m_bytes;
-    TimePoint m_readAt;
-  };
-
-  void Serve(Revision aVersion, std::string aDocument, TimePoint aNow);
+  void Serve(Revision aVersion, std::string aDocument);
+  /// Returns the bytes of a transfer; null if its document or base is not kept.
+  std::shared_ptr<const std::string> BytesOf(const RouteTransfer& aTransfer);
 
   Revision m_version;
   std::shared_ptr<const std::string> m_document =
     std::make_shared<const std::string>();
-  /// When the document served was last read in pieces.
-  std::optional<TimePoint> m_readAt;
-  std::map<Revision, FormerDocument> m_former;
+  /// The newest documents, the one served included.
+  std::map<Revision, std::shared_ptr<const std::string>> m_documents;
+  size_t m_documentBytes = 0;
+  /// Compressed documents of which both documents are kept.
+  std::map<RouteTransfer, std::shared_ptr<const std::string>> m_encoded;
   Revision m_proven;
   std::optional<TimePoint> m_behindSince;
 };
--- a/gateway/route_follower.cpp
+++ b/gateway/route_follower.cpp
@@ -28,24 +28,28 @@
   , m_listener(std::move(aListener))
   , m_fetch(aDependencies.m_port,
             std::move(aLinks),
-            [this](const RouteDocument& aDocument) {
-              return PutInForce(aDocument);
+            [this](const RouteArrival& aArrival) {
+              return PutInForce(aArrival);
             })
 {
 }
 
-bool RouteFollower::PutInForce(const RouteDocument& aDocument)
+bool RouteFollower::PutInForce(const RouteArrival& aArrival)
 {
-  if (!m_listener(aDocument.m_version, aDocument.m_bytes)) {
+  const RouteDocument& document = aArrival.m_document;
+  if (!m_listener(document.m_version, document.m_bytes)) {
     return false;
   }
   const TimePoint now = m_deps.m_clock.Now();
-  m_deps.m_log.Write(EventId::RoutesReceived,
-                     "version=" + std::to_string(aDocument.m_version.Value()) +
-                       " control=" + m_control + " lag_ms=" +
-                       std::to_string(m_freshness.Lag(now) / kOneMs) +
-                       " bytes=" + std::to_string(aDocument.m_bytes.size()));
-  m_freshness.RecordInForce(aDocument.m_version, m_control, now);
+  m_deps.m_log.Write(
+    EventId::RoutesReceived,
+    "version=" + std::to_string(document.m_version.Value()) +
+      " control=" + m_control +
+      " lag_ms=" + std::to_string(m_freshness.Lag(now) / kOneMs) +
+      " bytes=" + std::to_string(document.m_bytes.size()) +
+      " sent_bytes=" + std::to_string(aArrival.m_sentBytes) +
+      " pieces=" + std::to_string(aArrival.m_pieces));
+  m_freshness.RecordInForce(document.m_version, m_control, now);
   return true;
 }
 
@@ -53,6 +57,8 @@
 {
   // A version that is being read is not offered again.
   aOut.setRouteVersion(m_fetch.Wanted().Value());
+  aOut.setRouteBase(m_fetch.Base().Value());
+  aOut.setAcceptsEncodedRoutes(true);
   aOut.setMaxRouteBytes(RouteAssembly::kPieceBytes);
 }
 
@@ -62,21 +68,23 @@
 {
   const TimePoint now = m_deps.m_clock.Now();
   m_control = aControl;
-  if (aReply.hasRoutes()) {
-    m_fetch.Receive({ Revision(aReply.getRoutes().getVersion()),
-                      BytesOf(aReply.getRoutes().getDocument()) });
-  }
   RouteStatement statement{ aControl,
                             Revision(aReply.getOfferedRouteVersion()),
                             Revision(),
                             std::nullopt };
-  m_fetch.Want(statement.m_offered);
   if (aReply.getRouteProofAgeMicros() >= 0) {
     statement.m_proven = Revision(aReply.getProvenRouteVersion());
     statement.m_provenAt = aSentAt - Duration(aReply.getRouteProofAgeMicros());
     m_deps.m_access.RecordProof(statement.m_proven, *statement.m_provenAt);
   }
   m_freshness.RecordStatement(statement, now);
+  if (aReply.hasRoutes()) {
+    m_fetch.Receive({ Revision(aReply.getRoutes().getVersion()),
+                      Revision(aReply.getRoutesBase()),
+                      aReply.getRoutesEncoded() },
+                    BytesOf(aReply.getRoutes().getDocument()));
+  }
+  m_fetch.Want(statement.m_offered);
   LogLag(statement);
   return !m_freshness.IsInstanceOutdated(statement, now);
 }
--- a/gateway/route_follower.h
+++ b/gateway/route_follower.h
@@ -52,7 +52,7 @@
   void WriteGauges(Metrics& aMetrics) const;
 
 private:
-  bool PutInForce(const RouteDocument& aDocument);
+  bool PutInForce(const RouteArrival& aArrival);
   /// Logs that an overdue version has not arrived yet.
   void LogLag(const RouteStatement& aStatement);
 
--- a/telemetry/event_catalog.cpp
+++ b/telemetry/event_catalog.cpp
@@ -87,7 +87,7 @@
   { EventId::RoutesReceived,
     EventLevel::Info,
     "routes_received",
-    "A newer version of the route configuration was put in force at this entry. Names the instance that sent it, for how long it or another newer version had been known, and the size of the document." },
+    "A newer version of the route configuration was put in force at this entry. Names the instance that sent it, for how long it or another newer version had been known, the size of the document, the bytes that were sent for it, and the calls that it took besides the one that announced it." },
   { EventId::UpstreamEjected,
     EventLevel::Warning,
     "upstream_ejected",
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -7,6 +7,7 @@
 #include "tests/support/test_loop.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
+#include "wire/route_encoding.h"
 #include "wire/wire_server.h"
 
 namespace celeryspread::test {
@@ -29,6 +30,9 @@
   /// Newest route version that the instance has, 0 for none.
   uint64_t m_offeredVersion = 0;
   std::string m_document = "document";
+  /// Document against which m_document is sent compressed; version 0 for none.
+  uint64_t m_baseVersion = 0;
+  std::string m_base;
   /// Bytes of routes that pass the link in a second, 0 for any number.
   uint64_t m_routeBytesPerSecond = 0;
   size_t m_pieces = 0;
@@ -161,7 +165,13 @@
     if (aSendsRoutes) {
       auto routes = aReply.initRoutes();
       routes.setVersion(m_script.m_offeredVersion);
-      routes.setDocument(DataOf(m_script.m_document));
+      const bool isEncoded = m_script.m_baseVersion != 0;
+      const std::string bytes =
+        isEncoded ? EncodeRoutes(m_script.m_document, m_script.m_base)
+                  : m_script.m_document;
+      routes.setDocument(DataOf(bytes));
+      aReply.setRoutesEncoded(isEncoded);
+      aReply.setRoutesBase(m_script.m_baseVersion);
     }
   }
   void Answer(uint64_t aKnownEpoch, wire::FollowReply::Builder aReply)
@@ -446,6 +456,38 @@
   EXPECT_GT(m_relayScript.m_follows, follows + 10);
 }
 
+// Guards against an entry that can't restore a compressed document and asks for
+// the same bytes again and again: it has another base than the instance assumes.
+TEST_F(DirectoryLinkTest, DocumentThatCannotBeRestoredIsReadWhole)
+{
+  for (ControlScript* script : { &m_ownerScript, &m_relayScript }) {
+    script->m_document = "the first document";
+    script->m_offeredVersion = kProvenVersion;
+  }
+  StartEntry();
+  ASSERT_TRUE(m_loop.RunUntil(
+    [this] { return m_routeVersion == Revision(kProvenVersion); }));
+  for (ControlScript* script : { &m_ownerScript, &m_relayScript }) {
+    script->m_baseVersion = kProvenVersion;
+    script->m_base = script->m_document;
+    script->m_document = "the second document";
+    script->m_offeredVersion = kProvenVersion + 1;
+  }
+  ASSERT_TRUE(m_loop.RunUntil(
+    [this] { return m_routeVersion == Revision(kProvenVersion + 1); }));
+  EXPECT_EQ(m_ownerScript.m_pieces + m_relayScript.m_pieces, 0U);
+  for (ControlScript* script : { &m_ownerScript, &m_relayScript }) {
+    script->m_baseVersion = kProvenVersion + 1;
+    script->m_base = "another document";
+    script->m_document = "the third document";
+    script->m_offeredVersion = kProvenVersion + 2;
+  }
+  ASSERT_TRUE(m_loop.RunUntil(
+    [this] { return m_routeVersion == Revision(kProvenVersion + 2); }));
+  EXPECT_EQ(m_document, "the third document");
+  EXPECT_EQ(m_ownerScript.m_pieces + m_relayScript.m_pieces, 1U);
+}
+
 // Guards against an entry that never reads a document again, because no control
 // instance was in reach when the next piece was due.
 TEST_F(DirectoryLinkTest, ReadingGoesOnAfterNoInstanceWasInReach)
@@ -461,8 +503,8 @@
   RouteFetch fetch(
     m_port,
     [&] { return isInReach ? &link : nullptr; },
-    [&](const RouteDocument& aDocument) {
-      bytes = aDocument.m_bytes.size();
+    [&](const RouteArrival& aArrival) {
+      bytes = aArrival.m_document.m_bytes.size();
       return true;
     });
   EXPECT_NO_THROW(fetch.Want(Revision(kProvenVersion)));
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -241,6 +241,12 @@
   # Largest route document that the answer may carry; a larger one is read with
   # readRoutes. 0 for any size.
   maxRouteBytes @11 :UInt32;
+  # Version of the route document that the sender has, against which a newer one
+  # may be compressed; 0 for none. Older than routeVersion while a document is
+  # being read with readRoutes.
+  routeBase @12 :UInt64;
+  # Whether the sender takes compressed documents.
+  acceptsEncodedRoutes @13 :Bool;
 }
 
 # A piece of a route document. Pieces of one version belong to one document.
@@ -250,6 +256,9 @@
   totalBytes @1 :UInt64;
   offset @2 :UInt64;
   bytes @3 :Data;
+  # Whether the bytes are compressed, and against which version; 0 for none.
+  base @4 :UInt64;
+  isEncoded @5 :Bool;
 }
 
 # A prompt part under which engines ended. Ages are -1 for never.
@@ -333,6 +342,10 @@
   # The newest route version that the sender has. It may be older than the proved
   # one while its replica lags.
   offeredRouteVersion @18 :UInt64;
+  # Whether the document in routes is compressed, and against which version; 0
+  # for none.
+  routesEncoded @19 :Bool;
+  routesBase @20 :UInt64;
 }
 
 # What an entry asks of one team's quota. All amounts are in units of the quota:
@@ -434,8 +447,11 @@
   # Takes from the quotas of teams at the owner.
   takeQuota @14 (request :QuotaRequest) -> (reply :QuotaReply);
   # Returns a piece of a route document: of the named version if the instance
-  # still has it, else the first piece of the newest one, as for version 0.
-  readRoutes @15 (version :UInt64, offset :UInt64) -> (piece :RoutePiece);
+  # still has it, else the first piece of the newest one, as for version 0. The
+  # base is the version that the caller has, against which an encoded document
+  # may be compressed.
+  readRoutes @15 (version :UInt64, offset :UInt64, base :UInt64,
+                  isEncoded :Bool) -> (piece :RoutePiece);
 }
 
 # Bootstrap object of a connection: gives access to the node after a proof that
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -532,7 +532,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 7, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -547,7 +547,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9cb69aacedb895f5, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9cb69aacedb895f5, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -652,7 +652,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 9, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 10, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1241,7 +1241,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cc8ca4ee90b180c8, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(cc8ca4ee90b180c8, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4289,6 +4289,10 @@
 
   inline  ::uint32_t getMaxRouteBytes() const;
 
+  inline  ::uint64_t getRouteBase() const;
+
+  inline bool getAcceptsEncodedRoutes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4370,6 +4374,12 @@
   inline  ::uint32_t getMaxRouteBytes();
   inline void setMaxRouteBytes( ::uint32_t value);
 
+  inline  ::uint64_t getRouteBase();
+  inline void setRouteBase( ::uint64_t value);
+
+  inline bool getAcceptsEncodedRoutes();
+  inline void setAcceptsEncodedRoutes(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4422,6 +4432,10 @@
   inline bool hasBytes() const;
   inline  ::capnp::Data::Reader getBytes() const;
 
+  inline  ::uint64_t getBase() const;
+
+  inline bool getIsEncoded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4466,6 +4480,12 @@
   inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBytes();
 
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline bool getIsEncoded();
+  inline void setIsEncoded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5130,6 +5150,10 @@
 
   inline  ::uint64_t getOfferedRouteVersion() const;
 
+  inline bool getRoutesEncoded() const;
+
+  inline  ::uint64_t getRoutesBase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5239,6 +5263,12 @@
   inline  ::uint64_t getOfferedRouteVersion();
   inline void setOfferedRouteVersion( ::uint64_t value);
 
+  inline bool getRoutesEncoded();
+  inline void setRoutesEncoded(bool value);
+
+  inline  ::uint64_t getRoutesBase();
+  inline void setRoutesBase( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8414,6 +8444,10 @@
 
   inline  ::uint64_t getOffset() const;
 
+  inline  ::uint64_t getBase() const;
+
+  inline bool getIsEncoded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -8448,6 +8482,12 @@
   inline  ::uint64_t getOffset();
   inline void setOffset( ::uint64_t value);
 
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline bool getIsEncoded();
+  inline void setIsEncoded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12482,6 +12522,34 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FollowRequest::Reader::getRouteBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getRouteBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setRouteBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowRequest::Reader::getAcceptsEncodedRoutes() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowRequest::Builder::getAcceptsEncodedRoutes() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setAcceptsEncodedRoutes(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RoutePiece::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -12558,6 +12626,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RoutePiece::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RoutePiece::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RoutePiece::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RoutePiece::Reader::getIsEncoded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool RoutePiece::Builder::getIsEncoded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void RoutePiece::Builder::setIsEncoded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SuspectPart::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -13444,6 +13540,34 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowReply::Reader::getRoutesEncoded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowReply::Builder::getRoutesEncoded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setRoutesEncoded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowReply::Reader::getRoutesBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getRoutesBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setRoutesBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaDemand::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -15126,6 +15250,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ControlNode::ReadRoutesParams::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ControlNode::ReadRoutesParams::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::ReadRoutesParams::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ControlNode::ReadRoutesParams::Reader::getIsEncoded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool ControlNode::ReadRoutesParams::Builder::getIsEncoded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::ReadRoutesParams::Builder::setIsEncoded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ControlNode::ReadRoutesResults::Reader::hasPiece() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/wire/route_assembly.cpp
+++ b/wire/route_assembly.cpp
@@ -4,15 +4,17 @@
 
 namespace celeryspread {
 
-std::optional<RouteDocument> RouteAssembly::Add(const RoutePiece& aPiece)
+std::optional<std::string> RouteAssembly::Add(const RoutePiece& aPiece)
 {
-  if (aPiece.m_version > m_version && aPiece.m_offset == 0) {
+  const bool isOther = aPiece.m_transfer != m_transfer &&
+                       aPiece.m_transfer.m_version >= m_transfer.m_version;
+  if (isOther && aPiece.m_offset == 0) {
     Clear();
-    m_version = aPiece.m_version;
+    m_transfer = aPiece.m_transfer;
     m_totalBytes = aPiece.m_totalBytes;
   }
   const bool fits =
-    aPiece.m_version == m_version && aPiece.m_totalBytes == m_totalBytes &&
+    aPiece.m_transfer == m_transfer && aPiece.m_totalBytes == m_totalBytes &&
     aPiece.m_offset == m_bytes.size() && m_totalBytes <= kMaxBytes &&
     aPiece.m_bytes.size() <= m_totalBytes - m_bytes.size();
   if (!fits) {
@@ -22,14 +24,14 @@
   if (m_bytes.size() < m_totalBytes) {
     return std::nullopt;
   }
-  RouteDocument document{ m_version, std::move(m_bytes) };
+  std::string bytes = std::move(m_bytes);
   Clear();
-  return document;
+  return bytes;
 }
 
 void RouteAssembly::Clear()
 {
-  m_version = Revision();
+  m_transfer = RouteTransfer();
   m_totalBytes = 0;
   m_bytes.clear();
 }
