The proof of the version in force is kept during many changes

Seen by callers: 503 for calls with keys, or for paths without a route, at an entry that lags by 16 versions; found by reading. Cause: of the statements which version was the newest when, the oldest was dropped beyond 16, and that is the one that proves the version in force. Its age was then unknown rather than three seconds. Now statements about versions that nobody needs go first, then the oldest about newer ones.

Evidence: AccessControlTest.ProofOfTheVersionInForceStaysDuringManyChanges.

--- a/teams/access_control.cpp
+++ b/teams/access_control.cpp
@@ -11,6 +11,7 @@
 {
   m_keys = std::make_unique<KeyIndex>(m_hasher, aConfig->Teams());
   m_config = std::move(aConfig);
+  m_proof.SetVersion(m_config->Version());
 }
 
 std::optional<Duration> AccessControl::ProofAge(TimePoint aNow) const
--- a/teams/config_proof.cpp
+++ b/teams/config_proof.cpp
@@ -24,8 +24,35 @@
     return aOther.m_version >= aVersion && aOther.m_provenAt <= aProvenAt;
   });
   m_statements.push_back({ aVersion, aProvenAt });
-  if (m_statements.size() > kMaxStatements) {
-    m_statements.pop_front();
+  DropUnneeded();
+}
+
+void ConfigProof::SetVersion(Revision aVersion)
+{
+  m_version = aVersion;
+  DropUnneeded();
+}
+
+void ConfigProof::DropUnneeded()
+{
+  std::optional<TimePoint> provenAt;
+  for (const Statement& statement : m_statements) {
+    if (statement.m_version <= m_version) {
+      provenAt = std::max(provenAt.value_or(statement.m_provenAt),
+                          statement.m_provenAt);
+    }
+  }
+  std::erase_if(m_statements, [&](const Statement& aStatement) {
+    return aStatement.m_version <= m_version &&
+           aStatement.m_provenAt < *provenAt;
+  });
+  while (m_statements.size() > kMaxStatements) {
+    const auto dispensable = std::find_if(
+      m_statements.begin(), m_statements.end(), [&](const Statement& aOther) {
+        return aOther.m_version > m_version;
+      });
+    m_statements.erase(dispensable == m_statements.end() ? m_statements.begin()
+                                                         : dispensable);
   }
 }
 
--- a/teams/config_proof.h
+++ b/teams/config_proof.h
@@ -23,6 +23,10 @@
   /// be the newest; empty if it never was. @pre none.
   [[nodiscard]] std::optional<Duration> Age(Revision aVersion,
                                             TimePoint aNow) const;
+  /// Records the version in force: what proves only older ones is dropped, so
+  /// that the proof of this one stays however many newer ones are proved.
+  /// @pre none.
+  void SetVersion(Revision aVersion);
 
 private:
   struct Statement
@@ -30,9 +34,14 @@
     Revision m_version;
     TimePoint m_provenAt;
   };
+  /// Drops statements that no other method needs, and the oldest about newer
+  /// versions if there are too many.
+  void DropUnneeded();
+
   /// Statements that prove something that no other one proves, by version and
   /// time. Older ones count until the document of a newer version has come.
   std::deque<Statement> m_statements;
+  Revision m_version;
 };
 
 } // namespace celeryspread
--- a/tests/teams/access_control_test.cpp
+++ b/tests/teams/access_control_test.cpp
@@ -211,4 +211,21 @@
   EXPECT_EQ(quota.CostOf(std::nullopt), 200U);
 }
 
+// Guards against a configuration whose age becomes unknown because many newer
+// ones are proved while it is in force.
+TEST(AccessControlTest, ProofOfTheVersionInForceStaysDuringManyChanges)
+{
+  AccessControl access({});
+  access.SetConfig(MakeConfig(5, {}));
+  access.RecordProof(Revision(4), kStart - seconds(1));
+  access.RecordProof(Revision(5), kStart);
+  for (uint64_t version = 6; version < 100; ++version) {
+    const TimePoint now = kStart + milliseconds(10 * version);
+    access.RecordProof(Revision(version), now);
+    EXPECT_EQ(access.ProofAge(now), now - kStart) << version;
+  }
+  access.SetConfig(MakeConfig(99, {}));
+  EXPECT_EQ(access.ProofAge(kStart + milliseconds(990)), Duration::zero());
+}
+
 } // namespace celeryspread::test
