Entry: calls are refused while a newer configuration is overdue

Seen by callers: calls run as only an older configuration allows (CONFIG). Cause: only 404 needed a recent proof of the configuration. A call that matched a route in the version held ran under it however long the entry had known of a newer one that it could not get. An entry that knows of nothing newer, as one that is cut off, serves on.

--- a/teams/access_control.cpp
+++ b/teams/access_control.cpp
@@ -20,6 +20,15 @@
                              : m_proof.Age(m_config->Version(), aNow);
 }
 
+bool AccessControl::IsOutdated(Duration aMaxAge, TimePoint aNow) const
+{
+  if (m_config == nullptr || !m_proof.KnowsNewer(m_config->Version())) {
+    return false;
+  }
+  const auto age = ProofAge(aNow);
+  return !age || *age > aMaxAge;
+}
+
 bool AccessControl::IsProven(TimePoint aNow) const
 {
   if (!m_options.m_failsClosed) {
--- a/teams/config_proof.cpp
+++ b/teams/config_proof.cpp
@@ -56,6 +56,14 @@
   }
 }
 
+bool ConfigProof::KnowsNewer(Revision aVersion) const
+{
+  return std::any_of(
+    m_statements.begin(), m_statements.end(), [&](const Statement& aOther) {
+      return aOther.m_version > aVersion;
+    });
+}
+
 std::optional<Duration> ConfigProof::Age(Revision aVersion,
                                          TimePoint aNow) const
 {
--- a/teams/config_proof.h
+++ b/teams/config_proof.h
@@ -23,6 +23,8 @@
   /// be the newest; empty if it never was. @pre none.
   [[nodiscard]] std::optional<Duration> Age(Revision aVersion,
                                             TimePoint aNow) const;
+  /// Returns whether a newer version was proved to be committed. @pre none.
+  [[nodiscard]] bool KnowsNewer(Revision aVersion) const;
   /// Records the version in force: what proves only older ones is dropped, so
   /// that the proof of this one stays however many newer ones are proved.
   /// @pre none.
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -163,6 +163,29 @@
   EXPECT_EQ(m_caller.m_status, 503);
 }
 
+// Guards against calls that run as only an older version allows, at an entry
+// that knows of a newer one and can't get it.
+TEST_F(GatewayTest, RefusesCallsWhileANewerConfigurationIsOverdue)
+{
+  m_time.RunFor(std::chrono::milliseconds(100));
+  m_access.RecordProof(Revision(4), m_clock.Now());
+  Call("/look/1");
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+  m_time.RunFor(m_context.m_routeProofTime);
+  Call("/look/1");
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+  EXPECT_EQ(m_caller.m_status, 503);
+}
+
+// Guards against an entry without any control instance in reach that refuses
+// what it could serve.
+TEST_F(GatewayTest, ServesOnWhileNothingNewerIsKnown)
+{
+  m_time.RunFor(10 * m_context.m_routeProofTime);
+  Call("/look/1");
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+}
+
 // Guards against an entry that has just started and obeys an older document,
 // which an instance that lags gave it.
 TEST_F(GatewayTest, RefusesUntilItsFirstConfigurationIsProven)
--- a/tests/teams/access_control_test.cpp
+++ b/tests/teams/access_control_test.cpp
@@ -228,4 +228,20 @@
   EXPECT_EQ(access.ProofAge(kStart + milliseconds(990)), Duration::zero());
 }
 
+// Guards against calls that run as only an older configuration allows.
+TEST(AccessControlTest, OutdatedOnceANewerVersionIsOverdue)
+{
+  constexpr seconds kMaxAge(3);
+  AccessControl access({});
+  EXPECT_FALSE(access.IsOutdated(kMaxAge, kStart));
+  access.SetConfig(MakeConfig(5, {}));
+  access.RecordProof(Revision(5), kStart);
+  EXPECT_FALSE(access.IsOutdated(kMaxAge, kStart + 2 * kMaxAge));
+  access.RecordProof(Revision(6), kStart + seconds(1));
+  EXPECT_FALSE(access.IsOutdated(kMaxAge, kStart + kMaxAge));
+  EXPECT_TRUE(access.IsOutdated(kMaxAge, kStart + kMaxAge + milliseconds(1)));
+  access.SetConfig(MakeConfig(6, {}));
+  EXPECT_FALSE(access.IsOutdated(kMaxAge, kStart + 2 * kMaxAge));
+}
+
 } // namespace celeryspread::test
