--- a/core/ids.h
+++ b/core/ids.h
@@ -93,6 +93,7 @@
 using RouteId = StrongId<struct RouteTag>;
 using SchemeId = StrongId<struct SchemeTag>;
 using ServiceId = StrongId<struct ServiceTag>;
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using TeamId = StrongId<struct TeamTag>;
 using UpstreamId = StrongId<struct UpstreamTag>;
 using VersionId = StrongId<struct VersionTag>;
--- a/routes/engine_record.h
+++ b/routes/engine_record.h
@@ -41,6 +41,9 @@
   bool m_isLeaving = false;
   /// Requests a second that it takes from all entries together; 0 for no limit.
   double m_rateLimit = 0;
+  /// Version of the engine's software, empty if the platform names none. A
+  /// stream goes on only at the version that began it.
+  SoftwareVersion m_software;
   /// Wall-clock time of the process start, by which a restart under the same
   /// id is recognised. @unit milliseconds since the Unix epoch; 0 if unknown.
   int64_t m_startedAt = 0;
@@ -66,7 +69,8 @@
     return m_id == aOther.m_id && m_pool == aOther.m_pool &&
            m_address == aOther.m_address && m_domain == aOther.m_domain &&
            m_slots == aOther.m_slots && m_isLeaving == aOther.m_isLeaving &&
-           m_rateLimit == aOther.m_rateLimit && m_models == aOther.m_models;
+           m_rateLimit == aOther.m_rateLimit &&
+           m_software == aOther.m_software && m_models == aOther.m_models;
   }
 };
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -295,7 +295,7 @@
 {
   const auto page = ParseInstanceListPage(R"({"Instances":[
     {"Id":"i-1","Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":32,
-     "State":"draining","born":17,
+     "State":"draining","born":17,"Version":"v7",
      "Models":[{"Name":"m","Version":2,"Adapters":["a1"]}],
      "Resident":{"InMemory":["x"],"OnDisk":["y"]}},
     {"Id":"i-2","Service":"s","Address":"nowhere","Zone":"z","State":"ready"},
@@ -307,6 +307,7 @@
   const EngineRecord& engine = page->m_engines[0];
   EXPECT_TRUE(engine.m_isLeaving);
   EXPECT_EQ(engine.m_startedAt, 17);
+  EXPECT_EQ(engine.m_software, SoftwareVersion("v7"));
   EXPECT_TRUE(engine.Holds({ "m", "a1" }));
   EXPECT_EQ(engine.m_cachedWeights, (std::set<std::string>{ "x", "y" }));
   EXPECT_EQ(page->m_nextToken, "p-50");
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -206,6 +206,8 @@
   models @8 :List(EngineModel);
   # Requests a second that the engine takes from all entries; 0 for no limit.
   rateLimit @9 :Float64;
+  # Version of the engine's software; empty if it is not known.
+  softwareVersion @10 :Text;
 }
 
 # Demand for one model or adapter since the last report.
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -502,7 +502,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc108f4f24518174, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(bc108f4f24518174, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4024,6 +4024,9 @@
 
   inline double getRateLimit() const;
 
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4102,6 +4105,13 @@
   inline double getRateLimit();
   inline void setRateLimit(double value);
 
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12126,6 +12136,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EngineEntry::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineEntry::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EngineEntry::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EngineEntry::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void EngineEntry::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EngineEntry::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void EngineEntry::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EngineEntry::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool DemandEntry::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/wire/engine_codec.cpp
+++ b/wire/engine_codec.cpp
@@ -14,6 +14,7 @@
   aOut.setSlots(aRecord.m_slots);
   aOut.setIsLeaving(aRecord.m_isLeaving);
   aOut.setRateLimit(aRecord.m_rateLimit);
+  aOut.setSoftwareVersion(aRecord.m_software.Value());
   auto models = aOut.initModels(static_cast<unsigned>(aRecord.m_models.size()));
   unsigned modelIndex = 0;
   for (const auto& [name, held] : aRecord.m_models) {
@@ -39,6 +40,7 @@
   record.m_slots = aIn.getSlots();
   record.m_isLeaving = aIn.getIsLeaving();
   record.m_rateLimit = aIn.getRateLimit();
+  record.m_software = SoftwareVersion(TextOf(aIn.getSoftwareVersion()));
   for (const auto model : aIn.getModels()) {
     LoadedModel& held = record.m_models[TextOf(model.getName())];
     held.m_version = model.getVersion();
