A stream goes on only at the software version that began it

Cause: after a stream had broken off, the entry went on at any engine with the model. Now the version of the engine that brought the first event is part of the call, and only engines of it are chosen; without one the stream is cut off, so that the caller can take it up again. If the engine's record has changed since the attempt was sent, the version is not known, and no other engine goes on.

StreamGoesOnAtTheSoftwareThatBeganIt, StreamEndsIfOnlyOtherSoftwareIsLeft, StreamOfAReplacedEngineIsNotContinued.

--- a/gateway/call_attempt.cpp
+++ b/gateway/call_attempt.cpp
@@ -56,6 +56,7 @@
   request.m_firstByteTimeout = left;
   request.m_progressTimeout = left;
   m_upstream = record.m_id;
+  m_software = record.m_software;
   m_tried.insert(record.m_id);
   m_startedAt = now;
   m_runsSince = now + m_context.m_selector.ExpectedWait(aState, now);
@@ -123,6 +124,16 @@
   }
 }
 
+std::optional<SoftwareVersion> CallAttempt::Software() const
+{
+  // Another process may have started under the same id, of which the list told
+  // late.
+  const EngineState* state = m_context.m_table.Find(m_upstream);
+  const bool hasChanged =
+    state != nullptr && state->m_record.m_software != m_software;
+  return hasChanged ? std::nullopt : std::optional(m_software);
+}
+
 bool CallAttempt::IsSuccess() const
 {
   return HttpStatus::IsSuccess(m_status);
--- a/gateway/call_attempt.h
+++ b/gateway/call_attempt.h
@@ -58,6 +58,9 @@
 
   /// Returns the upstream of the open attempt, empty for none. @pre none.
   [[nodiscard]] const UpstreamId& Upstream() const { return m_upstream; }
+  /// Returns the software of the last attempt's upstream; empty if the upstream
+  /// has changed it since. @pre none.
+  [[nodiscard]] std::optional<SoftwareVersion> Software() const;
   /// Returns the upstreams of all attempts. @pre none.
   [[nodiscard]] const std::set<UpstreamId>& Tried() const { return m_tried; }
   /// Returns the number of attempts, rejected ones included. @pre none.
@@ -99,6 +102,7 @@
   const RoutedCall& m_call;
   std::unique_ptr<UpstreamCall> m_attempt;
   UpstreamId m_upstream;
+  SoftwareVersion m_software;
   std::set<UpstreamId> m_tried;
   TimePoint m_startedAt;
   /// What was predicted for the attempt, if the entry learns.
--- a/gateway/engine_choice.cpp
+++ b/gateway/engine_choice.cpp
@@ -41,7 +41,8 @@
   return { m_call.m_pool,
            m_call.m_callFields.m_target,
            m_tried,
-           m_rateDenials >= kMaxDenialsPerCall };
+           m_rateDenials >= kMaxDenialsPerCall,
+           m_call.m_software };
 }
 
 void EngineChoice::RecordDemand(bool aIsMiss)
@@ -156,6 +157,14 @@
            m_context.m_selector.RetryAfterBackOff(aNow));
       return;
     case SelectError::NoUpstream:
+      if (m_call.m_software) {
+        // The version may never be back; the caller can begin anew at once.
+        m_listener.OnChoiceFailed(
+          "no engine of software version " + m_call.m_software->Value() +
+            ", which began the stream, accepts calls",
+          std::nullopt);
+        return;
+      }
       Fail("no upstream of the pool accepts new calls", kBusyRetryAfter);
       return;
   }
--- a/gateway/engine_selector.cpp
+++ b/gateway/engine_selector.cpp
@@ -236,6 +236,9 @@
     if (state->IsLeaving() || aQuery.m_tried.contains(record.m_id)) {
       continue;
     }
+    if (aQuery.m_software && record.m_software != *aQuery.m_software) {
+      continue;
+    }
     if (!aQuery.m_target.m_model.empty()) {
       const bool hasModel = record.m_models.contains(aQuery.m_target.m_model);
       if (!hasModel) {
--- a/gateway/engine_selector.h
+++ b/gateway/engine_selector.h
@@ -40,6 +40,8 @@
   std::set<UpstreamId> m_tried;
   /// Upstreams that limit requests are left out.
   bool m_skipsLimited = false;
+  /// If set, only upstreams of this software are chosen.
+  std::optional<SoftwareVersion> m_software;
 };
 
 /// Chooses the upstream where a call is expected to start earliest and to delay
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -62,6 +62,12 @@
   }
 }
 
+bool GatewayCall::RecordOrigin()
+{
+  m_input.m_software = m_attempt.Software();
+  return m_input.m_software.has_value();
+}
+
 void GatewayCall::OnEngineChosen(const EngineState& aState)
 {
   const AccessControl::Verdict access =
@@ -163,6 +169,9 @@
     return;
   }
   if (!bytes.m_events.empty()) {
+    if (!m_input.m_software && m_isOriginKnown) {
+      m_isOriginKnown = RecordOrigin();
+    }
     m_attempt.RecordEvents();
     const auto& unprovenSince = m_attempt.UnprovenSince();
     if (unprovenSince &&
@@ -374,7 +383,7 @@
                          m_input.m_deadline - now > EngineChoice::kMinTimeLeft;
   const bool mayBeHeld =
     !aMayHaveRun && m_choice.IsTrial() && m_choice.MayRepeatTrial();
-  if (!isAllowed || (m_choice.IsHeld() && !mayBeHeld)) {
+  if (!isAllowed || !m_isOriginKnown || (m_choice.IsHeld() && !mayBeHeld)) {
     return false;
   }
   const auto target = m_choice.FindRetry();
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -66,6 +66,9 @@
                       std::optional<Duration> aRetryAfter) override;
   void OnNoTimeLeft() override;
   void HandleQuota(const QuotaGate::Verdict& aVerdict);
+  /// Records at which software the stream begins. @return false if that is not
+  /// known, so that no other engine may go on with it.
+  bool RecordOrigin();
   /// Whether the bytes that arrive are events of the caller's stream.
   [[nodiscard]] bool IsReceivingEvents() const;
   /// Retries the call after an attempt that ended without a usable answer.
@@ -115,6 +118,8 @@
   /// Ended attempts that may have run.
   uint32_t m_possibleRuns = 0;
   bool m_mayHaveRun = false;
+  /// False if it is not known which engines could go on with the stream.
+  bool m_isOriginKnown = true;
   bool m_isFinished = false;
   /// False once the call is destroyed; shared with callbacks that may come
   /// later.
--- a/gateway/routed_call.h
+++ b/gateway/routed_call.h
@@ -24,6 +24,9 @@
   /// What of the call may end engines: the shared parts of its prompt, then the
   /// request itself.
   PromptParts m_suspects;
+  /// Software of the engine that began the stream, the only one that can go on
+  /// with it; empty before the first event.
+  std::optional<SoftwareVersion> m_software;
   TimePoint m_arrivedAt;
   TimePoint m_deadline;
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -82,6 +82,21 @@
   }
 
   /// Headers of a good answer that names a limit of four requests a second.
+  /// Adds an engine of a software version, nearer than those of others.
+  void AddEngine(const std::string& aId, const std::string& aSoftware)
+  {
+    EngineRecord record = MakeEngine(aId, "here", "m");
+    record.m_software = SoftwareVersion(aSoftware);
+    m_table.Update(record);
+  }
+  /// Begins a stream and breaks it off after its first event.
+  void BreakStream(const std::string& aPath)
+  {
+    Call(aPath, { { "model", "m" } });
+    Answer(0, 200, m_good);
+    Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+    LoseConnection(0);
+  }
   HttpHeaders LimitedAnswer() const
   {
     HttpHeaders headers = m_good;
@@ -364,6 +379,63 @@
   EXPECT_EQ(m_caller.m_body, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
 }
 
+// Guards against streams that hold events of two software versions: the entry
+// went on at whichever engine was best after the first one had broken off.
+TEST_F(GatewayTest, StreamGoesOnAtTheSoftwareThatBeganIt)
+{
+  m_table.KeepOnly({});
+  AddEngine("old1", "v1");
+  BreakStream("/report/1");
+  EXPECT_TRUE(m_caller.m_isAborted);
+
+  m_caller = CallerRecord();
+  m_client.m_attempts.clear();
+  Call("/report/1", { { "model", "m" } });
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+  AddEngine("new1", "v2");
+  AddEngine("old2", "v1");
+  AddEngine("new2", "v10");
+  LoseConnection(0);
+  ASSERT_EQ(m_client.m_attempts.size(), 2U);
+  EXPECT_EQ(m_codec.m_lastFields.m_upstream, UpstreamId("old2"));
+  Answer(1, 200, m_good);
+  Attempt(1).m_observer->OnUpstreamBody("id: 2\ndata: y\n\n");
+  Attempt(1).m_observer->OnUpstreamEnd();
+  EXPECT_TRUE(m_caller.m_isEnded);
+}
+
+// Guards against a stream that goes on at another version because none of the
+// one that began it is left.
+TEST_F(GatewayTest, StreamEndsIfOnlyOtherSoftwareIsLeft)
+{
+  m_table.KeepOnly({});
+  AddEngine("old1", "v1");
+  Call("/report/1", { { "model", "m" } });
+  AddEngine("new1", "v2");
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+  LoseConnection(0);
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+  EXPECT_TRUE(m_caller.m_isAborted);
+}
+
+// Guards against a stream of an engine that was replaced under the same id by
+// one of other software, while the list still showed the former one.
+TEST_F(GatewayTest, StreamOfAReplacedEngineIsNotContinued)
+{
+  m_table.KeepOnly({});
+  AddEngine("e", "v1");
+  AddEngine("other", "v1");
+  Call("/report/1", { { "model", "m" } });
+  AddEngine("e", "v2");
+  AddEngine("other", "v2");
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+  LoseConnection(0);
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+}
+
 TEST_F(GatewayTest, AbortsAResumedStreamThatSkipsAnEvent)
 {
   Call("/report/1", { { "model", "m" } });
