--- a/control/commands.cpp
+++ b/control/commands.cpp
@@ -3,6 +3,7 @@
 #include "wire/claim_codec.h"
 #include "wire/codec.h"
 #include "wire/message_bytes.h"
+#include "wire/version_codec.h"
 
 namespace celeryspread {
 
@@ -51,6 +52,12 @@
     out.setDocument(DataOf(aChange.m_document));
   }
 
+  void operator()(const PoolVersionsChange& aChange)
+  {
+    WritePoolVersions(
+      aChange.m_pool, aChange.m_versions, m_out.initPoolVersions());
+  }
+
 private:
   wire::Command::Builder m_out;
 };
@@ -94,6 +101,13 @@
                                     BytesOf(change.getDocument()) };
       break;
     }
+    case wire::Command::POOL_VERSIONS: {
+      const auto change = aIn.getPoolVersions();
+      command.m_body =
+        PoolVersionsChange{ PoolId(TextOf(change.getPool())),
+                            ReadVersions(change.getVersions()) };
+      break;
+    }
   }
   return command;
 }
--- a/control/commands.h
+++ b/control/commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -38,6 +39,13 @@
   bool operator==(const RouteChange&) const = default;
 };
 
+/// Replaces the software versions that are recorded for a pool.
+struct PoolVersionsChange
+{
+  PoolId m_pool;
+  std::set<SoftwareVersion> m_versions;
+};
+
 /// One command of the replicated log.
 struct Command
 {
@@ -48,7 +56,8 @@
                ClaimRequest,
                CloseClaim,
                ClaimSettlement,
-               RouteChange>
+               RouteChange,
+               PoolVersionsChange>
     m_body;
 };
 
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -389,6 +389,23 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> ControlService::recordStreams(RecordStreamsContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  m_fleet->Streams().Record(aContext.getParams().getReport());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::findStream(FindStreamContext aContext)
+{
+  KJ_REQUIRE(m_fleet != nullptr, "this instance looks after no engines");
+  const auto params = aContext.getParams();
+  m_fleet->Streams().Find(PoolId(TextOf(params.getPool())),
+                          StreamKey(params.getStream()),
+                          aContext.getResults().initAnswer());
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> ControlService::join(JoinContext aContext)
 {
   const auto params = aContext.getParams();
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -46,6 +46,8 @@
   kj::Promise<void> takeRate(TakeRateContext aContext) override;
   kj::Promise<void> takeQuota(TakeQuotaContext aContext) override;
   kj::Promise<void> readRoutes(ReadRoutesContext aContext) override;
+  kj::Promise<void> recordStreams(RecordStreamsContext aContext) override;
+  kj::Promise<void> findStream(FindStreamContext aContext) override;
   kj::Promise<void> endRateLimit(EndRateLimitContext aContext) override;
 
 private:
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -41,6 +41,7 @@
             m_self,
             m_domain)
   , m_quotas(aDeps.m_clock, aQuotaBounds)
+  , m_streams(aDeps.m_clock, aDeps.m_host)
   , m_routeFetch(
       aDeps.m_port,
       [this] { return LeaderLink(); },
@@ -141,6 +142,7 @@
       m_deps.m_owner.RestoreSuspect(part);
     }
     m_quotas.Begin(term);
+    m_streams.Begin();
     m_ownerSince = m_deps.m_clock.Now();
     m_relays.clear();
   } else if (isOwner && !m_deps.m_host.Replica().IsLeader()) {
@@ -155,6 +157,9 @@
   LogReplicaLag();
   UpdateOwnership();
   m_deps.m_owner.Tick();
+  if (m_deps.m_owner.Term()) {
+    m_streams.Tick(m_deps.m_owner.Directory());
+  }
   m_relay.SetFollowerCount(OwnFollowerCount(m_deps.m_clock.Now()));
   WakeFollowers();
 }
@@ -438,6 +443,7 @@
   WriteControlInstances(aOut);
   WriteRouteProof(aOut);
   WriteRoutes(aState, aOut);
+  aOut.setRecordsStreams(m_streams.HasSeveralVersions());
   const bool isOwner = m_deps.m_owner.Term().has_value();
   aOut.setIsLeader(isOwner);
   const ReplicaAddress* leader = m_deps.m_host.LeaderAddress();
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -9,6 +9,7 @@
 #include "control/quota_service.h"
 #include "control/replica_host.h"
 #include "control/route_source.h"
+#include "control/stream_service.h"
 #include "fleet/fleet_owner.h"
 #include "wire/celeryspread.capnp.h"
 #include "wire/event_loop_port.h"
@@ -75,6 +76,8 @@
   /// @error throws unless this instance owns the engines under its lease.
   void TakeQuota(wire::QuotaRequest::Reader aRequest,
                  wire::QuotaReply::Builder aReply);
+  /// Returns what is known of the streams of entries. @pre none.
+  [[nodiscard]] StreamService& Streams() { return m_streams; }
 
 private:
   /// What the sender of a follow call has.
@@ -164,6 +167,7 @@
   FailureDomainId m_domain;
   DirectoryRelay m_relay;
   QuotaService m_quotas;
+  StreamService m_streams;
   DirectoryPacer m_pacer;
   std::map<InstanceId, Relay> m_relays;
   RouteSource m_routes;
--- a/control/state_machine.cpp
+++ b/control/state_machine.cpp
@@ -3,6 +3,7 @@
 #include "wire/claim_codec.h"
 #include "wire/codec.h"
 #include "wire/message_bytes.h"
+#include "wire/version_codec.h"
 
 namespace celeryspread {
 
@@ -54,6 +55,10 @@
     }
     return RouteResult{ m_routes.m_version };
   }
+  if (const auto* versions = std::get_if<PoolVersionsChange>(&command->m_body)) {
+    m_poolVersions[versions->m_pool] = versions->m_versions;
+    return PoolVersionsResult{};
+  }
   return SettleResult{ m_claims.Settle(
     std::get<ClaimSettlement>(command->m_body), command->m_now) };
 }
@@ -81,6 +86,12 @@
   auto routes = out.initRoutes();
   routes.setVersion(m_routes.m_version.Value());
   routes.setDocument(DataOf(m_routes.m_document));
+  auto pools =
+    out.initPoolVersions(static_cast<unsigned>(m_poolVersions.size()));
+  unsigned at = 0;
+  for (const auto& [pool, versions] : m_poolVersions) {
+    WritePoolVersions(pool, versions, pools[at++]);
+  }
   return FlatBytes(message);
 }
 
@@ -106,6 +117,11 @@
     m_claims.Restore(std::move(claims));
     const auto routes = aIn.getRoutes();
     m_routes = { Revision(routes.getVersion()), BytesOf(routes.getDocument()) };
+    m_poolVersions.clear();
+    for (const auto pool : aIn.getPoolVersions()) {
+      m_poolVersions[PoolId(TextOf(pool.getPool()))] =
+        ReadVersions(pool.getVersions());
+    }
     return true;
   });
   return isRead.value_or(false);
--- a/control/state_machine.h
+++ b/control/state_machine.h
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "control/settings_store.h"
+#include "fleet/version_census.h"
 #include "ledger/claim_ledger.h"
 
 namespace celeryspread {
@@ -26,9 +27,18 @@
   Revision m_versionInForce;
 };
 
+/// Result of a change of the recorded software versions.
+struct PoolVersionsResult
+{};
+
 /// Result of an applied command.
 using CommandResult = std::
-  variant<ChangeResult, ClaimReply, CloseResult, SettleResult, RouteResult>;
+  variant<ChangeResult,
+          ClaimReply,
+          CloseResult,
+          SettleResult,
+          RouteResult,
+          PoolVersionsResult>;
 
 /// The replicated state: settings, claims and the route configuration.
 /// @thread loop thread only.
@@ -49,11 +59,18 @@
   /// Returns the route configuration in force; version 0 before the first.
   /// @pre none.
   [[nodiscard]] const RouteChange& Routes() const { return m_routes; }
+  /// Returns the software versions at which streams of each pool may have
+  /// begun. @pre none.
+  [[nodiscard]] const PoolVersions& RecordedVersions() const
+  {
+    return m_poolVersions;
+  }
 
 private:
   SettingsStore m_settings;
   ClaimLedger m_claims;
   RouteChange m_routes;
+  PoolVersions m_poolVersions;
 };
 
 } // namespace celeryspread
--- a/gateway/call_fields.h
+++ b/gateway/call_fields.h
@@ -16,6 +16,11 @@
 struct CallFields
 {
   AttemptId m_attempt;
+  /// Whether the caller asks for the rest of a stream that has broken off.
+  bool m_isResumed = false;
+  /// The caller's attempt that brought the first event of that stream; empty if
+  /// the caller does not name it.
+  AttemptId m_resumedAttempt;
   /// How long the caller still waits for the answer, counted from the arrival
   /// of the request.
   std::optional<Duration> m_callerTimeout;
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -258,6 +258,7 @@
 void DirectoryLink::Apply(wire::FollowReply::Reader aReply, TimePoint aSentAt)
 {
   AddControlLinks(aReply);
+  m_recordsStreams = aReply.getRecordsStreams();
   const bool hasRoutes = m_routes.Apply(aReply, m_currentAddress, aSentAt);
   if (!aReply.getIsLeader() && !aReply.getHasDirectory()) {
     FollowOwner(aReply);
@@ -381,6 +382,26 @@
   return isUsable ? owner->second.get() : nullptr;
 }
 
+std::vector<WireLink*> DirectoryLink::UpLinks() const
+{
+  std::vector<WireLink*> links;
+  const auto add = [&](const std::string& aAddress) {
+    const auto link = m_links.find(aAddress);
+    const bool isNew =
+      link != m_links.end() &&
+      std::find(links.begin(), links.end(), link->second.get()) == links.end();
+    if (isNew && link->second->IsUp()) {
+      links.push_back(link->second.get());
+    }
+  };
+  add(m_currentAddress);
+  add(m_ownerAddress);
+  for (const auto& [address, link] : m_links) {
+    add(address);
+  }
+  return links;
+}
+
 void DirectoryLink::ReportCrash(const CrashRecord& aRecord)
 {
   m_crashes.push_back(aRecord);
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -67,6 +67,13 @@
   /// Returns the link to the owner; null while there is none. @pre none.
   [[nodiscard]] WireLink* OwnerLink() const;
 
+  /// Returns the links that are up: first the instance that is followed, then
+  /// the owner, then the others. @pre none.
+  [[nodiscard]] std::vector<WireLink*> UpLinks() const;
+  /// Returns whether engines of several software versions serve some pool.
+  /// @pre none.
+  [[nodiscard]] bool HasSeveralVersions() const { return m_recordsStreams; }
+
   void LoadAdapter(const PoolId& aPool,
                    const ModelTarget& aTarget,
                    const UpstreamId& aPreferred,
@@ -145,6 +152,8 @@
   uint64_t m_directoryTerm = 0;
   uint64_t m_directoryVersion = 0;
   bool m_hasDirectory = false;
+  /// Whether control instances have to know where streams begin.
+  bool m_recordsStreams = false;
   /// When the owner began to read the list that the directory shows; empty
   /// before the first one.
   std::optional<TimePoint> m_listReadAt;
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -46,7 +46,7 @@
 {
   switch (aVerdict.m_kind) {
     case QuotaGate::Verdict::Kind::Admitted:
-      m_choice.Choose();
+      FindOrigin();
       return;
     case QuotaGate::Verdict::Kind::Exceeded:
       Refuse("the team has used up its quota: " +
@@ -62,10 +62,52 @@
   }
 }
 
+void GatewayCall::FindOrigin()
+{
+  const bool isResumed = m_input.m_callFields.m_isResumed &&
+                         m_input.m_route->m_kind == CallKind::Stream;
+  if (!isResumed || m_context.m_streams == nullptr) {
+    m_choice.Choose();
+    return;
+  }
+  m_context.m_metrics.Count("celeryspread_gateway_streams_resumed_total");
+  const AttemptId& attempt = m_input.m_callFields.m_resumedAttempt;
+  m_context.m_streams->Find(
+    m_input.m_pool,
+    attempt.IsEmpty() ? std::nullopt : std::optional(KeyOfStream(attempt)),
+    [this, isAlive = m_isAlive](std::optional<SoftwareVersion> aVersion) {
+      if (*isAlive && !m_isFinished) {
+        HandleOrigin(aVersion);
+      }
+    });
+}
+
+void GatewayCall::HandleOrigin(const std::optional<SoftwareVersion>& aVersion)
+{
+  if (!aVersion) {
+    m_context.m_metrics.Count(
+      "celeryspread_gateway_streams_of_unknown_origin_total");
+    // It will not be known later either; the caller can begin anew at once.
+    Refuse("it is not known which software version began the stream",
+           std::nullopt);
+    return;
+  }
+  m_input.m_software = aVersion;
+  m_choice.Choose();
+}
+
 bool GatewayCall::RecordOrigin()
 {
-  m_input.m_software = m_attempt.Software();
-  return m_input.m_software.has_value();
+  const auto software = m_attempt.Software();
+  if (!software) {
+    return false;
+  }
+  m_input.m_software = software;
+  if (m_context.m_streams != nullptr && m_input.m_route->m_isResumable) {
+    m_context.m_streams->RecordBegin(
+      KeyOfStream(m_input.m_callFields.m_attempt), *software);
+  }
+  return true;
 }
 
 void GatewayCall::OnEngineChosen(const EngineState& aState)
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -66,6 +66,9 @@
                       std::optional<Duration> aRetryAfter) override;
   void OnNoTimeLeft() override;
   void HandleQuota(const QuotaGate::Verdict& aVerdict);
+  /// Finds out where the stream began whose rest the caller asks for.
+  void FindOrigin();
+  void HandleOrigin(const std::optional<SoftwareVersion>& aVersion);
   /// Records at which software the stream begins. @return false if that is not
   /// known, so that no other engine may go on with it.
   bool RecordOrigin();
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -9,6 +9,7 @@
 #include "gateway/directory_link.h"
 #include "gateway/gateway.h"
 #include "gateway/quota_link.h"
+#include "gateway/stream_origin_link.h"
 #include "http/client_limit_log.h"
 #include "http/client_limits.h"
 #include "http/event_base.h"
@@ -102,6 +103,9 @@
               m_settings.m_instance,
               std::random_device()(),
               [this] { return m_directory.OwnerLink(); })
+    , m_streams({ m_port, m_clock, m_metrics },
+                { [this] { return m_directory.UpLinks(); },
+                  [this] { return m_directory.HasSeveralVersions(); } })
     , m_crashes({ m_clock,
                   m_timers,
                   m_table,
@@ -131,6 +135,7 @@
                  Learning(),
                  m_settings.m_hasOverloadAdmission ? &m_overload : nullptr,
                  m_settings.m_routeProofTime,
+                 &m_streams,
                  &m_requests }
     , m_gateway(m_context)
     , m_probes(
@@ -346,6 +351,7 @@
   AccessControl m_access;
   DirectoryLink m_directory;
   QuotaLink m_quota;
+  StreamOriginLink m_streams;
   CrashWatch m_crashes;
   OverloadControl m_overload;
   const RequestNamer m_requests;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -97,6 +97,14 @@
     Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
     LoseConnection(0);
   }
+  /// Asks for the rest of a stream that another attempt began.
+  void CallForRest()
+  {
+    m_context.m_streams = &m_streams;
+    Call("/report/1",
+         { { "model", "m" }, { "last", "1" }, { "resumes", "a0" } });
+  }
+
   HttpHeaders LimitedAnswer() const
   {
     HttpHeaders headers = m_good;
@@ -137,6 +145,7 @@
   };
   AccessControl m_access{ {} };
   FakeQuotaGate m_quota;
+  FakeStreamOrigins m_streams;
   GatewayContext m_context{ m_clock,   m_timers,   m_client,  m_codec,
                             m_table,   m_selector, m_retries, m_prefill,
                             m_control, m_control,  m_crashes, m_rates,
@@ -420,10 +429,30 @@
   EXPECT_TRUE(m_caller.m_isAborted);
 }
 
+// Before its first event a stream has no version yet.
+TEST_F(GatewayTest, StreamWithoutEventsMayBeginAtOtherSoftware)
+{
+  m_context.m_streams = &m_streams;
+  m_table.KeepOnly({});
+  AddEngine("old1", "v1");
+  Call("/report/1", { { "model", "m" } });
+  AddEngine("new1", "v2");
+  Answer(0, 200, m_good);
+  LoseConnection(0);
+  ASSERT_EQ(m_client.m_attempts.size(), 2U);
+  Answer(1, 200, m_good);
+  EXPECT_TRUE(m_streams.m_begun.empty());
+  Attempt(1).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
+  const std::pair begun(KeyOfStream(AttemptId("a1")), SoftwareVersion("v2"));
+  ASSERT_EQ(m_streams.m_begun.size(), 1U);
+  EXPECT_EQ(m_streams.m_begun.front(), begun);
+}
+
 // Guards against a stream of an engine that was replaced under the same id by
 // one of other software, while the list still showed the former one.
 TEST_F(GatewayTest, StreamOfAReplacedEngineIsNotContinued)
 {
+  m_context.m_streams = &m_streams;
   m_table.KeepOnly({});
   AddEngine("e", "v1");
   AddEngine("other", "v1");
@@ -434,6 +463,56 @@
   Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
   LoseConnection(0);
   EXPECT_EQ(m_client.m_attempts.size(), 1U);
+  EXPECT_TRUE(m_streams.m_begun.empty());
+}
+
+// Guards against the rest of a stream from another version than its begin, as
+// another entry passed that on.
+TEST_F(GatewayTest, RestOfAStreamComesFromTheSoftwareThatBeganIt)
+{
+  m_table.KeepOnly({});
+  AddEngine("new1", "v2");
+  AddEngine("old1", "v1");
+  AddEngine("new2", "v2");
+  CallForRest();
+  EXPECT_TRUE(m_client.m_attempts.empty());
+  EXPECT_EQ(m_streams.m_asked, KeyOfStream(AttemptId("a0")));
+  m_streams.m_found(SoftwareVersion("v1"));
+  ASSERT_EQ(m_client.m_attempts.size(), 1U);
+  EXPECT_EQ(m_codec.m_lastFields.m_upstream, UpstreamId("old1"));
+  Answer(0, 200, m_good);
+  Attempt(0).m_observer->OnUpstreamBody("id: 2\ndata: y\n\n");
+  // It did not begin here.
+  EXPECT_TRUE(m_streams.m_begun.empty());
+  LoseConnection(0);
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+}
+
+// Guards against a caller that waits, or comes back, for what can't be had: no
+// engine of the version is left, or nobody knows the version.
+TEST_F(GatewayTest, RestThatCannotBeHadIsRefusedAtOnce)
+{
+  m_table.KeepOnly({});
+  AddEngine("new1", "v2");
+  for (const char* version : { "v1", "" }) {
+    m_caller = CallerRecord();
+    CallForRest();
+    m_streams.m_found(*version == '\0'
+                        ? std::nullopt
+                        : std::optional(SoftwareVersion(version)));
+    EXPECT_EQ(m_caller.m_status, 503);
+    EXPECT_TRUE(m_caller.m_headers.empty());
+  }
+  EXPECT_TRUE(m_client.m_attempts.empty());
+}
+
+// The caller has left before the answer came.
+TEST_F(GatewayTest, LateOriginOfAStreamIsIgnored)
+{
+  CallForRest();
+  m_caller.m_observer->OnCallerDisconnected();
+  m_streams.m_found(SoftwareVersion("v1"));
+  EXPECT_TRUE(m_client.m_attempts.empty());
 }
 
 TEST_F(GatewayTest, AbortsAResumedStreamThatSkipsAnEvent)
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -144,6 +144,9 @@
     CallFields callFields;
     callFields.m_attempt =
       AttemptId(std::string(aCall.Header("id").value_or("")));
+    callFields.m_isResumed = aCall.Header("last").has_value();
+    callFields.m_resumedAttempt =
+      AttemptId(std::string(aCall.Header("resumes").value_or("")));
     callFields.m_target.m_model = aCall.Header("model").value_or("");
     callFields.m_target.m_adapter = aCall.Header("adapter").value_or("");
     if (const auto left = aCall.Header("left")) {
@@ -321,6 +324,27 @@
 };
 
 /// Returns the record of an engine that has one model loaded, or none.
+/// StreamOrigins whose answers come when the test says so.
+class FakeStreamOrigins : public StreamOrigins
+{
+public:
+  void RecordBegin(StreamKey aStream, const SoftwareVersion& aVersion) override
+  {
+    m_begun.emplace_back(aStream, aVersion);
+  }
+  void Find(const PoolId& /*aPool*/,
+            std::optional<StreamKey> aStream,
+            Found aFound) override
+  {
+    m_asked = aStream;
+    m_found = std::move(aFound);
+  }
+
+  std::vector<std::pair<StreamKey, SoftwareVersion>> m_begun;
+  std::optional<StreamKey> m_asked;
+  Found m_found;
+};
+
 inline EngineRecord MakeEngine(const std::string& aId,
                                const std::string& aDomain,
                                const std::string& aModel = "")
--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -85,9 +85,17 @@
     closeClaim @3 :CloseClaim;
     settleClaim @4 :SettleClaim;
     routeChange @5 :RouteChange;
+    poolVersions @6 :PoolVersions;
   }
 }
 
+# Software versions at which streams of a pool may have begun whose callers may
+# still ask for the rest. Replaces the record of the pool.
+struct PoolVersions {
+  pool @0 :Text;
+  versions @1 :List(Text);
+}
+
 # A whole route configuration; the operator assigns its version.
 struct RouteChange {
   version @0 :UInt64;
@@ -140,6 +148,7 @@
   claims @3 :List(StoredClaim);
   expiredUpToMicros @4 :Int64;
   routes @5 :RouteChange;
+  poolVersions @6 :List(PoolVersions);
 }
 
 struct FetchRequest {
@@ -348,6 +357,30 @@
   # for none.
   routesEncoded @19 :Bool;
   routesBase @20 :UInt64;
+  # Whether engines of several software versions serve some pool, so that the
+  # sender has to be told where streams begin.
+  recordsStreams @21 :Bool;
+}
+
+# Where streams began, with positions in the list of versions.
+struct StreamRecord {
+  stream @0 :UInt64;
+  version @1 :UInt16;
+}
+
+struct StreamReport {
+  versions @0 :List(Text);
+  streams @1 :List(StreamRecord);
+}
+
+struct StreamAnswer {
+  # Whether the sender knows where the stream began.
+  isKnown @0 :Bool;
+  version @1 :Text;
+  # The versions at which any stream of the pool may have begun, if the sender
+  # can prove that it knows all of them.
+  hasPoolVersions @2 :Bool;
+  poolVersions @3 :List(Text);
 }
 
 # What an entry asks of one team's quota. All amounts are in units of the quota:
@@ -454,6 +487,10 @@
   # may be compressed.
   readRoutes @15 (version :UInt64, offset :UInt64, base :UInt64,
                   isEncoded :Bool) -> (piece :RoutePiece);
+  # Records where streams began.
+  recordStreams @16 (report :StreamReport);
+  # Tells where a stream of a pool began; 0 for a stream that is not named.
+  findStream @17 (pool :Text, stream :UInt64) -> (answer :StreamAnswer);
 }
 
 # Bootstrap object of a connection: gives access to the node after a proof that
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_SCHEMA(e7bc8f544fa4cabb);
 CAPNP_DECLARE_SCHEMA(d612ceb59d91919b);
 CAPNP_DECLARE_SCHEMA(b736914596752cf9);
+CAPNP_DECLARE_SCHEMA(a5baabee1fb04314);
 CAPNP_DECLARE_SCHEMA(8e0d4d0cfdfb7b47);
 CAPNP_DECLARE_SCHEMA(bfd8fdebec2042f4);
 CAPNP_DECLARE_SCHEMA(a5aa55f6db3e84a1);
@@ -55,6 +56,9 @@
 CAPNP_DECLARE_SCHEMA(bffbe173b7ba11c6);
 CAPNP_DECLARE_SCHEMA(c4e46dff17840335);
 CAPNP_DECLARE_SCHEMA(b18c2b5bed9a4a67);
+CAPNP_DECLARE_SCHEMA(a3088ee6a56e9f65);
+CAPNP_DECLARE_SCHEMA(cdf91282fa8c4fda);
+CAPNP_DECLARE_SCHEMA(e4842f53b7d65384);
 CAPNP_DECLARE_SCHEMA(ee891e79d9f4a186);
 CAPNP_DECLARE_SCHEMA(a2e6440dd5fdc3e5);
 CAPNP_DECLARE_SCHEMA(9f39f8e8ba682b29);
@@ -93,6 +97,10 @@
 CAPNP_DECLARE_SCHEMA(834b477e1dddb198);
 CAPNP_DECLARE_SCHEMA(cc8ca4ee90b180c8);
 CAPNP_DECLARE_SCHEMA(c034cd6598ba7249);
+CAPNP_DECLARE_SCHEMA(a485c2399ac6dec9);
+CAPNP_DECLARE_SCHEMA(878cd77b96692ae9);
+CAPNP_DECLARE_SCHEMA(e1569d94d3529b49);
+CAPNP_DECLARE_SCHEMA(e5c9b86164e83ca3);
 CAPNP_DECLARE_SCHEMA(9fb1264b46c0628f);
 CAPNP_DECLARE_SCHEMA(a3114b49746f749d);
 CAPNP_DECLARE_SCHEMA(9df841755f47b9c5);
@@ -274,6 +282,7 @@
     CLOSE_CLAIM,
     SETTLE_CLAIM,
     ROUTE_CHANGE,
+    POOL_VERSIONS,
   };
 
   struct _capnpPrivate {
@@ -284,6 +293,21 @@
   };
 };
 
+struct PoolVersions {
+  PoolVersions() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5baabee1fb04314, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RouteChange {
   RouteChange() = delete;
 
@@ -382,7 +406,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9dc19891cea26a67, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9dc19891cea26a67, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -659,6 +683,51 @@
   };
 };
 
+struct StreamRecord {
+  StreamRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3088ee6a56e9f65, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamReport {
+  StreamReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cdf91282fa8c4fda, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamAnswer {
+  StreamAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e4842f53b7d65384, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct QuotaDemand {
   QuotaDemand() = delete;
 
@@ -774,6 +843,10 @@
   struct TakeQuotaResults;
   struct ReadRoutesParams;
   struct ReadRoutesResults;
+  struct RecordStreamsParams;
+  struct RecordStreamsResults;
+  struct FindStreamParams;
+  struct FindStreamResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1263,6 +1336,66 @@
   };
 };
 
+struct ControlNode::RecordStreamsParams {
+  RecordStreamsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a485c2399ac6dec9, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::RecordStreamsResults {
+  RecordStreamsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(878cd77b96692ae9, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::FindStreamParams {
+  FindStreamParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e1569d94d3529b49, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ControlNode::FindStreamResults {
+  FindStreamResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e5c9b86164e83ca3, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -2428,6 +2561,10 @@
   inline bool hasRouteChange() const;
   inline  ::celeryspread::wire::RouteChange::Reader getRouteChange() const;
 
+  inline bool isPoolVersions() const;
+  inline bool hasPoolVersions() const;
+  inline  ::celeryspread::wire::PoolVersions::Reader getPoolVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2500,6 +2637,14 @@
   inline void adoptRouteChange(::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value);
   inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> disownRouteChange();
 
+  inline bool isPoolVersions();
+  inline bool hasPoolVersions();
+  inline  ::celeryspread::wire::PoolVersions::Builder getPoolVersions();
+  inline void setPoolVersions( ::celeryspread::wire::PoolVersions::Reader value);
+  inline  ::celeryspread::wire::PoolVersions::Builder initPoolVersions();
+  inline void adoptPoolVersions(::capnp::Orphan< ::celeryspread::wire::PoolVersions>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::PoolVersions> disownPoolVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2526,6 +2671,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class PoolVersions::Reader {
+public:
+  typedef PoolVersions Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+  inline bool hasVersions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVersions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PoolVersions::Builder {
+public:
+  typedef PoolVersions Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline bool hasVersions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVersions();
+  inline void setVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVersions(unsigned int size);
+  inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVersions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PoolVersions::Pipeline {
+public:
+  typedef PoolVersions Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RouteChange::Reader {
 public:
   typedef RouteChange Reads;
@@ -3199,6 +3436,9 @@
   inline bool hasRoutes() const;
   inline  ::celeryspread::wire::RouteChange::Reader getRoutes() const;
 
+  inline bool hasPoolVersions() const;
+  inline  ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>::Reader getPoolVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3261,6 +3501,13 @@
   inline void adoptRoutes(::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value);
   inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> disownRoutes();
 
+  inline bool hasPoolVersions();
+  inline  ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>::Builder getPoolVersions();
+  inline void setPoolVersions( ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>::Builder initPoolVersions(unsigned int size);
+  inline void adoptPoolVersions(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>> disownPoolVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5164,6 +5411,8 @@
 
   inline  ::uint64_t getRoutesBase() const;
 
+  inline bool getRecordsStreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5279,6 +5528,9 @@
   inline  ::uint64_t getRoutesBase();
   inline void setRoutesBase( ::uint64_t value);
 
+  inline bool getRecordsStreams();
+  inline void setRecordsStreams(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5307,9 +5559,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class QuotaDemand::Reader {
+class StreamRecord::Reader {
 public:
-  typedef QuotaDemand Reads;
+  typedef StreamRecord Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5324,26 +5576,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
-
-  inline bool hasNeeded() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNeeded() const;
-
-  inline  ::uint64_t getWanted() const;
-
-  inline  ::uint64_t getLeast() const;
-
-  inline  ::uint64_t getHeld() const;
-
-  inline  ::uint64_t getUsed() const;
-
-  inline  ::uint64_t getUsedAlone() const;
-
-  inline  ::uint64_t getReturned() const;
+  inline  ::uint64_t getStream() const;
 
-  inline bool hasRanks() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getRanks() const;
+  inline  ::uint16_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5357,9 +5592,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QuotaDemand::Builder {
+class StreamRecord::Builder {
 public:
-  typedef QuotaDemand Builds;
+  typedef StreamRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5373,46 +5608,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
-
-  inline bool hasNeeded();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNeeded();
-  inline void setNeeded( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setNeeded(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNeeded(unsigned int size);
-  inline void adoptNeeded(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNeeded();
-
-  inline  ::uint64_t getWanted();
-  inline void setWanted( ::uint64_t value);
-
-  inline  ::uint64_t getLeast();
-  inline void setLeast( ::uint64_t value);
-
-  inline  ::uint64_t getHeld();
-  inline void setHeld( ::uint64_t value);
-
-  inline  ::uint64_t getUsed();
-  inline void setUsed( ::uint64_t value);
-
-  inline  ::uint64_t getUsedAlone();
-  inline void setUsedAlone( ::uint64_t value);
-
-  inline  ::uint64_t getReturned();
-  inline void setReturned( ::uint64_t value);
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
 
-  inline bool hasRanks();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getRanks();
-  inline void setRanks( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRanks(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initRanks(unsigned int size);
-  inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownRanks();
+  inline  ::uint16_t getVersion();
+  inline void setVersion( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5424,9 +5624,9 @@
 };
 
 #if !CAPNP_LITE
-class QuotaDemand::Pipeline {
+class StreamRecord::Pipeline {
 public:
-  typedef QuotaDemand Pipelines;
+  typedef StreamRecord Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5440,9 +5640,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class QuotaRequest::Reader {
+class StreamReport::Reader {
 public:
-  typedef QuotaRequest Reads;
+  typedef StreamReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5457,19 +5657,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasInstance() const;
-  inline  ::capnp::Text::Reader getInstance() const;
-
-  inline  ::uint64_t getProcess() const;
-
-  inline  ::uint64_t getSequence() const;
-
-  inline bool getReportsUse() const;
+  inline bool hasVersions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVersions() const;
 
-  inline bool hasTeams() const;
-  inline  ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>::Reader getTeams() const;
-
-  inline  ::uint64_t getAnswered() const;
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader getStreams() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5483,9 +5675,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QuotaRequest::Builder {
+class StreamReport::Builder {
 public:
-  typedef QuotaRequest Builds;
+  typedef StreamReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5499,31 +5691,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasInstance();
-  inline  ::capnp::Text::Builder getInstance();
-  inline void setInstance( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initInstance(unsigned int size);
-  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
-
-  inline  ::uint64_t getProcess();
-  inline void setProcess( ::uint64_t value);
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool getReportsUse();
-  inline void setReportsUse(bool value);
-
-  inline bool hasTeams();
-  inline  ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>::Builder getTeams();
-  inline void setTeams( ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>::Builder initTeams(unsigned int size);
-  inline void adoptTeams(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>> disownTeams();
+  inline bool hasVersions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVersions();
+  inline void setVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVersions(unsigned int size);
+  inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVersions();
 
-  inline  ::uint64_t getAnswered();
-  inline void setAnswered( ::uint64_t value);
+  inline bool hasStreams();
+  inline  ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>> disownStreams();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5535,9 +5716,9 @@
 };
 
 #if !CAPNP_LITE
-class QuotaRequest::Pipeline {
+class StreamReport::Pipeline {
 public:
-  typedef QuotaRequest Pipelines;
+  typedef StreamReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5551,9 +5732,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class QuotaGrant::Reader {
+class StreamAnswer::Reader {
 public:
-  typedef QuotaGrant Reads;
+  typedef StreamAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5568,18 +5749,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
-
-  inline  ::uint64_t getGranted() const;
-
-  inline bool getIsDenied() const;
+  inline bool getIsKnown() const;
 
-  inline  ::int64_t getRetryAfterMicros() const;
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
 
-  inline bool getIsScarce() const;
+  inline bool getHasPoolVersions() const;
 
-  inline  ::uint32_t getDeniedRank() const;
+  inline bool hasPoolVersions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPoolVersions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5593,9 +5771,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QuotaGrant::Builder {
+class StreamAnswer::Builder {
 public:
-  typedef QuotaGrant Builds;
+  typedef StreamAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5609,27 +5787,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
-
-  inline  ::uint64_t getGranted();
-  inline void setGranted( ::uint64_t value);
-
-  inline bool getIsDenied();
-  inline void setIsDenied(bool value);
+  inline bool getIsKnown();
+  inline void setIsKnown(bool value);
 
-  inline  ::int64_t getRetryAfterMicros();
-  inline void setRetryAfterMicros( ::int64_t value);
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
 
-  inline bool getIsScarce();
-  inline void setIsScarce(bool value);
+  inline bool getHasPoolVersions();
+  inline void setHasPoolVersions(bool value);
 
-  inline  ::uint32_t getDeniedRank();
-  inline void setDeniedRank( ::uint32_t value);
+  inline bool hasPoolVersions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPoolVersions();
+  inline void setPoolVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setPoolVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPoolVersions(unsigned int size);
+  inline void adoptPoolVersions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPoolVersions();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5641,9 +5818,9 @@
 };
 
 #if !CAPNP_LITE
-class QuotaGrant::Pipeline {
+class StreamAnswer::Pipeline {
 public:
-  typedef QuotaGrant Pipelines;
+  typedef StreamAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5657,9 +5834,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class QuotaReply::Reader {
+class QuotaDemand::Reader {
 public:
-  typedef QuotaReply Reads;
+  typedef QuotaDemand Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5674,14 +5851,26 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getEntryCount() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
-  inline bool hasGrants() const;
-  inline  ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+  inline bool hasNeeded() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNeeded() const;
 
-  inline  ::uint64_t getEpoch() const;
+  inline  ::uint64_t getWanted() const;
 
-  inline  ::int64_t getWindowMicros() const;
+  inline  ::uint64_t getLeast() const;
+
+  inline  ::uint64_t getHeld() const;
+
+  inline  ::uint64_t getUsed() const;
+
+  inline  ::uint64_t getUsedAlone() const;
+
+  inline  ::uint64_t getReturned() const;
+
+  inline bool hasRanks() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getRanks() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5695,9 +5884,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QuotaReply::Builder {
+class QuotaDemand::Builder {
 public:
-  typedef QuotaReply Builds;
+  typedef QuotaDemand Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5711,21 +5900,46 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getEntryCount();
-  inline void setEntryCount( ::uint32_t value);
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
-  inline bool hasGrants();
-  inline  ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
-  inline void setGrants( ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
-  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+  inline bool hasNeeded();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNeeded();
+  inline void setNeeded( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNeeded(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNeeded(unsigned int size);
+  inline void adoptNeeded(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNeeded();
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline  ::uint64_t getWanted();
+  inline void setWanted( ::uint64_t value);
 
-  inline  ::int64_t getWindowMicros();
-  inline void setWindowMicros( ::int64_t value);
+  inline  ::uint64_t getLeast();
+  inline void setLeast( ::uint64_t value);
+
+  inline  ::uint64_t getHeld();
+  inline void setHeld( ::uint64_t value);
+
+  inline  ::uint64_t getUsed();
+  inline void setUsed( ::uint64_t value);
+
+  inline  ::uint64_t getUsedAlone();
+  inline void setUsedAlone( ::uint64_t value);
+
+  inline  ::uint64_t getReturned();
+  inline void setReturned( ::uint64_t value);
+
+  inline bool hasRanks();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getRanks();
+  inline void setRanks( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRanks(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initRanks(unsigned int size);
+  inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownRanks();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5737,9 +5951,9 @@
 };
 
 #if !CAPNP_LITE
-class QuotaReply::Pipeline {
+class QuotaDemand::Pipeline {
 public:
-  typedef QuotaReply Pipelines;
+  typedef QuotaDemand Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5753,9 +5967,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AdapterRequest::Reader {
+class QuotaRequest::Reader {
 public:
-  typedef AdapterRequest Reads;
+  typedef QuotaRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5770,20 +5984,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPool() const;
-  inline  ::capnp::Text::Reader getPool() const;
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
 
-  inline bool hasModel() const;
-  inline  ::capnp::Text::Reader getModel() const;
+  inline  ::uint64_t getProcess() const;
 
-  inline bool hasAdapter() const;
-  inline  ::capnp::Text::Reader getAdapter() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+  inline bool getReportsUse() const;
 
-  inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
+  inline bool hasTeams() const;
+  inline  ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>::Reader getTeams() const;
+
+  inline  ::uint64_t getAnswered() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5797,9 +6010,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AdapterRequest::Builder {
+class QuotaRequest::Builder {
 public:
-  typedef AdapterRequest Builds;
+  typedef QuotaRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5813,40 +6026,31 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPool();
-  inline  ::capnp::Text::Builder getPool();
-  inline void setPool( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
 
-  inline bool hasModel();
-  inline  ::capnp::Text::Builder getModel();
-  inline void setModel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
 
-  inline bool hasAdapter();
-  inline  ::capnp::Text::Builder getAdapter();
-  inline void setAdapter( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAdapter(unsigned int size);
-  inline void adoptAdapter(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAdapter();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+  inline bool getReportsUse();
+  inline void setReportsUse(bool value);
 
-  inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+  inline bool hasTeams();
+  inline  ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>::Builder getTeams();
+  inline void setTeams( ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>::Builder initTeams(unsigned int size);
+  inline void adoptTeams(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::QuotaDemand,  ::capnp::Kind::STRUCT>> disownTeams();
+
+  inline  ::uint64_t getAnswered();
+  inline void setAnswered( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5858,9 +6062,9 @@
 };
 
 #if !CAPNP_LITE
-class AdapterRequest::Pipeline {
+class QuotaRequest::Pipeline {
 public:
-  typedef AdapterRequest Pipelines;
+  typedef QuotaRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5874,34 +6078,357 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class ControlNode::Client
-    : public virtual ::capnp::Capability::Client {
+class QuotaGrant::Reader {
 public:
-  typedef ControlNode Calls;
-  typedef ControlNode Reads;
+  typedef QuotaGrant Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::celeryspread::wire::ControlNode::PingParams,  ::celeryspread::wire::ControlNode::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::RaftParams,  ::celeryspread::wire::ControlNode::RaftResults> raftRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::FetchParams,  ::celeryspread::wire::ControlNode::FetchResults> fetchRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::AdminParams,  ::celeryspread::wire::ControlNode::AdminResults> adminRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::celeryspread::wire::ControlNode::ClaimParams,  ::celeryspread::wire::ControlNode::ClaimResults> claimRequest(
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
+  inline  ::uint64_t getGranted() const;
+
+  inline bool getIsDenied() const;
+
+  inline  ::int64_t getRetryAfterMicros() const;
+
+  inline bool getIsScarce() const;
+
+  inline  ::uint32_t getDeniedRank() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaGrant::Builder {
+public:
+  typedef QuotaGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
+  inline  ::uint64_t getGranted();
+  inline void setGranted( ::uint64_t value);
+
+  inline bool getIsDenied();
+  inline void setIsDenied(bool value);
+
+  inline  ::int64_t getRetryAfterMicros();
+  inline void setRetryAfterMicros( ::int64_t value);
+
+  inline bool getIsScarce();
+  inline void setIsScarce(bool value);
+
+  inline  ::uint32_t getDeniedRank();
+  inline void setDeniedRank( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaGrant::Pipeline {
+public:
+  typedef QuotaGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaReply::Reader {
+public:
+  typedef QuotaReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEntryCount() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::int64_t getWindowMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaReply::Builder {
+public:
+  typedef QuotaReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEntryCount();
+  inline void setEntryCount( ::uint32_t value);
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::QuotaGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::int64_t getWindowMicros();
+  inline void setWindowMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaReply::Pipeline {
+public:
+  typedef QuotaReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AdapterRequest::Reader {
+public:
+  typedef AdapterRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline bool hasAdapter() const;
+  inline  ::capnp::Text::Reader getAdapter() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AdapterRequest::Builder {
+public:
+  typedef AdapterRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline bool hasAdapter();
+  inline  ::capnp::Text::Builder getAdapter();
+  inline void setAdapter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdapter(unsigned int size);
+  inline void adoptAdapter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdapter();
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AdapterRequest::Pipeline {
+public:
+  typedef AdapterRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class ControlNode::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef ControlNode Calls;
+  typedef ControlNode Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::celeryspread::wire::ControlNode::PingParams,  ::celeryspread::wire::ControlNode::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::RaftParams,  ::celeryspread::wire::ControlNode::RaftResults> raftRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::FetchParams,  ::celeryspread::wire::ControlNode::FetchResults> fetchRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::AdminParams,  ::celeryspread::wire::ControlNode::AdminResults> adminRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::ClaimParams,  ::celeryspread::wire::ControlNode::ClaimResults> claimRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::celeryspread::wire::ControlNode::CloseClaimParams,  ::celeryspread::wire::ControlNode::CloseClaimResults> closeClaimRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
@@ -5925,101 +6452,419 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::celeryspread::wire::ControlNode::ReadRoutesParams,  ::celeryspread::wire::ControlNode::ReadRoutesResults> readRoutesRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::RecordStreamsParams,  ::celeryspread::wire::ControlNode::RecordStreamsResults> recordStreamsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::celeryspread::wire::ControlNode::FindStreamParams,  ::celeryspread::wire::ControlNode::FindStreamResults> findStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class ControlNode::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef ControlNode Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::celeryspread::wire::ControlNode::PingParams PingParams;
+  typedef  ::celeryspread::wire::ControlNode::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::celeryspread::wire::ControlNode::RaftParams RaftParams;
+  typedef  ::celeryspread::wire::ControlNode::RaftResults RaftResults;
+  typedef ::capnp::CallContext<RaftParams, RaftResults> RaftContext;
+  virtual ::kj::Promise<void> raft(RaftContext context);
+  typedef  ::celeryspread::wire::ControlNode::FetchParams FetchParams;
+  typedef  ::celeryspread::wire::ControlNode::FetchResults FetchResults;
+  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
+  virtual ::kj::Promise<void> fetch(FetchContext context);
+  typedef  ::celeryspread::wire::ControlNode::AdminParams AdminParams;
+  typedef  ::celeryspread::wire::ControlNode::AdminResults AdminResults;
+  typedef ::capnp::CallContext<AdminParams, AdminResults> AdminContext;
+  virtual ::kj::Promise<void> admin(AdminContext context);
+  typedef  ::celeryspread::wire::ControlNode::ClaimParams ClaimParams;
+  typedef  ::celeryspread::wire::ControlNode::ClaimResults ClaimResults;
+  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
+  virtual ::kj::Promise<void> claim(ClaimContext context);
+  typedef  ::celeryspread::wire::ControlNode::CloseClaimParams CloseClaimParams;
+  typedef  ::celeryspread::wire::ControlNode::CloseClaimResults CloseClaimResults;
+  typedef ::capnp::CallContext<CloseClaimParams, CloseClaimResults> CloseClaimContext;
+  virtual ::kj::Promise<void> closeClaim(CloseClaimContext context);
+  typedef  ::celeryspread::wire::ControlNode::JoinParams JoinParams;
+  typedef  ::celeryspread::wire::ControlNode::JoinResults JoinResults;
+  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
+  virtual ::kj::Promise<void> join(JoinContext context);
+  typedef  ::celeryspread::wire::ControlNode::ReportInstancesParams ReportInstancesParams;
+  typedef  ::celeryspread::wire::ControlNode::ReportInstancesResults ReportInstancesResults;
+  typedef ::capnp::CallContext<ReportInstancesParams, ReportInstancesResults> ReportInstancesContext;
+  virtual ::kj::Promise<void> reportInstances(ReportInstancesContext context);
+  typedef  ::celeryspread::wire::ControlNode::FollowParams FollowParams;
+  typedef  ::celeryspread::wire::ControlNode::FollowResults FollowResults;
+  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
+  virtual ::kj::Promise<void> follow(FollowContext context);
+  typedef  ::celeryspread::wire::ControlNode::LoadAdapterParams LoadAdapterParams;
+  typedef  ::celeryspread::wire::ControlNode::LoadAdapterResults LoadAdapterResults;
+  typedef ::capnp::CallContext<LoadAdapterParams, LoadAdapterResults> LoadAdapterContext;
+  virtual ::kj::Promise<void> loadAdapter(LoadAdapterContext context);
+  typedef  ::celeryspread::wire::ControlNode::ReportCrashesParams ReportCrashesParams;
+  typedef  ::celeryspread::wire::ControlNode::ReportCrashesResults ReportCrashesResults;
+  typedef ::capnp::CallContext<ReportCrashesParams, ReportCrashesResults> ReportCrashesContext;
+  virtual ::kj::Promise<void> reportCrashes(ReportCrashesContext context);
+  typedef  ::celeryspread::wire::ControlNode::RequestTrialParams RequestTrialParams;
+  typedef  ::celeryspread::wire::ControlNode::RequestTrialResults RequestTrialResults;
+  typedef ::capnp::CallContext<RequestTrialParams, RequestTrialResults> RequestTrialContext;
+  virtual ::kj::Promise<void> requestTrial(RequestTrialContext context);
+  typedef  ::celeryspread::wire::ControlNode::TakeRateParams TakeRateParams;
+  typedef  ::celeryspread::wire::ControlNode::TakeRateResults TakeRateResults;
+  typedef ::capnp::CallContext<TakeRateParams, TakeRateResults> TakeRateContext;
+  virtual ::kj::Promise<void> takeRate(TakeRateContext context);
+  typedef  ::celeryspread::wire::ControlNode::EndRateLimitParams EndRateLimitParams;
+  typedef  ::celeryspread::wire::ControlNode::EndRateLimitResults EndRateLimitResults;
+  typedef ::capnp::CallContext<EndRateLimitParams, EndRateLimitResults> EndRateLimitContext;
+  virtual ::kj::Promise<void> endRateLimit(EndRateLimitContext context);
+  typedef  ::celeryspread::wire::ControlNode::TakeQuotaParams TakeQuotaParams;
+  typedef  ::celeryspread::wire::ControlNode::TakeQuotaResults TakeQuotaResults;
+  typedef ::capnp::CallContext<TakeQuotaParams, TakeQuotaResults> TakeQuotaContext;
+  virtual ::kj::Promise<void> takeQuota(TakeQuotaContext context);
+  typedef  ::celeryspread::wire::ControlNode::ReadRoutesParams ReadRoutesParams;
+  typedef  ::celeryspread::wire::ControlNode::ReadRoutesResults ReadRoutesResults;
+  typedef ::capnp::CallContext<ReadRoutesParams, ReadRoutesResults> ReadRoutesContext;
+  virtual ::kj::Promise<void> readRoutes(ReadRoutesContext context);
+  typedef  ::celeryspread::wire::ControlNode::RecordStreamsParams RecordStreamsParams;
+  typedef  ::celeryspread::wire::ControlNode::RecordStreamsResults RecordStreamsResults;
+  typedef ::capnp::CallContext<RecordStreamsParams, RecordStreamsResults> RecordStreamsContext;
+  virtual ::kj::Promise<void> recordStreams(RecordStreamsContext context);
+  typedef  ::celeryspread::wire::ControlNode::FindStreamParams FindStreamParams;
+  typedef  ::celeryspread::wire::ControlNode::FindStreamResults FindStreamResults;
+  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
+  virtual ::kj::Promise<void> findStream(FindStreamContext context);
+
+  inline  ::celeryspread::wire::ControlNode::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::celeryspread::wire::ControlNode>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::PingParams::Reader {
+public:
+  typedef PingParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::PingParams::Builder {
+public:
+  typedef PingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::PingParams::Pipeline {
+public:
+  typedef PingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-protected:
-  Client() = default;
+class ControlNode::PingResults::Reader {
+public:
+  typedef PingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class ControlNode::Server
-    : public virtual ::capnp::Capability::Server {
+class ControlNode::PingResults::Builder {
 public:
-  typedef ControlNode Serves;
+  typedef PingResults Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-protected:
-  typedef  ::celeryspread::wire::ControlNode::PingParams PingParams;
-  typedef  ::celeryspread::wire::ControlNode::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::celeryspread::wire::ControlNode::RaftParams RaftParams;
-  typedef  ::celeryspread::wire::ControlNode::RaftResults RaftResults;
-  typedef ::capnp::CallContext<RaftParams, RaftResults> RaftContext;
-  virtual ::kj::Promise<void> raft(RaftContext context);
-  typedef  ::celeryspread::wire::ControlNode::FetchParams FetchParams;
-  typedef  ::celeryspread::wire::ControlNode::FetchResults FetchResults;
-  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
-  virtual ::kj::Promise<void> fetch(FetchContext context);
-  typedef  ::celeryspread::wire::ControlNode::AdminParams AdminParams;
-  typedef  ::celeryspread::wire::ControlNode::AdminResults AdminResults;
-  typedef ::capnp::CallContext<AdminParams, AdminResults> AdminContext;
-  virtual ::kj::Promise<void> admin(AdminContext context);
-  typedef  ::celeryspread::wire::ControlNode::ClaimParams ClaimParams;
-  typedef  ::celeryspread::wire::ControlNode::ClaimResults ClaimResults;
-  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
-  virtual ::kj::Promise<void> claim(ClaimContext context);
-  typedef  ::celeryspread::wire::ControlNode::CloseClaimParams CloseClaimParams;
-  typedef  ::celeryspread::wire::ControlNode::CloseClaimResults CloseClaimResults;
-  typedef ::capnp::CallContext<CloseClaimParams, CloseClaimResults> CloseClaimContext;
-  virtual ::kj::Promise<void> closeClaim(CloseClaimContext context);
-  typedef  ::celeryspread::wire::ControlNode::JoinParams JoinParams;
-  typedef  ::celeryspread::wire::ControlNode::JoinResults JoinResults;
-  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
-  virtual ::kj::Promise<void> join(JoinContext context);
-  typedef  ::celeryspread::wire::ControlNode::ReportInstancesParams ReportInstancesParams;
-  typedef  ::celeryspread::wire::ControlNode::ReportInstancesResults ReportInstancesResults;
-  typedef ::capnp::CallContext<ReportInstancesParams, ReportInstancesResults> ReportInstancesContext;
-  virtual ::kj::Promise<void> reportInstances(ReportInstancesContext context);
-  typedef  ::celeryspread::wire::ControlNode::FollowParams FollowParams;
-  typedef  ::celeryspread::wire::ControlNode::FollowResults FollowResults;
-  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
-  virtual ::kj::Promise<void> follow(FollowContext context);
-  typedef  ::celeryspread::wire::ControlNode::LoadAdapterParams LoadAdapterParams;
-  typedef  ::celeryspread::wire::ControlNode::LoadAdapterResults LoadAdapterResults;
-  typedef ::capnp::CallContext<LoadAdapterParams, LoadAdapterResults> LoadAdapterContext;
-  virtual ::kj::Promise<void> loadAdapter(LoadAdapterContext context);
-  typedef  ::celeryspread::wire::ControlNode::ReportCrashesParams ReportCrashesParams;
-  typedef  ::celeryspread::wire::ControlNode::ReportCrashesResults ReportCrashesResults;
-  typedef ::capnp::CallContext<ReportCrashesParams, ReportCrashesResults> ReportCrashesContext;
-  virtual ::kj::Promise<void> reportCrashes(ReportCrashesContext context);
-  typedef  ::celeryspread::wire::ControlNode::RequestTrialParams RequestTrialParams;
-  typedef  ::celeryspread::wire::ControlNode::RequestTrialResults RequestTrialResults;
-  typedef ::capnp::CallContext<RequestTrialParams, RequestTrialResults> RequestTrialContext;
-  virtual ::kj::Promise<void> requestTrial(RequestTrialContext context);
-  typedef  ::celeryspread::wire::ControlNode::TakeRateParams TakeRateParams;
-  typedef  ::celeryspread::wire::ControlNode::TakeRateResults TakeRateResults;
-  typedef ::capnp::CallContext<TakeRateParams, TakeRateResults> TakeRateContext;
-  virtual ::kj::Promise<void> takeRate(TakeRateContext context);
-  typedef  ::celeryspread::wire::ControlNode::EndRateLimitParams EndRateLimitParams;
-  typedef  ::celeryspread::wire::ControlNode::EndRateLimitResults EndRateLimitResults;
-  typedef ::capnp::CallContext<EndRateLimitParams, EndRateLimitResults> EndRateLimitContext;
-  virtual ::kj::Promise<void> endRateLimit(EndRateLimitContext context);
-  typedef  ::celeryspread::wire::ControlNode::TakeQuotaParams TakeQuotaParams;
-  typedef  ::celeryspread::wire::ControlNode::TakeQuotaResults TakeQuotaResults;
-  typedef ::capnp::CallContext<TakeQuotaParams, TakeQuotaResults> TakeQuotaContext;
-  virtual ::kj::Promise<void> takeQuota(TakeQuotaContext context);
-  typedef  ::celeryspread::wire::ControlNode::ReadRoutesParams ReadRoutesParams;
-  typedef  ::celeryspread::wire::ControlNode::ReadRoutesResults ReadRoutesResults;
-  typedef ::capnp::CallContext<ReadRoutesParams, ReadRoutesResults> ReadRoutesContext;
-  virtual ::kj::Promise<void> readRoutes(ReadRoutesContext context);
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::PingResults::Pipeline {
+public:
+  typedef PingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::RaftParams::Reader {
+public:
+  typedef RaftParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage() const;
+  inline  ::celeryspread::wire::RaftMessage::Reader getMessage() const;
+
+  inline bool hasFrom() const;
+  inline  ::celeryspread::wire::ReplicaEntry::Reader getFrom() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ControlNode::RaftParams::Builder {
+public:
+  typedef RaftParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage();
+  inline  ::celeryspread::wire::RaftMessage::Builder getMessage();
+  inline void setMessage( ::celeryspread::wire::RaftMessage::Reader value);
+  inline  ::celeryspread::wire::RaftMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::celeryspread::wire::RaftMessage>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::RaftMessage> disownMessage();
+
+  inline bool hasFrom();
+  inline  ::celeryspread::wire::ReplicaEntry::Builder getFrom();
+  inline void setFrom( ::celeryspread::wire::ReplicaEntry::Reader value);
+  inline  ::celeryspread::wire::ReplicaEntry::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownFrom();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::RaftParams::Pipeline {
+public:
+  typedef RaftParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::celeryspread::wire::RaftMessage::Pipeline getMessage();
+  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getFrom();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ControlNode::RaftResults::Reader {
+public:
+  typedef RaftResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline  ::celeryspread::wire::ControlNode::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::celeryspread::wire::ControlNode>();
-  }
+class ControlNode::RaftResults::Builder {
+public:
+  typedef RaftResults Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ControlNode::RaftResults::Pipeline {
+public:
+  typedef RaftResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::PingParams::Reader {
+class ControlNode::FetchParams::Reader {
 public:
-  typedef PingParams Reads;
+  typedef FetchParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6034,6 +6879,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::FetchRequest::Reader getRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6046,9 +6894,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::PingParams::Builder {
+class ControlNode::FetchParams::Builder {
 public:
-  typedef PingParams Builds;
+  typedef FetchParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6062,6 +6910,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::FetchRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::FetchRequest::Reader value);
+  inline  ::celeryspread::wire::FetchRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::FetchRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::FetchRequest> disownRequest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6072,14 +6927,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::PingParams::Pipeline {
+class ControlNode::FetchParams::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef FetchParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::FetchRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6088,9 +6944,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::PingResults::Reader {
+class ControlNode::FetchResults::Reader {
 public:
-  typedef PingResults Reads;
+  typedef FetchResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6105,6 +6961,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasReply() const;
+  inline  ::celeryspread::wire::FetchReply::Reader getReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6117,9 +6976,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::PingResults::Builder {
+class ControlNode::FetchResults::Builder {
 public:
-  typedef PingResults Builds;
+  typedef FetchResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6133,6 +6992,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasReply();
+  inline  ::celeryspread::wire::FetchReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::FetchReply::Reader value);
+  inline  ::celeryspread::wire::FetchReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::FetchReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::FetchReply> disownReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6143,14 +7009,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::PingResults::Pipeline {
+class ControlNode::FetchResults::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef FetchResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::FetchReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6159,9 +7026,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::RaftParams::Reader {
+class ControlNode::AdminParams::Reader {
 public:
-  typedef RaftParams Reads;
+  typedef AdminParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6176,11 +7043,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline  ::celeryspread::wire::RaftMessage::Reader getMessage() const;
-
-  inline bool hasFrom() const;
-  inline  ::celeryspread::wire::ReplicaEntry::Reader getFrom() const;
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::AdminRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6194,9 +7058,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::RaftParams::Builder {
+class ControlNode::AdminParams::Builder {
 public:
-  typedef RaftParams Builds;
+  typedef AdminParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6210,19 +7074,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline  ::celeryspread::wire::RaftMessage::Builder getMessage();
-  inline void setMessage( ::celeryspread::wire::RaftMessage::Reader value);
-  inline  ::celeryspread::wire::RaftMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::celeryspread::wire::RaftMessage>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::RaftMessage> disownMessage();
-
-  inline bool hasFrom();
-  inline  ::celeryspread::wire::ReplicaEntry::Builder getFrom();
-  inline void setFrom( ::celeryspread::wire::ReplicaEntry::Reader value);
-  inline  ::celeryspread::wire::ReplicaEntry::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownFrom();
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::AdminRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::AdminRequest::Reader value);
+  inline  ::celeryspread::wire::AdminRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::AdminRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::AdminRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6234,16 +7091,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::RaftParams::Pipeline {
+class ControlNode::AdminParams::Pipeline {
 public:
-  typedef RaftParams Pipelines;
+  typedef AdminParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::RaftMessage::Pipeline getMessage();
-  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getFrom();
+  inline  ::celeryspread::wire::AdminRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6252,9 +7108,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::RaftResults::Reader {
+class ControlNode::AdminResults::Reader {
 public:
-  typedef RaftResults Reads;
+  typedef AdminResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6269,6 +7125,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasReply() const;
+  inline  ::celeryspread::wire::AdminReply::Reader getReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6281,9 +7140,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::RaftResults::Builder {
+class ControlNode::AdminResults::Builder {
 public:
-  typedef RaftResults Builds;
+  typedef AdminResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6297,6 +7156,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasReply();
+  inline  ::celeryspread::wire::AdminReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::AdminReply::Reader value);
+  inline  ::celeryspread::wire::AdminReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::AdminReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::AdminReply> disownReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6307,14 +7173,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::RaftResults::Pipeline {
+class ControlNode::AdminResults::Pipeline {
 public:
-  typedef RaftResults Pipelines;
+  typedef AdminResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::AdminReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6323,9 +7190,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::FetchParams::Reader {
+class ControlNode::ClaimParams::Reader {
 public:
-  typedef FetchParams Reads;
+  typedef ClaimParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6341,7 +7208,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::celeryspread::wire::FetchRequest::Reader getRequest() const;
+  inline  ::celeryspread::wire::ClaimRequest::Reader getRequest() const;
+
+  inline bool getIsForwarded() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6355,9 +7224,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::FetchParams::Builder {
+class ControlNode::ClaimParams::Builder {
 public:
-  typedef FetchParams Builds;
+  typedef ClaimParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6372,11 +7241,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::celeryspread::wire::FetchRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::FetchRequest::Reader value);
-  inline  ::celeryspread::wire::FetchRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::FetchRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::FetchRequest> disownRequest();
+  inline  ::celeryspread::wire::ClaimRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::ClaimRequest::Reader value);
+  inline  ::celeryspread::wire::ClaimRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> disownRequest();
+
+  inline bool getIsForwarded();
+  inline void setIsForwarded(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6388,15 +7260,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::FetchParams::Pipeline {
+class ControlNode::ClaimParams::Pipeline {
 public:
-  typedef FetchParams Pipelines;
+  typedef ClaimParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::FetchRequest::Pipeline getRequest();
+  inline  ::celeryspread::wire::ClaimRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6405,9 +7277,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::FetchResults::Reader {
+class ControlNode::ClaimResults::Reader {
 public:
-  typedef FetchResults Reads;
+  typedef ClaimResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6423,7 +7295,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::celeryspread::wire::FetchReply::Reader getReply() const;
+  inline  ::celeryspread::wire::ClaimReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6437,9 +7309,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::FetchResults::Builder {
+class ControlNode::ClaimResults::Builder {
 public:
-  typedef FetchResults Builds;
+  typedef ClaimResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6454,11 +7326,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::celeryspread::wire::FetchReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::FetchReply::Reader value);
-  inline  ::celeryspread::wire::FetchReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::FetchReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::FetchReply> disownReply();
+  inline  ::celeryspread::wire::ClaimReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::ClaimReply::Reader value);
+  inline  ::celeryspread::wire::ClaimReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::ClaimReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ClaimReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6470,15 +7342,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::FetchResults::Pipeline {
+class ControlNode::ClaimResults::Pipeline {
 public:
-  typedef FetchResults Pipelines;
+  typedef ClaimResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::FetchReply::Pipeline getReply();
+  inline  ::celeryspread::wire::ClaimReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6487,9 +7359,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::AdminParams::Reader {
+class ControlNode::CloseClaimParams::Reader {
 public:
-  typedef AdminParams Reads;
+  typedef CloseClaimParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6504,8 +7376,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::AdminRequest::Reader getRequest() const;
+  inline bool hasClose() const;
+  inline  ::celeryspread::wire::CloseClaim::Reader getClose() const;
+
+  inline bool getIsForwarded() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6519,9 +7393,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::AdminParams::Builder {
+class ControlNode::CloseClaimParams::Builder {
 public:
-  typedef AdminParams Builds;
+  typedef CloseClaimParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6535,12 +7409,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::AdminRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::AdminRequest::Reader value);
-  inline  ::celeryspread::wire::AdminRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::AdminRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::AdminRequest> disownRequest();
+  inline bool hasClose();
+  inline  ::celeryspread::wire::CloseClaim::Builder getClose();
+  inline void setClose( ::celeryspread::wire::CloseClaim::Reader value);
+  inline  ::celeryspread::wire::CloseClaim::Builder initClose();
+  inline void adoptClose(::capnp::Orphan< ::celeryspread::wire::CloseClaim>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::CloseClaim> disownClose();
+
+  inline bool getIsForwarded();
+  inline void setIsForwarded(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6552,15 +7429,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::AdminParams::Pipeline {
+class ControlNode::CloseClaimParams::Pipeline {
 public:
-  typedef AdminParams Pipelines;
+  typedef CloseClaimParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::AdminRequest::Pipeline getRequest();
+  inline  ::celeryspread::wire::CloseClaim::Pipeline getClose();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6569,9 +7446,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::AdminResults::Reader {
+class ControlNode::CloseClaimResults::Reader {
 public:
-  typedef AdminResults Reads;
+  typedef CloseClaimResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6586,8 +7463,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::celeryspread::wire::AdminReply::Reader getReply() const;
+  inline bool getIsDurable() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6601,9 +7477,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::AdminResults::Builder {
+class ControlNode::CloseClaimResults::Builder {
 public:
-  typedef AdminResults Builds;
+  typedef CloseClaimResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6617,12 +7493,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::celeryspread::wire::AdminReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::AdminReply::Reader value);
-  inline  ::celeryspread::wire::AdminReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::AdminReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::AdminReply> disownReply();
+  inline bool getIsDurable();
+  inline void setIsDurable(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6634,15 +7506,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::AdminResults::Pipeline {
+class ControlNode::CloseClaimResults::Pipeline {
 public:
-  typedef AdminResults Pipelines;
+  typedef CloseClaimResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::AdminReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6651,9 +7522,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ClaimParams::Reader {
+class ControlNode::JoinParams::Reader {
 public:
-  typedef ClaimParams Reads;
+  typedef JoinParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6668,8 +7539,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::ClaimRequest::Reader getRequest() const;
+  inline bool hasReplica() const;
+  inline  ::celeryspread::wire::ReplicaEntry::Reader getReplica() const;
 
   inline bool getIsForwarded() const;
 
@@ -6685,9 +7556,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ClaimParams::Builder {
+class ControlNode::JoinParams::Builder {
 public:
-  typedef ClaimParams Builds;
+  typedef JoinParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6701,12 +7572,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::ClaimRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::ClaimRequest::Reader value);
-  inline  ::celeryspread::wire::ClaimRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::ClaimRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ClaimRequest> disownRequest();
+  inline bool hasReplica();
+  inline  ::celeryspread::wire::ReplicaEntry::Builder getReplica();
+  inline void setReplica( ::celeryspread::wire::ReplicaEntry::Reader value);
+  inline  ::celeryspread::wire::ReplicaEntry::Builder initReplica();
+  inline void adoptReplica(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownReplica();
 
   inline bool getIsForwarded();
   inline void setIsForwarded(bool value);
@@ -6721,15 +7592,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ClaimParams::Pipeline {
+class ControlNode::JoinParams::Pipeline {
 public:
-  typedef ClaimParams Pipelines;
+  typedef JoinParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::ClaimRequest::Pipeline getRequest();
+  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getReplica();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6738,9 +7609,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ClaimResults::Reader {
+class ControlNode::JoinResults::Reader {
 public:
-  typedef ClaimResults Reads;
+  typedef JoinResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6755,8 +7626,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::celeryspread::wire::ClaimReply::Reader getReply() const;
+  inline bool getIsAccepted() const;
+
+  inline bool getIsRemoved() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6770,9 +7642,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ClaimResults::Builder {
+class ControlNode::JoinResults::Builder {
 public:
-  typedef ClaimResults Builds;
+  typedef JoinResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6786,12 +7658,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::celeryspread::wire::ClaimReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::ClaimReply::Reader value);
-  inline  ::celeryspread::wire::ClaimReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::ClaimReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ClaimReply> disownReply();
+  inline bool getIsAccepted();
+  inline void setIsAccepted(bool value);
+
+  inline bool getIsRemoved();
+  inline void setIsRemoved(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6803,15 +7674,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ClaimResults::Pipeline {
+class ControlNode::JoinResults::Pipeline {
 public:
-  typedef ClaimResults Pipelines;
+  typedef JoinResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::ClaimReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6820,9 +7690,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::CloseClaimParams::Reader {
+class ControlNode::ReportInstancesParams::Reader {
 public:
-  typedef CloseClaimParams Reads;
+  typedef ReportInstancesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6837,10 +7707,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasClose() const;
-  inline  ::celeryspread::wire::CloseClaim::Reader getClose() const;
-
-  inline bool getIsForwarded() const;
+  inline bool hasInstances() const;
+  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Reader getInstances() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6854,9 +7722,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::CloseClaimParams::Builder {
+class ControlNode::ReportInstancesParams::Builder {
 public:
-  typedef CloseClaimParams Builds;
+  typedef ReportInstancesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6870,15 +7738,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasClose();
-  inline  ::celeryspread::wire::CloseClaim::Builder getClose();
-  inline void setClose( ::celeryspread::wire::CloseClaim::Reader value);
-  inline  ::celeryspread::wire::CloseClaim::Builder initClose();
-  inline void adoptClose(::capnp::Orphan< ::celeryspread::wire::CloseClaim>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::CloseClaim> disownClose();
-
-  inline bool getIsForwarded();
-  inline void setIsForwarded(bool value);
+  inline bool hasInstances();
+  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Builder getInstances();
+  inline void setInstances( ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Builder initInstances(unsigned int size);
+  inline void adoptInstances(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>> disownInstances();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6890,15 +7755,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::CloseClaimParams::Pipeline {
+class ControlNode::ReportInstancesParams::Pipeline {
 public:
-  typedef CloseClaimParams Pipelines;
+  typedef ReportInstancesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::CloseClaim::Pipeline getClose();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6907,9 +7771,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::CloseClaimResults::Reader {
+class ControlNode::ReportInstancesResults::Reader {
 public:
-  typedef CloseClaimResults Reads;
+  typedef ReportInstancesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6924,8 +7788,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsDurable() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6938,9 +7800,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::CloseClaimResults::Builder {
+class ControlNode::ReportInstancesResults::Builder {
 public:
-  typedef CloseClaimResults Builds;
+  typedef ReportInstancesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6954,9 +7816,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsDurable();
-  inline void setIsDurable(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6967,9 +7826,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::CloseClaimResults::Pipeline {
+class ControlNode::ReportInstancesResults::Pipeline {
 public:
-  typedef CloseClaimResults Pipelines;
+  typedef ReportInstancesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -6983,9 +7842,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::JoinParams::Reader {
+class ControlNode::FollowParams::Reader {
 public:
-  typedef JoinParams Reads;
+  typedef FollowParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7000,10 +7859,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReplica() const;
-  inline  ::celeryspread::wire::ReplicaEntry::Reader getReplica() const;
-
-  inline bool getIsForwarded() const;
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::FollowRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7017,9 +7874,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::JoinParams::Builder {
+class ControlNode::FollowParams::Builder {
 public:
-  typedef JoinParams Builds;
+  typedef FollowParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7033,15 +7890,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReplica();
-  inline  ::celeryspread::wire::ReplicaEntry::Builder getReplica();
-  inline void setReplica( ::celeryspread::wire::ReplicaEntry::Reader value);
-  inline  ::celeryspread::wire::ReplicaEntry::Builder initReplica();
-  inline void adoptReplica(::capnp::Orphan< ::celeryspread::wire::ReplicaEntry>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::ReplicaEntry> disownReplica();
-
-  inline bool getIsForwarded();
-  inline void setIsForwarded(bool value);
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::FollowRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::FollowRequest::Reader value);
+  inline  ::celeryspread::wire::FollowRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::FollowRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::FollowRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7053,15 +7907,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::JoinParams::Pipeline {
+class ControlNode::FollowParams::Pipeline {
 public:
-  typedef JoinParams Pipelines;
+  typedef FollowParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::ReplicaEntry::Pipeline getReplica();
+  inline  ::celeryspread::wire::FollowRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7070,9 +7924,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::JoinResults::Reader {
+class ControlNode::FollowResults::Reader {
 public:
-  typedef JoinResults Reads;
+  typedef FollowResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7087,9 +7941,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsAccepted() const;
-
-  inline bool getIsRemoved() const;
+  inline bool hasReply() const;
+  inline  ::celeryspread::wire::FollowReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7103,9 +7956,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::JoinResults::Builder {
+class ControlNode::FollowResults::Builder {
 public:
-  typedef JoinResults Builds;
+  typedef FollowResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7119,11 +7972,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsAccepted();
-  inline void setIsAccepted(bool value);
-
-  inline bool getIsRemoved();
-  inline void setIsRemoved(bool value);
+  inline bool hasReply();
+  inline  ::celeryspread::wire::FollowReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::FollowReply::Reader value);
+  inline  ::celeryspread::wire::FollowReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::FollowReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::FollowReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7135,14 +7989,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::JoinResults::Pipeline {
+class ControlNode::FollowResults::Pipeline {
 public:
-  typedef JoinResults Pipelines;
+  typedef FollowResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::FollowReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7151,9 +8006,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ReportInstancesParams::Reader {
+class ControlNode::LoadAdapterParams::Reader {
 public:
-  typedef ReportInstancesParams Reads;
+  typedef LoadAdapterParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7168,8 +8023,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasInstances() const;
-  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Reader getInstances() const;
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::AdapterRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7183,9 +8038,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ReportInstancesParams::Builder {
+class ControlNode::LoadAdapterParams::Builder {
 public:
-  typedef ReportInstancesParams Builds;
+  typedef LoadAdapterParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7199,12 +8054,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasInstances();
-  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Builder getInstances();
-  inline void setInstances( ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>::Builder initInstances(unsigned int size);
-  inline void adoptInstances(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::KnownInstance,  ::capnp::Kind::STRUCT>> disownInstances();
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::AdapterRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::AdapterRequest::Reader value);
+  inline  ::celeryspread::wire::AdapterRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::AdapterRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::AdapterRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7216,14 +8071,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ReportInstancesParams::Pipeline {
+class ControlNode::LoadAdapterParams::Pipeline {
 public:
-  typedef ReportInstancesParams Pipelines;
+  typedef LoadAdapterParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::AdapterRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7232,9 +8088,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ReportInstancesResults::Reader {
+class ControlNode::LoadAdapterResults::Reader {
 public:
-  typedef ReportInstancesResults Reads;
+  typedef LoadAdapterResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7249,6 +8105,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7261,9 +8120,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ReportInstancesResults::Builder {
+class ControlNode::LoadAdapterResults::Builder {
 public:
-  typedef ReportInstancesResults Builds;
+  typedef LoadAdapterResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7277,6 +8136,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7287,9 +8153,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ReportInstancesResults::Pipeline {
+class ControlNode::LoadAdapterResults::Pipeline {
 public:
-  typedef ReportInstancesResults Pipelines;
+  typedef LoadAdapterResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7303,9 +8169,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::FollowParams::Reader {
+class ControlNode::ReportCrashesParams::Reader {
 public:
-  typedef FollowParams Reads;
+  typedef ReportCrashesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7320,8 +8186,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::FollowRequest::Reader getRequest() const;
+  inline bool hasReport() const;
+  inline  ::celeryspread::wire::CrashReport::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7335,9 +8201,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::FollowParams::Builder {
+class ControlNode::ReportCrashesParams::Builder {
 public:
-  typedef FollowParams Builds;
+  typedef ReportCrashesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7351,12 +8217,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::FollowRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::FollowRequest::Reader value);
-  inline  ::celeryspread::wire::FollowRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::FollowRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::FollowRequest> disownRequest();
+  inline bool hasReport();
+  inline  ::celeryspread::wire::CrashReport::Builder getReport();
+  inline void setReport( ::celeryspread::wire::CrashReport::Reader value);
+  inline  ::celeryspread::wire::CrashReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::celeryspread::wire::CrashReport>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::CrashReport> disownReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7368,15 +8234,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::FollowParams::Pipeline {
+class ControlNode::ReportCrashesParams::Pipeline {
 public:
-  typedef FollowParams Pipelines;
+  typedef ReportCrashesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::FollowRequest::Pipeline getRequest();
+  inline  ::celeryspread::wire::CrashReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7385,9 +8251,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::FollowResults::Reader {
+class ControlNode::ReportCrashesResults::Reader {
 public:
-  typedef FollowResults Reads;
+  typedef ReportCrashesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7402,8 +8268,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::celeryspread::wire::FollowReply::Reader getReply() const;
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7417,9 +8284,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::FollowResults::Builder {
+class ControlNode::ReportCrashesResults::Builder {
 public:
-  typedef FollowResults Builds;
+  typedef ReportCrashesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7433,12 +8300,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::celeryspread::wire::FollowReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::FollowReply::Reader value);
-  inline  ::celeryspread::wire::FollowReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::FollowReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::FollowReply> disownReply();
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7450,15 +8316,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::FollowResults::Pipeline {
+class ControlNode::ReportCrashesResults::Pipeline {
 public:
-  typedef FollowResults Pipelines;
+  typedef ReportCrashesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::FollowReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7467,9 +8332,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::LoadAdapterParams::Reader {
+class ControlNode::RequestTrialParams::Reader {
 public:
-  typedef LoadAdapterParams Reads;
+  typedef RequestTrialParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7484,8 +8349,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::AdapterRequest::Reader getRequest() const;
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7499,9 +8364,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::LoadAdapterParams::Builder {
+class ControlNode::RequestTrialParams::Builder {
 public:
-  typedef LoadAdapterParams Builds;
+  typedef RequestTrialParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7515,12 +8380,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::AdapterRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::AdapterRequest::Reader value);
-  inline  ::celeryspread::wire::AdapterRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::AdapterRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::AdapterRequest> disownRequest();
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7532,15 +8397,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::LoadAdapterParams::Pipeline {
+class ControlNode::RequestTrialParams::Pipeline {
 public:
-  typedef LoadAdapterParams Pipelines;
+  typedef RequestTrialParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::AdapterRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7549,9 +8413,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::LoadAdapterResults::Reader {
+class ControlNode::RequestTrialResults::Reader {
 public:
-  typedef LoadAdapterResults Reads;
+  typedef RequestTrialResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7566,8 +8430,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
+  inline bool getIsPermitted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7581,9 +8444,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::LoadAdapterResults::Builder {
+class ControlNode::RequestTrialResults::Builder {
 public:
-  typedef LoadAdapterResults Builds;
+  typedef RequestTrialResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7597,12 +8460,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+  inline bool getIsPermitted();
+  inline void setIsPermitted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7614,9 +8473,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::LoadAdapterResults::Pipeline {
+class ControlNode::RequestTrialResults::Pipeline {
 public:
-  typedef LoadAdapterResults Pipelines;
+  typedef RequestTrialResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7630,9 +8489,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ReportCrashesParams::Reader {
+class ControlNode::TakeRateParams::Reader {
 public:
-  typedef ReportCrashesParams Reads;
+  typedef TakeRateParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7647,8 +8506,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::celeryspread::wire::CrashReport::Reader getReport() const;
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
+  inline double getRateLimit() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7662,9 +8523,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ReportCrashesParams::Builder {
+class ControlNode::TakeRateParams::Builder {
 public:
-  typedef ReportCrashesParams Builds;
+  typedef TakeRateParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7678,12 +8539,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::celeryspread::wire::CrashReport::Builder getReport();
-  inline void setReport( ::celeryspread::wire::CrashReport::Reader value);
-  inline  ::celeryspread::wire::CrashReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::celeryspread::wire::CrashReport>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::CrashReport> disownReport();
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+  inline double getRateLimit();
+  inline void setRateLimit(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7695,15 +8559,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ReportCrashesParams::Pipeline {
+class ControlNode::TakeRateParams::Pipeline {
 public:
-  typedef ReportCrashesParams Pipelines;
+  typedef TakeRateParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::CrashReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7712,9 +8575,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ReportCrashesResults::Reader {
+class ControlNode::TakeRateResults::Reader {
 public:
-  typedef ReportCrashesResults Reads;
+  typedef TakeRateResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7729,9 +8592,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEpoch() const;
+  inline bool getIsGranted() const;
 
-  inline  ::uint64_t getVersion() const;
+  inline  ::int64_t getRetryAfterMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7745,9 +8608,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ReportCrashesResults::Builder {
+class ControlNode::TakeRateResults::Builder {
 public:
-  typedef ReportCrashesResults Builds;
+  typedef TakeRateResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7761,11 +8624,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline bool getIsGranted();
+  inline void setIsGranted(bool value);
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::int64_t getRetryAfterMicros();
+  inline void setRetryAfterMicros( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7777,9 +8640,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ReportCrashesResults::Pipeline {
+class ControlNode::TakeRateResults::Pipeline {
 public:
-  typedef ReportCrashesResults Pipelines;
+  typedef TakeRateResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7793,9 +8656,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::RequestTrialParams::Reader {
+class ControlNode::EndRateLimitParams::Reader {
 public:
-  typedef RequestTrialParams Reads;
+  typedef EndRateLimitParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7810,8 +8673,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPart() const;
-  inline  ::capnp::Text::Reader getPart() const;
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7825,9 +8688,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::RequestTrialParams::Builder {
+class ControlNode::EndRateLimitParams::Builder {
 public:
-  typedef RequestTrialParams Builds;
+  typedef EndRateLimitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7841,12 +8704,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPart();
-  inline  ::capnp::Text::Builder getPart();
-  inline void setPart( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPart(unsigned int size);
-  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7858,9 +8721,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::RequestTrialParams::Pipeline {
+class ControlNode::EndRateLimitParams::Pipeline {
 public:
-  typedef RequestTrialParams Pipelines;
+  typedef EndRateLimitParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7874,9 +8737,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::RequestTrialResults::Reader {
+class ControlNode::EndRateLimitResults::Reader {
 public:
-  typedef RequestTrialResults Reads;
+  typedef EndRateLimitResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7891,8 +8754,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsPermitted() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7905,9 +8766,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::RequestTrialResults::Builder {
+class ControlNode::EndRateLimitResults::Builder {
 public:
-  typedef RequestTrialResults Builds;
+  typedef EndRateLimitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7921,9 +8782,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsPermitted();
-  inline void setIsPermitted(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7934,9 +8792,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::RequestTrialResults::Pipeline {
+class ControlNode::EndRateLimitResults::Pipeline {
 public:
-  typedef RequestTrialResults Pipelines;
+  typedef EndRateLimitResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7950,9 +8808,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::TakeRateParams::Reader {
+class ControlNode::TakeQuotaParams::Reader {
 public:
-  typedef TakeRateParams Reads;
+  typedef TakeQuotaParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7967,10 +8825,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
-
-  inline double getRateLimit() const;
+  inline bool hasRequest() const;
+  inline  ::celeryspread::wire::QuotaRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7984,9 +8840,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::TakeRateParams::Builder {
+class ControlNode::TakeQuotaParams::Builder {
 public:
-  typedef TakeRateParams Builds;
+  typedef TakeQuotaParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8000,15 +8856,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
-
-  inline double getRateLimit();
-  inline void setRateLimit(double value);
+  inline bool hasRequest();
+  inline  ::celeryspread::wire::QuotaRequest::Builder getRequest();
+  inline void setRequest( ::celeryspread::wire::QuotaRequest::Reader value);
+  inline  ::celeryspread::wire::QuotaRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::QuotaRequest>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::QuotaRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8020,14 +8873,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::TakeRateParams::Pipeline {
+class ControlNode::TakeQuotaParams::Pipeline {
 public:
-  typedef TakeRateParams Pipelines;
+  typedef TakeQuotaParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::QuotaRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8036,9 +8890,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::TakeRateResults::Reader {
+class ControlNode::TakeQuotaResults::Reader {
 public:
-  typedef TakeRateResults Reads;
+  typedef TakeQuotaResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8053,9 +8907,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsGranted() const;
-
-  inline  ::int64_t getRetryAfterMicros() const;
+  inline bool hasReply() const;
+  inline  ::celeryspread::wire::QuotaReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8069,9 +8922,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::TakeRateResults::Builder {
+class ControlNode::TakeQuotaResults::Builder {
 public:
-  typedef TakeRateResults Builds;
+  typedef TakeQuotaResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8085,11 +8938,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsGranted();
-  inline void setIsGranted(bool value);
-
-  inline  ::int64_t getRetryAfterMicros();
-  inline void setRetryAfterMicros( ::int64_t value);
+  inline bool hasReply();
+  inline  ::celeryspread::wire::QuotaReply::Builder getReply();
+  inline void setReply( ::celeryspread::wire::QuotaReply::Reader value);
+  inline  ::celeryspread::wire::QuotaReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::QuotaReply>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::QuotaReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8101,14 +8955,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::TakeRateResults::Pipeline {
+class ControlNode::TakeQuotaResults::Pipeline {
 public:
-  typedef TakeRateResults Pipelines;
+  typedef TakeQuotaResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::QuotaReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8117,9 +8972,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::EndRateLimitParams::Reader {
+class ControlNode::ReadRoutesParams::Reader {
 public:
-  typedef EndRateLimitParams Reads;
+  typedef ReadRoutesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8134,8 +8989,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getOffset() const;
+
+  inline  ::uint64_t getBase() const;
+
+  inline bool getIsEncoded() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8149,9 +9009,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::EndRateLimitParams::Builder {
+class ControlNode::ReadRoutesParams::Builder {
 public:
-  typedef EndRateLimitParams Builds;
+  typedef ReadRoutesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8165,12 +9025,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline bool getIsEncoded();
+  inline void setIsEncoded(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8182,9 +9047,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::EndRateLimitParams::Pipeline {
+class ControlNode::ReadRoutesParams::Pipeline {
 public:
-  typedef EndRateLimitParams Pipelines;
+  typedef ReadRoutesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -8198,9 +9063,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::EndRateLimitResults::Reader {
+class ControlNode::ReadRoutesResults::Reader {
 public:
-  typedef EndRateLimitResults Reads;
+  typedef ReadRoutesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8215,6 +9080,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasPiece() const;
+  inline  ::celeryspread::wire::RoutePiece::Reader getPiece() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -8227,9 +9095,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::EndRateLimitResults::Builder {
+class ControlNode::ReadRoutesResults::Builder {
 public:
-  typedef EndRateLimitResults Builds;
+  typedef ReadRoutesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8243,6 +9111,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasPiece();
+  inline  ::celeryspread::wire::RoutePiece::Builder getPiece();
+  inline void setPiece( ::celeryspread::wire::RoutePiece::Reader value);
+  inline  ::celeryspread::wire::RoutePiece::Builder initPiece();
+  inline void adoptPiece(::capnp::Orphan< ::celeryspread::wire::RoutePiece>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::RoutePiece> disownPiece();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8253,14 +9128,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::EndRateLimitResults::Pipeline {
+class ControlNode::ReadRoutesResults::Pipeline {
 public:
-  typedef EndRateLimitResults Pipelines;
+  typedef ReadRoutesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celeryspread::wire::RoutePiece::Pipeline getPiece();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8269,9 +9145,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::TakeQuotaParams::Reader {
+class ControlNode::RecordStreamsParams::Reader {
 public:
-  typedef TakeQuotaParams Reads;
+  typedef RecordStreamsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8286,8 +9162,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::celeryspread::wire::QuotaRequest::Reader getRequest() const;
+  inline bool hasReport() const;
+  inline  ::celeryspread::wire::StreamReport::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8301,9 +9177,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::TakeQuotaParams::Builder {
+class ControlNode::RecordStreamsParams::Builder {
 public:
-  typedef TakeQuotaParams Builds;
+  typedef RecordStreamsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8317,12 +9193,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::celeryspread::wire::QuotaRequest::Builder getRequest();
-  inline void setRequest( ::celeryspread::wire::QuotaRequest::Reader value);
-  inline  ::celeryspread::wire::QuotaRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::celeryspread::wire::QuotaRequest>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::QuotaRequest> disownRequest();
+  inline bool hasReport();
+  inline  ::celeryspread::wire::StreamReport::Builder getReport();
+  inline void setReport( ::celeryspread::wire::StreamReport::Reader value);
+  inline  ::celeryspread::wire::StreamReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::celeryspread::wire::StreamReport>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::StreamReport> disownReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8334,15 +9210,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::TakeQuotaParams::Pipeline {
+class ControlNode::RecordStreamsParams::Pipeline {
 public:
-  typedef TakeQuotaParams Pipelines;
+  typedef RecordStreamsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::QuotaRequest::Pipeline getRequest();
+  inline  ::celeryspread::wire::StreamReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8351,9 +9227,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::TakeQuotaResults::Reader {
+class ControlNode::RecordStreamsResults::Reader {
 public:
-  typedef TakeQuotaResults Reads;
+  typedef RecordStreamsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8368,9 +9244,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::celeryspread::wire::QuotaReply::Reader getReply() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -8383,9 +9256,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::TakeQuotaResults::Builder {
+class ControlNode::RecordStreamsResults::Builder {
 public:
-  typedef TakeQuotaResults Builds;
+  typedef RecordStreamsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8399,13 +9272,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::celeryspread::wire::QuotaReply::Builder getReply();
-  inline void setReply( ::celeryspread::wire::QuotaReply::Reader value);
-  inline  ::celeryspread::wire::QuotaReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::celeryspread::wire::QuotaReply>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::QuotaReply> disownReply();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8416,15 +9282,14 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::TakeQuotaResults::Pipeline {
+class ControlNode::RecordStreamsResults::Pipeline {
 public:
-  typedef TakeQuotaResults Pipelines;
+  typedef RecordStreamsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::QuotaReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8433,9 +9298,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ReadRoutesParams::Reader {
+class ControlNode::FindStreamParams::Reader {
 public:
-  typedef ReadRoutesParams Reads;
+  typedef FindStreamParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8450,13 +9315,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
-
-  inline  ::uint64_t getOffset() const;
-
-  inline  ::uint64_t getBase() const;
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
 
-  inline bool getIsEncoded() const;
+  inline  ::uint64_t getStream() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8470,9 +9332,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ReadRoutesParams::Builder {
+class ControlNode::FindStreamParams::Builder {
 public:
-  typedef ReadRoutesParams Builds;
+  typedef FindStreamParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8486,17 +9348,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline  ::uint64_t getOffset();
-  inline void setOffset( ::uint64_t value);
-
-  inline  ::uint64_t getBase();
-  inline void setBase( ::uint64_t value);
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
 
-  inline bool getIsEncoded();
-  inline void setIsEncoded(bool value);
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8508,9 +9368,9 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ReadRoutesParams::Pipeline {
+class ControlNode::FindStreamParams::Pipeline {
 public:
-  typedef ReadRoutesParams Pipelines;
+  typedef FindStreamParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -8524,9 +9384,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ControlNode::ReadRoutesResults::Reader {
+class ControlNode::FindStreamResults::Reader {
 public:
-  typedef ReadRoutesResults Reads;
+  typedef FindStreamResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8541,8 +9401,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPiece() const;
-  inline  ::celeryspread::wire::RoutePiece::Reader getPiece() const;
+  inline bool hasAnswer() const;
+  inline  ::celeryspread::wire::StreamAnswer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8556,9 +9416,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ControlNode::ReadRoutesResults::Builder {
+class ControlNode::FindStreamResults::Builder {
 public:
-  typedef ReadRoutesResults Builds;
+  typedef FindStreamResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8572,12 +9432,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPiece();
-  inline  ::celeryspread::wire::RoutePiece::Builder getPiece();
-  inline void setPiece( ::celeryspread::wire::RoutePiece::Reader value);
-  inline  ::celeryspread::wire::RoutePiece::Builder initPiece();
-  inline void adoptPiece(::capnp::Orphan< ::celeryspread::wire::RoutePiece>&& value);
-  inline ::capnp::Orphan< ::celeryspread::wire::RoutePiece> disownPiece();
+  inline bool hasAnswer();
+  inline  ::celeryspread::wire::StreamAnswer::Builder getAnswer();
+  inline void setAnswer( ::celeryspread::wire::StreamAnswer::Reader value);
+  inline  ::celeryspread::wire::StreamAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::celeryspread::wire::StreamAnswer>&& value);
+  inline ::capnp::Orphan< ::celeryspread::wire::StreamAnswer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8589,15 +9449,15 @@
 };
 
 #if !CAPNP_LITE
-class ControlNode::ReadRoutesResults::Pipeline {
+class ControlNode::FindStreamResults::Pipeline {
 public:
-  typedef ReadRoutesResults Pipelines;
+  typedef FindStreamResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::celeryspread::wire::RoutePiece::Pipeline getPiece();
+  inline  ::celeryspread::wire::StreamAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -10372,6 +11232,132 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Command::Reader::isPoolVersions() const {
+  return which() == Command::POOL_VERSIONS;
+}
+inline bool Command::Builder::isPoolVersions() {
+  return which() == Command::POOL_VERSIONS;
+}
+inline bool Command::Reader::hasPoolVersions() const {
+  if (which() != Command::POOL_VERSIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasPoolVersions() {
+  if (which() != Command::POOL_VERSIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::PoolVersions::Reader Command::Reader::getPoolVersions() const {
+  KJ_IREQUIRE((which() == Command::POOL_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::PoolVersions>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::PoolVersions::Builder Command::Builder::getPoolVersions() {
+  KJ_IREQUIRE((which() == Command::POOL_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::PoolVersions>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setPoolVersions( ::celeryspread::wire::PoolVersions::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::POOL_VERSIONS);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::PoolVersions>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::PoolVersions::Builder Command::Builder::initPoolVersions() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::POOL_VERSIONS);
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::PoolVersions>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptPoolVersions(
+    ::capnp::Orphan< ::celeryspread::wire::PoolVersions>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Command::POOL_VERSIONS);
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::PoolVersions>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::PoolVersions> Command::Builder::disownPoolVersions() {
+  KJ_IREQUIRE((which() == Command::POOL_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::PoolVersions>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PoolVersions::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PoolVersions::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PoolVersions::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PoolVersions::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PoolVersions::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PoolVersions::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PoolVersions::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PoolVersions::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PoolVersions::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PoolVersions::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PoolVersions::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PoolVersions::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PoolVersions::Builder::setVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void PoolVersions::Builder::setVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PoolVersions::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PoolVersions::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PoolVersions::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RouteChange::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -11237,18 +12223,52 @@
   ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::celeryspread::wire::RouteChange::Builder StateImage::Builder::initRoutes() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::celeryspread::wire::RouteChange::Builder StateImage::Builder::initRoutes() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void StateImage::Builder::adoptRoutes(
+    ::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> StateImage::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool StateImage::Reader::hasPoolVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool StateImage::Builder::hasPoolVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>::Reader StateImage::Reader::getPoolVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::getPoolVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void StateImage::Builder::adoptRoutes(
-    ::capnp::Orphan< ::celeryspread::wire::RouteChange>&& value) {
-  ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void StateImage::Builder::setPoolVersions( ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::celeryspread::wire::RouteChange> StateImage::Builder::disownRoutes() {
-  return ::capnp::_::PointerHelpers< ::celeryspread::wire::RouteChange>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>::Builder StateImage::Builder::initPoolVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void StateImage::Builder::adoptPoolVersions(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>> StateImage::Builder::disownPoolVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PoolVersions,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t FetchRequest::Reader::getAfterRevision() const {
@@ -13612,6 +14632,220 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowReply::Reader::getRecordsStreams() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowReply::Builder::getRecordsStreams() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setRecordsStreams(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamRecord::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamRecord::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t StreamRecord::Reader::getVersion() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t StreamRecord::Builder::getVersion() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setVersion( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamReport::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamReport::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StreamReport::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamReport::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamReport::Builder::setVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void StreamReport::Builder::setVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamReport::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamReport::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StreamReport::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamReport::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamReport::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader StreamReport::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamReport::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamReport::Builder::setStreams( ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamReport::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamReport::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>> StreamReport::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamAnswer::Reader::getIsKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamAnswer::Builder::getIsKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setIsKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamAnswer::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamAnswer::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamAnswer::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamAnswer::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamAnswer::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamAnswer::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamAnswer::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamAnswer::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamAnswer::Reader::getHasPoolVersions() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamAnswer::Builder::getHasPoolVersions() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setHasPoolVersions(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamAnswer::Reader::hasPoolVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamAnswer::Builder::hasPoolVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StreamAnswer::Reader::getPoolVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamAnswer::Builder::getPoolVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamAnswer::Builder::setPoolVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void StreamAnswer::Builder::setPoolVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamAnswer::Builder::initPoolVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamAnswer::Builder::adoptPoolVersions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StreamAnswer::Builder::disownPoolVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool QuotaDemand::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -15361,6 +16595,132 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ControlNode::RecordStreamsParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlNode::RecordStreamsParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::StreamReport::Reader ControlNode::RecordStreamsParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::StreamReport::Builder ControlNode::RecordStreamsParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::StreamReport::Pipeline ControlNode::RecordStreamsParams::Pipeline::getReport() {
+  return  ::celeryspread::wire::StreamReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ControlNode::RecordStreamsParams::Builder::setReport( ::celeryspread::wire::StreamReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::StreamReport::Builder ControlNode::RecordStreamsParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ControlNode::RecordStreamsParams::Builder::adoptReport(
+    ::capnp::Orphan< ::celeryspread::wire::StreamReport>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::StreamReport> ControlNode::RecordStreamsParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ControlNode::FindStreamParams::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlNode::FindStreamParams::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ControlNode::FindStreamParams::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ControlNode::FindStreamParams::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ControlNode::FindStreamParams::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ControlNode::FindStreamParams::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ControlNode::FindStreamParams::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ControlNode::FindStreamParams::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ControlNode::FindStreamParams::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ControlNode::FindStreamParams::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ControlNode::FindStreamParams::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ControlNode::FindStreamResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlNode::FindStreamResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celeryspread::wire::StreamAnswer::Reader ControlNode::FindStreamResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celeryspread::wire::StreamAnswer::Builder ControlNode::FindStreamResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celeryspread::wire::StreamAnswer::Pipeline ControlNode::FindStreamResults::Pipeline::getAnswer() {
+  return  ::celeryspread::wire::StreamAnswer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ControlNode::FindStreamResults::Builder::setAnswer( ::celeryspread::wire::StreamAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celeryspread::wire::StreamAnswer::Builder ControlNode::FindStreamResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ControlNode::FindStreamResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::celeryspread::wire::StreamAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celeryspread::wire::StreamAnswer> ControlNode::FindStreamResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::celeryspread::wire::StreamAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
