Streams: a record on its way is waited for, and reported again

Reports in transit were lost, and an entry without a link refused at once. Now a report that nobody confirmed is sent again, and a stream that nobody knows is asked for again during 600 ms.

Also: the test programs build again (an aggregate's new member, an include).

--- a/gateway/engine_selector.h
+++ b/gateway/engine_selector.h
@@ -41,7 +41,7 @@
   /// Upstreams that limit requests are left out.
   bool m_skipsLimited = false;
   /// If set, only upstreams of this software are chosen.
-  std::optional<SoftwareVersion> m_software;
+  std::optional<SoftwareVersion> m_software = std::nullopt;
 };
 
 /// Chooses the upstream where a call is expected to start earliest and to delay
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -98,10 +98,10 @@
   OverloadControl* m_overload = nullptr;
   /// Age of the proof up to which the absence of a route is certain.
   Duration m_routeProofTime = std::chrono::seconds(3);
-  /// Null if the engines of a pool all have the same software.
-  StreamOrigins* m_streams = nullptr;
   /// Null if only parts of prompts are suspected when engines end.
   const RequestNamer* m_requests = nullptr;
+  /// Null if the engines of a pool all have the same software.
+  StreamOrigins* m_streams = nullptr;
 };
 
 } // namespace celeryspread
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -135,8 +135,8 @@
                  Learning(),
                  m_settings.m_hasOverloadAdmission ? &m_overload : nullptr,
                  m_settings.m_routeProofTime,
-                 &m_streams,
-                 &m_requests }
+                 &m_requests,
+                 &m_streams }
     , m_gateway(m_context)
     , m_probes(
         m_platform.m_readyPath,
--- a/gateway/stream_origin_link.cpp
+++ b/gateway/stream_origin_link.cpp
@@ -17,6 +17,8 @@
 /// Instances that are told of each stream, so that the loss of one leaves it
 /// known.
 constexpr size_t kReportCopies = 2;
+/// Time after which a stream that nobody knows is asked for again.
+constexpr Duration kAskAgainDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -29,7 +31,10 @@
 {
 }
 
-StreamOriginLink::~StreamOriginLink() noexcept = default;
+StreamOriginLink::~StreamOriginLink() noexcept
+{
+  *m_isAlive = false;
+}
 
 void StreamOriginLink::RecordBegin(StreamKey aStream,
                                    const SoftwareVersion& aVersion)
@@ -68,37 +73,58 @@
     ScheduleReport();
     return;
   }
+  const auto batch = std::make_shared<Batch>();
+  batch->m_streams.swap(m_unreported);
+  batch->m_openCalls = copies;
+  for (size_t copy = 0; copy < copies; ++copy) {
+    auto call = links[copy]->Node().recordStreamsRequest();
+    WriteReport(*batch, call.initReport());
+    links[copy]
+      ->WithTimeout<void>(call.send().ignoreResult(), kReportTimeout)
+      .then([] { return true; }, [](kj::Exception&&) { return false; })
+      .then([this, batch, isAlive = m_isAlive](bool aIsConfirmed) {
+        if (*isAlive) {
+          EndReport(*batch, aIsConfirmed);
+        }
+      })
+      .detach([](kj::Exception&&) {});
+  }
+}
+
+void StreamOriginLink::WriteReport(const Batch& aBatch,
+                                   wire::StreamReport::Builder aOut)
+{
   std::vector<SoftwareVersion> versions;
-  std::vector<size_t> positions;
-  for (const Begun& begun : m_unreported) {
-    const auto at =
-      std::find(versions.begin(), versions.end(), begun.m_version);
-    positions.push_back(static_cast<size_t>(at - versions.begin()));
+  auto streams =
+    aOut.initStreams(static_cast<unsigned>(aBatch.m_streams.size()));
+  for (unsigned i = 0; i < streams.size(); ++i) {
+    const Begun& begun = aBatch.m_streams[i];
+    auto at = std::find(versions.begin(), versions.end(), begun.m_version);
     if (at == versions.end()) {
-      versions.push_back(begun.m_version);
+      at = versions.insert(versions.end(), begun.m_version);
     }
+    streams[i].setStream(begun.m_stream.Value());
+    streams[i].setVersion(static_cast<uint16_t>(at - versions.begin()));
   }
-  for (size_t copy = 0; copy < copies; ++copy) {
-    WireLink* link = links[copy];
-    auto call = link->Node().recordStreamsRequest();
-    auto report = call.initReport();
-    auto names = report.initVersions(static_cast<unsigned>(versions.size()));
-    for (unsigned i = 0; i < names.size(); ++i) {
-      names.set(i, versions[i].Value());
-    }
-    auto streams =
-      report.initStreams(static_cast<unsigned>(m_unreported.size()));
-    for (unsigned i = 0; i < streams.size(); ++i) {
-      streams[i].setStream(m_unreported[i].m_stream.Value());
-      streams[i].setVersion(static_cast<uint16_t>(positions[i]));
-    }
-    link->WithTimeout<void>(call.send().ignoreResult(), kReportTimeout)
-      .detach([this](kj::Exception&&) {
-        m_deps.m_metrics.Count(
-          "celeryspread_gateway_stream_reports_failed_total");
-      });
+  auto names = aOut.initVersions(static_cast<unsigned>(versions.size()));
+  for (unsigned i = 0; i < names.size(); ++i) {
+    names.set(i, versions[i].Value());
+  }
+}
+
+void StreamOriginLink::EndReport(Batch& aBatch, bool aIsConfirmed)
+{
+  aBatch.m_isConfirmed = aBatch.m_isConfirmed || aIsConfirmed;
+  --aBatch.m_openCalls;
+  if (!aIsConfirmed) {
+    m_deps.m_metrics.Count("celeryspread_gateway_stream_reports_failed_total");
+  }
+  if (aBatch.m_openCalls == 0 && !aBatch.m_isConfirmed) {
+    m_unreported.insert(m_unreported.begin(),
+                        aBatch.m_streams.begin(),
+                        aBatch.m_streams.end());
+    ScheduleReport();
   }
-  m_unreported.clear();
 }
 
 void StreamOriginLink::Find(const PoolId& aPool,
@@ -110,26 +136,39 @@
     aFound(own);
     return;
   }
+  Ask(std::make_shared<Question>(
+    Question{ aPool,
+              aStream.value_or(StreamKey()),
+              std::move(aFound),
+              m_deps.m_clock.Now() + kFindTimeout }));
+}
+
+void StreamOriginLink::Ask(const SharedQuestion& aQuestion)
+{
   const std::vector<WireLink*> links = m_controls.m_links();
-  auto question = std::make_shared<Question>();
-  question->m_found = std::move(aFound);
-  question->m_openCalls = links.size();
   if (links.empty()) {
-    Finish(*question, std::nullopt);
+    AskLater(aQuestion);
     return;
   }
+  aQuestion->m_openCalls = links.size();
+  const Duration left = std::max(
+    kAskAgainDelay, aQuestion->m_deadline - m_deps.m_clock.Now());
   // All are asked at once: any of them may be the one that was told, and the
   // caller waits.
   for (WireLink* link : links) {
     auto call = link->Node().findStreamRequest();
-    call.setPool(aPool.Value());
-    call.setStream(aStream.value_or(StreamKey()).Value());
-    auto reply = call.send().then([question](auto&& aResponse) {
-      HandleAnswer(*question, aResponse.getAnswer());
+    call.setPool(aQuestion->m_pool.Value());
+    call.setStream(aQuestion->m_stream.Value());
+    auto reply = call.send().then([aQuestion](auto&& aResponse) {
+      HandleAnswer(*aQuestion, aResponse.getAnswer());
     });
-    link->WithTimeout<void>(kj::mv(reply), kFindTimeout)
-      .then([question] { EndCall(*question); },
-            [question](kj::Exception&&) { EndCall(*question); })
+    link->WithTimeout<void>(kj::mv(reply), left)
+      .catch_([](kj::Exception&&) {})
+      .then([this, aQuestion, isAlive = m_isAlive] {
+        if (*isAlive) {
+          EndCall(aQuestion);
+        }
+      })
       .detach([](kj::Exception&&) {});
   }
 }
@@ -141,20 +180,35 @@
     Finish(aQuestion, SoftwareVersion(TextOf(aAnswer.getVersion())));
     return;
   }
-  if (aAnswer.getHasPoolVersions()) {
-    aQuestion.m_poolVersions.merge(ReadVersions(aAnswer.getPoolVersions()));
+  const auto versions = ReadVersions(aAnswer.getPoolVersions());
+  if (aAnswer.getHasPoolVersions() && versions.size() == 1) {
     // No stream of the pool can have begun elsewhere.
-    if (aQuestion.m_poolVersions.size() == 1) {
-      Finish(aQuestion, *aQuestion.m_poolVersions.begin());
-    }
+    Finish(aQuestion, *versions.begin());
+  }
+}
+
+void StreamOriginLink::EndCall(const SharedQuestion& aQuestion)
+{
+  if (--aQuestion->m_openCalls == 0 && !aQuestion->m_isDone) {
+    AskLater(aQuestion);
   }
 }
 
-void StreamOriginLink::EndCall(Question& aQuestion)
+void StreamOriginLink::AskLater(const SharedQuestion& aQuestion)
 {
-  if (--aQuestion.m_openCalls == 0) {
-    Finish(aQuestion, std::nullopt);
+  const bool hasTime =
+    m_deps.m_clock.Now() + kAskAgainDelay < aQuestion->m_deadline;
+  if (!hasTime) {
+    Finish(*aQuestion, std::nullopt);
+    return;
   }
+  PromiseAfter(m_deps.m_port.Base(), kAskAgainDelay.count())
+    .then([this, aQuestion, isAlive = m_isAlive] {
+      if (*isAlive) {
+        Ask(aQuestion);
+      }
+    })
+    .detach([](kj::Exception&&) {});
 }
 
 void StreamOriginLink::Finish(Question& aQuestion,
--- a/gateway/stream_origin_link.h
+++ b/gateway/stream_origin_link.h
@@ -22,9 +22,10 @@
   /// A stream is reported within this time after its first event, so that the
   /// loss of the entry leaves few streams of unknown origin.
   static constexpr Duration kReportDelay = std::chrono::milliseconds(50);
-  /// A caller that asks for the rest of a stream waits this long for the answers
-  /// of control instances: a round trip to the farthest, and a lost packet.
-  static constexpr Duration kFindTimeout = std::chrono::milliseconds(500);
+  /// A caller that asks for the rest of a stream waits this long until a control
+  /// instance knows of it. Whatever broke the stream off may have broken the
+  /// links as well, or delayed the report.
+  static constexpr Duration kFindTimeout = std::chrono::milliseconds(600);
 
   /// Objects that the link uses. All of them outlive it.
   struct Dependencies
@@ -60,23 +61,42 @@
     SoftwareVersion m_version;
     TimePoint m_at;
   };
-  /// Answers to one question.
+  /// A stream that is looked up, and the answers so far.
   struct Question
   {
+    PoolId m_pool;
+    StreamKey m_stream;
     Found m_found;
-    std::set<SoftwareVersion> m_poolVersions;
+    TimePoint m_deadline;
     size_t m_openCalls = 0;
     bool m_isDone = false;
   };
+  /// Streams that were reported, and the calls that may still succeed.
+  struct Batch
+  {
+    std::deque<Begun> m_streams;
+    size_t m_openCalls = 0;
+    bool m_isConfirmed = false;
+  };
+  using SharedQuestion = std::shared_ptr<Question>;
 
   void ScheduleReport();
   void Report();
+  static void WriteReport(const Batch& aBatch,
+                          wire::StreamReport::Builder aOut);
+  /// Records that a call with a report has ended. What no instance confirmed is
+  /// reported again.
+  void EndReport(Batch& aBatch, bool aIsConfirmed);
+  /// Asks all instances that are in reach.
+  void Ask(const SharedQuestion& aQuestion);
   static void HandleAnswer(Question& aQuestion,
                            wire::StreamAnswer::Reader aAnswer);
+  /// Records that a call of a question has ended.
+  void EndCall(const SharedQuestion& aQuestion);
+  /// Asks again after a moment while there is time.
+  void AskLater(const SharedQuestion& aQuestion);
   static void Finish(Question& aQuestion,
                      std::optional<SoftwareVersion> aVersion);
-  /// Records that one of the calls has ended.
-  static void EndCall(Question& aQuestion);
 
   Dependencies m_deps;
   ControlInstances m_controls;
@@ -86,6 +106,8 @@
   std::deque<Begun> m_unreported;
   bool m_isReportDue = false;
   kj::Promise<void> m_report;
+  /// False once the link is destroyed; shared with calls in progress.
+  std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 } // namespace celeryspread
--- a/tests/gateway/stream_origin_link_test.cpp
+++ b/tests/gateway/stream_origin_link_test.cpp
@@ -22,6 +22,8 @@
 {
   StreamVersions m_streams{ kStreamMemory, 1000 };
   size_t m_reports = 0;
+  /// Reports that fail before one is accepted.
+  size_t m_failingReports = 0;
   bool m_isSilent = false;
   /// Empty for an instance that does not lead.
   std::set<SoftwareVersion> m_poolVersions;
@@ -41,6 +43,9 @@
     if (m_script.m_isSilent) {
       return kj::NEVER_DONE;
     }
+    KJ_REQUIRE(m_script.m_failingReports == 0 ||
+                 m_script.m_failingReports-- == 0,
+               "scripted failure");
     ++m_script.m_reports;
     const auto report = aContext.getParams().getReport();
     for (const auto stream : report.getStreams()) {
@@ -201,6 +206,23 @@
   EXPECT_EQ(Find(StreamKey(2)), "v2");
 }
 
+// Guards against refusals for want of a record that is on its way: what broke
+// the stream off has broken the links of its entry as well.
+TEST_F(StreamOriginLinkTest, ReportThatFailedIsSentAgainWhileTheCallerWaits)
+{
+  for (StreamScript& script : m_scripts) {
+    script.m_failingReports = 1;
+  }
+  m_entry->RecordBegin(StreamKey(1), kOld);
+  const auto other = StartEntry();
+  std::optional<SoftwareVersion> found;
+  other->Find(kPool, StreamKey(1), [&](std::optional<SoftwareVersion> aVersion) {
+    found = aVersion.value_or(SoftwareVersion("unknown"));
+  });
+  EXPECT_TRUE(m_loop.RunUntil([&] { return found.has_value(); }));
+  EXPECT_EQ(found, kOld);
+}
+
 // Guards against callers that wait for instances that do not answer.
 TEST_F(StreamOriginLinkTest, SilentInstancesDelayACallerForAShortTime)
 {
--- a/tests/wire/retry_loop_test.cpp
+++ b/tests/wire/retry_loop_test.cpp
@@ -1,6 +1,7 @@
 #include <stdexcept>
 
 #include <gtest/gtest.h>
+#include <kj/debug.h>
 
 #include "tests/support/test_loop.h"
 #include "wire/retry_loop.h"
