--- a/control/commands.cpp
+++ b/control/commands.cpp
@@ -103,9 +103,8 @@
     }
     case wire::Command::POOL_VERSIONS: {
       const auto change = aIn.getPoolVersions();
-      command.m_body =
-        PoolVersionsChange{ PoolId(TextOf(change.getPool())),
-                            ReadVersions(change.getVersions()) };
+      command.m_body = PoolVersionsChange{ PoolId(TextOf(change.getPool())),
+                                           ReadVersions(change.getVersions()) };
       break;
     }
   }
--- a/control/route_source.cpp
+++ b/control/route_source.cpp
@@ -73,8 +73,7 @@
   const auto document = m_documents.find(aTransfer.m_version);
   const auto base = m_documents.find(aTransfer.m_base);
   const bool hasBase = aTransfer.m_base != Revision();
-  if (document == m_documents.end() ||
-      (hasBase && base == m_documents.end())) {
+  if (document == m_documents.end() || (hasBase && base == m_documents.end())) {
     return nullptr;
   }
   if (!aTransfer.m_isEncoded) {
@@ -82,8 +81,8 @@
   }
   auto& encoded = m_encoded[aTransfer];
   if (encoded == nullptr) {
-    encoded = std::make_shared<const std::string>(EncodeRoutes(
-      *document->second, hasBase ? *base->second : std::string()));
+    encoded = std::make_shared<const std::string>(
+      EncodeRoutes(*document->second, hasBase ? *base->second : std::string()));
   }
   return encoded;
 }
@@ -91,9 +90,7 @@
 RouteSource::Content RouteSource::Encode(Revision aBase)
 {
   const bool hasBase = aBase < m_version && m_documents.contains(aBase);
-  const RouteTransfer transfer{ m_version,
-                                hasBase ? aBase : Revision(),
-                                true };
+  const RouteTransfer transfer{ m_version, hasBase ? aBase : Revision(), true };
   return { transfer, BytesOf(transfer) };
 }
 
--- a/control/state_machine.cpp
+++ b/control/state_machine.cpp
@@ -55,7 +55,8 @@
     }
     return RouteResult{ m_routes.m_version };
   }
-  if (const auto* versions = std::get_if<PoolVersionsChange>(&command->m_body)) {
+  if (const auto* versions =
+        std::get_if<PoolVersionsChange>(&command->m_body)) {
     m_poolVersions[versions->m_pool] = versions->m_versions;
     return PoolVersionsResult{};
   }
--- a/control/state_machine.h
+++ b/control/state_machine.h
@@ -32,13 +32,12 @@
 {};
 
 /// Result of an applied command.
-using CommandResult = std::
-  variant<ChangeResult,
-          ClaimReply,
-          CloseResult,
-          SettleResult,
-          RouteResult,
-          PoolVersionsResult>;
+using CommandResult = std::variant<ChangeResult,
+                                   ClaimReply,
+                                   CloseResult,
+                                   SettleResult,
+                                   RouteResult,
+                                   PoolVersionsResult>;
 
 /// The replicated state: settings, claims and the route configuration.
 /// @thread loop thread only.
--- a/control/stream_service.cpp
+++ b/control/stream_service.cpp
@@ -92,8 +92,7 @@
     return;
   }
   aOut.setHasPoolVersions(true);
-  auto list =
-    aOut.initPoolVersions(static_cast<unsigned>(pool->second.size()));
+  auto list = aOut.initPoolVersions(static_cast<unsigned>(pool->second.size()));
   unsigned at = 0;
   for (const SoftwareVersion& version : pool->second) {
     list.set(at++, version.Value());
--- a/fleet/version_census.h
+++ b/fleet/version_census.h
@@ -19,8 +19,8 @@
 class VersionCensus
 {
 public:
-  /// Starts a term of the owner: all that is recorded counts as seen now, as its
-  /// predecessor may have seen it last. @pre none.
+  /// Starts a term of the owner: all that is recorded counts as seen now, as
+  /// its predecessor may have seen it last. @pre none.
   void Begin(const PoolVersions& aRecorded, TimePoint aNow);
   /// Records the versions of the engines that the platform lists. @pre none.
   void Observe(const PoolVersions& aServing, TimePoint aNow);
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -56,14 +56,13 @@
   , m_report(nullptr)
 {
   SetSeeds(m_settings.m_seeds);
-  m_follow =
-    RepeatForever(m_deps.m_port,
-                  { [this] { return FollowOnce(); },
-                    [this](const kj::Exception& aException) {
-                      HandleFollowFailure(aException);
-                    },
-                    Duration(kRetryDelayMicros) })
-      .eagerlyEvaluate(nullptr);
+  m_follow = RepeatForever(m_deps.m_port,
+                           { [this] { return FollowOnce(); },
+                             [this](const kj::Exception& aException) {
+                               HandleFollowFailure(aException);
+                             },
+                             Duration(kRetryDelayMicros) })
+               .eagerlyEvaluate(nullptr);
   m_report = RepeatForever(m_deps.m_port,
                            { [this] { return ReportOnce(); },
                              [](const kj::Exception&) {},
--- a/gateway/engine_choice.cpp
+++ b/gateway/engine_choice.cpp
@@ -159,10 +159,10 @@
     case SelectError::NoUpstream:
       if (m_call.m_software) {
         // The version may never be back; the caller can begin anew at once.
-        m_listener.OnChoiceFailed(
-          "no engine of software version " + m_call.m_software->Value() +
-            ", which began the stream, accepts calls",
-          std::nullopt);
+        m_listener.OnChoiceFailed("no engine of software version " +
+                                    m_call.m_software->Value() +
+                                    ", which began the stream, accepts calls",
+                                  std::nullopt);
         return;
       }
       Fail("no upstream of the pool accepts new calls", kBusyRetryAfter);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -133,7 +133,8 @@
                      : "no route configuration was proved to be current yet");
     return;
   }
-  // The newer version may send the call elsewhere, and callers rely on it by now.
+  // The newer version may send the call elsewhere, and callers rely on it by
+  // now.
   if (m_context.m_access.IsOutdated(m_context.m_routeProofTime, now)) {
     m_context.m_metrics.Count("celeryspread_gateway_outdated_routes_total");
     RefuseUnrouted(*aCall,
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -12,12 +12,12 @@
 #include "gateway/prefill_estimator.h"
 #include "gateway/quota_gate.h"
 #include "gateway/retry_budget_share.h"
+#include "gateway/stream_origins.h"
 #include "http/upstream_client.h"
 #include "quarantine/request_namer.h"
 #include "routes/route_config.h"
 #include "teams/access_control.h"
 #include "telemetry/event_log.h"
-#include "gateway/stream_origins.h"
 #include "telemetry/metrics.h"
 
 namespace celeryspread {
--- a/gateway/route_follower.cpp
+++ b/gateway/route_follower.cpp
@@ -26,11 +26,10 @@
                              Listener aListener)
   : m_deps(aDependencies)
   , m_listener(std::move(aListener))
-  , m_fetch(aDependencies.m_port,
-            std::move(aLinks),
-            [this](const RouteArrival& aArrival) {
-              return PutInForce(aArrival);
-            })
+  , m_fetch(
+      aDependencies.m_port,
+      std::move(aLinks),
+      [this](const RouteArrival& aArrival) { return PutInForce(aArrival); })
 {
 }
 
@@ -41,14 +40,13 @@
     return false;
   }
   const TimePoint now = m_deps.m_clock.Now();
-  m_deps.m_log.Write(
-    EventId::RoutesReceived,
-    "version=" + std::to_string(document.m_version.Value()) +
-      " control=" + m_control +
-      " lag_ms=" + std::to_string(m_freshness.Lag(now) / kOneMs) +
-      " bytes=" + std::to_string(document.m_bytes.size()) +
-      " sent_bytes=" + std::to_string(aArrival.m_sentBytes) +
-      " pieces=" + std::to_string(aArrival.m_pieces));
+  m_deps.m_log.Write(EventId::RoutesReceived,
+                     "version=" + std::to_string(document.m_version.Value()) +
+                       " control=" + m_control + " lag_ms=" +
+                       std::to_string(m_freshness.Lag(now) / kOneMs) +
+                       " bytes=" + std::to_string(document.m_bytes.size()) +
+                       " sent_bytes=" + std::to_string(aArrival.m_sentBytes) +
+                       " pieces=" + std::to_string(aArrival.m_pieces));
   m_freshness.RecordInForce(document.m_version, m_control, now);
   return true;
 }
--- a/gateway/stream_origin_link.cpp
+++ b/gateway/stream_origin_link.cpp
@@ -120,9 +120,8 @@
     m_deps.m_metrics.Count("celeryspread_gateway_stream_reports_failed_total");
   }
   if (aBatch.m_openCalls == 0 && !aBatch.m_isConfirmed) {
-    m_unreported.insert(m_unreported.begin(),
-                        aBatch.m_streams.begin(),
-                        aBatch.m_streams.end());
+    m_unreported.insert(
+      m_unreported.begin(), aBatch.m_streams.begin(), aBatch.m_streams.end());
     ScheduleReport();
   }
 }
@@ -151,8 +150,8 @@
     return;
   }
   aQuestion->m_openCalls = links.size();
-  const Duration left = std::max(
-    kAskAgainDelay, aQuestion->m_deadline - m_deps.m_clock.Now());
+  const Duration left =
+    std::max(kAskAgainDelay, aQuestion->m_deadline - m_deps.m_clock.Now());
   // All are asked at once: any of them may be the one that was told, and the
   // caller waits.
   for (WireLink* link : links) {
--- a/gateway/stream_origin_link.h
+++ b/gateway/stream_origin_link.h
@@ -22,9 +22,9 @@
   /// A stream is reported within this time after its first event, so that the
   /// loss of the entry leaves few streams of unknown origin.
   static constexpr Duration kReportDelay = std::chrono::milliseconds(50);
-  /// A caller that asks for the rest of a stream waits this long until a control
-  /// instance knows of it. Whatever broke the stream off may have broken the
-  /// links as well, or delayed the report.
+  /// A caller that asks for the rest of a stream waits this long until a
+  /// control instance knows of it. Whatever broke the stream off may have
+  /// broken the links as well, or delayed the report.
   static constexpr Duration kFindTimeout = std::chrono::milliseconds(600);
 
   /// Objects that the link uses. All of them outlive it.
@@ -48,8 +48,7 @@
   ~StreamOriginLink() noexcept override;
   KJ_DISALLOW_COPY(StreamOriginLink);
 
-  void RecordBegin(StreamKey aStream,
-                   const SoftwareVersion& aVersion) override;
+  void RecordBegin(StreamKey aStream, const SoftwareVersion& aVersion) override;
   void Find(const PoolId& aPool,
             std::optional<StreamKey> aStream,
             Found aFound) override;
--- a/streams/stream_versions.cpp
+++ b/streams/stream_versions.cpp
@@ -49,10 +49,9 @@
   }
   auto& versions = m_current.m_versions;
   auto at = std::find(versions.begin(), versions.end(), aVersion);
-  const bool isFull =
-    2 * m_current.m_streams.size() >= m_maxStreams ||
-    (at == versions.end() &&
-     versions.size() > std::numeric_limits<uint16_t>::max());
+  const bool isFull = 2 * m_current.m_streams.size() >= m_maxStreams ||
+                      (at == versions.end() &&
+                       versions.size() > std::numeric_limits<uint16_t>::max());
   m_begunAt = m_begunAt.value_or(aNow);
   if (isFull || *m_begunAt + m_memory <= aNow) {
     m_former = std::exchange(m_current, Generation());
--- a/teams/access_control.h
+++ b/teams/access_control.h
@@ -69,8 +69,8 @@
   /// Returns the time for which the configuration is not proved to be the
   /// newest; empty if it never was. @pre none.
   [[nodiscard]] std::optional<Duration> ProofAge(TimePoint aNow) const;
-  /// Returns whether a newer configuration is known to be committed and this one
-  /// was last proved to be the newest longer ago than aMaxAge. @pre none.
+  /// Returns whether a newer configuration is known to be committed and this
+  /// one was last proved to be the newest longer ago than aMaxAge. @pre none.
   [[nodiscard]] bool IsOutdated(Duration aMaxAge, TimePoint aNow) const;
 
 private:
--- a/teams/config_proof.cpp
+++ b/teams/config_proof.cpp
@@ -38,8 +38,8 @@
   std::optional<TimePoint> provenAt;
   for (const Statement& statement : m_statements) {
     if (statement.m_version <= m_version) {
-      provenAt = std::max(provenAt.value_or(statement.m_provenAt),
-                          statement.m_provenAt);
+      provenAt =
+        std::max(provenAt.value_or(statement.m_provenAt), statement.m_provenAt);
     }
   }
   std::erase_if(m_statements, [&](const Statement& aStatement) {
--- a/tests/control/route_source_test.cpp
+++ b/tests/control/route_source_test.cpp
@@ -74,9 +74,9 @@
   std::optional<std::string> document;
   for (size_t i = 0; i < kPieces; ++i) {
     ASSERT_FALSE(document);
-    document = assembly.Add(source.Read(
-      assembly.NextOffset() == 0 ? kPlain : assembly.Transfer(),
-      assembly.NextOffset()));
+    document = assembly.Add(
+      source.Read(assembly.NextOffset() == 0 ? kPlain : assembly.Transfer(),
+                  assembly.NextOffset()));
     source.SetReplicated(Routes(i + 2, 100));
   }
   ASSERT_TRUE(document);
@@ -103,9 +103,9 @@
     for (const RouteTransfer& transfer : slow) {
       EXPECT_EQ(source.Read(transfer, 1).m_transfer, transfer);
     }
-    document = assembly.Add(source.Read(
-      assembly.NextOffset() == 0 ? kPlain : assembly.Transfer(),
-      assembly.NextOffset()));
+    document = assembly.Add(
+      source.Read(assembly.NextOffset() == 0 ? kPlain : assembly.Transfer(),
+                  assembly.NextOffset()));
     source.SetReplicated(Routes(version, kBytes));
   }
   EXPECT_TRUE(document);
@@ -168,7 +168,8 @@
   std::string bytes = EncodeRoutes(document, base);
   EXPECT_EQ(DecodeRoutes(bytes, base, document.size()), document);
   EXPECT_FALSE(DecodeRoutes(bytes, base, document.size() - 1));
-  EXPECT_FALSE(DecodeRoutes(bytes, document, document.size()));
+  const std::string otherBase = Document(9, 100, 100).m_document;
+  EXPECT_FALSE(DecodeRoutes(bytes, otherBase, document.size()));
   EXPECT_FALSE(DecodeRoutes(bytes, "", document.size()));
   EXPECT_FALSE(DecodeRoutes("", base, document.size()));
   EXPECT_FALSE(DecodeRoutes("no document", base, document.size()));
@@ -200,7 +201,8 @@
   RouteSource source;
   Duration longest{};
   for (uint64_t version = 1; version <= kVersions; ++version) {
-    const TimePoint changedAt = At(kChangePeriod * static_cast<int64_t>(version));
+    const TimePoint changedAt =
+      At(kChangePeriod * static_cast<int64_t>(version));
     source.SetReplicated(Document(version, kRoutes, version));
     for (size_t i = 0; i < kEntries; ++i) {
       Entry& entry = entries[i];
@@ -217,13 +219,13 @@
                    : RouteTransfer{ Revision(), entry.m_held, true },
           entry.m_assembly.NextOffset());
         const RouteTransfer transfer = piece.m_transfer;
-        entry.m_free += kRoundTrip +
-                        Duration(static_cast<int64_t>(piece.m_bytes.size()) *
-                                 1'000'000 / kBytesPerSecond);
+        entry.m_free +=
+          kRoundTrip + Duration(static_cast<int64_t>(piece.m_bytes.size()) *
+                                1'000'000 / kBytesPerSecond);
         const auto whole = entry.m_assembly.Add(piece);
         if (whole) {
-          auto document = DecodeRoutes(
-            *whole, entry.m_document, RouteAssembly::kMaxBytes);
+          auto document =
+            DecodeRoutes(*whole, entry.m_document, RouteAssembly::kMaxBytes);
           ASSERT_TRUE(document);
           entry.m_held = transfer.m_version;
           entry.m_document = std::move(*document);
--- a/tests/fleet/version_census_test.cpp
+++ b/tests/fleet/version_census_test.cpp
@@ -66,7 +66,8 @@
 {
   VersionCensus census;
   census.Begin(Versions({ kOld }), At({}));
-  EXPECT_TRUE(census.Changes(Versions({ kOld }), At(3 * kStreamMemory)).empty());
+  EXPECT_TRUE(
+    census.Changes(Versions({ kOld }), At(3 * kStreamMemory)).empty());
   census.Observe(Versions({ kNew }), At(3 * kStreamMemory));
   EXPECT_EQ(census.Changes(Versions({ kOld }), At(3 * kStreamMemory)),
             Versions({ kNew }));
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -328,8 +328,7 @@
     m_port, m_key, kj::heap<FakeControlNode>(m_port, otherScript));
   ASSERT_TRUE(other.Listen(kOtherAddress, m_owner.Port()));
   StartEntry({ kOtherAddress });
-  ASSERT_TRUE(
-    m_loop.RunUntil([this] { return m_ownerScript.m_follows >= 1; }));
+  ASSERT_TRUE(m_loop.RunUntil([this] { return m_ownerScript.m_follows >= 1; }));
   m_loop.RunFor(kAtOnce);
   const size_t otherFollows = otherScript.m_follows;
   ASSERT_TRUE(RunUntilFollowed(m_relayScript));
@@ -457,9 +456,12 @@
 }
 
 // Guards against an entry that can't restore a compressed document and asks for
-// the same bytes again and again: it has another base than the instance assumes.
+// the same bytes again and again: it has another base than the instance
+// assumes.
 TEST_F(DirectoryLinkTest, DocumentThatCannotBeRestoredIsReadWhole)
 {
+  const std::string kText =
+    "a text of some length, to which the compressed document refers";
   for (ControlScript* script : { &m_ownerScript, &m_relayScript }) {
     script->m_document = "the first document";
     script->m_offeredVersion = kProvenVersion;
@@ -478,13 +480,13 @@
   EXPECT_EQ(m_ownerScript.m_pieces + m_relayScript.m_pieces, 0U);
   for (ControlScript* script : { &m_ownerScript, &m_relayScript }) {
     script->m_baseVersion = kProvenVersion + 1;
-    script->m_base = "another document";
-    script->m_document = "the third document";
+    script->m_base = "another document " + kText;
+    script->m_document = kText + " the third document";
     script->m_offeredVersion = kProvenVersion + 2;
   }
   ASSERT_TRUE(m_loop.RunUntil(
     [this] { return m_routeVersion == Revision(kProvenVersion + 2); }));
-  EXPECT_EQ(m_document, "the third document");
+  EXPECT_EQ(m_document, kText + " the third document");
   EXPECT_EQ(m_ownerScript.m_pieces + m_relayScript.m_pieces, 1U);
 }
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -82,10 +82,12 @@
   }
 
   /// Headers of a good answer that names a limit of four requests a second.
-  /// Adds an engine of a software version, nearer than those of others.
-  void AddEngine(const std::string& aId, const std::string& aSoftware)
+  /// Adds an engine of a software version.
+  void AddEngine(const std::string& aId,
+                 const std::string& aSoftware,
+                 const std::string& aDomain = "here")
   {
-    EngineRecord record = MakeEngine(aId, "here", "m");
+    EngineRecord record = MakeEngine(aId, aDomain, "m");
     record.m_software = SoftwareVersion(aSoftware);
     m_table.Update(record);
   }
@@ -403,7 +405,7 @@
   Answer(0, 200, m_good);
   Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\n");
   AddEngine("new1", "v2");
-  AddEngine("old2", "v1");
+  AddEngine("old2", "v1", "far");
   AddEngine("new2", "v10");
   LoseConnection(0);
   ASSERT_EQ(m_client.m_attempts.size(), 2U);
--- a/tests/gateway/stream_origin_link_test.cpp
+++ b/tests/gateway/stream_origin_link_test.cpp
@@ -119,26 +119,23 @@
   std::unique_ptr<StreamOriginLink> StartEntry()
   {
     return std::make_unique<StreamOriginLink>(
-      StreamOriginLink::Dependencies{
-        m_port, m_loop.GetClock(), m_metrics },
-      StreamOriginLink::ControlInstances{
-        [this] { return UpLinks(); }, [this] { return m_hasSeveral; } });
+      StreamOriginLink::Dependencies{ m_port, m_loop.GetClock(), m_metrics },
+      StreamOriginLink::ControlInstances{ [this] { return UpLinks(); },
+                                          [this] { return m_hasSeveral; } });
   }
   /// Looks a stream up; "unknown" if nobody knows it.
   std::string Find(std::optional<StreamKey> aStream)
   {
     std::optional<std::string> found;
-    m_entry->Find(
-      kPool, aStream, [&](std::optional<SoftwareVersion> aVersion) {
-        found = aVersion ? aVersion->Value() : "unknown";
-      });
+    m_entry->Find(kPool, aStream, [&](std::optional<SoftwareVersion> aVersion) {
+      found = aVersion ? aVersion->Value() : "unknown";
+    });
     EXPECT_TRUE(m_loop.RunUntil([&] { return found.has_value(); }));
     return found.value_or("no answer");
   }
   void RunFor(Duration aTime)
   {
-    m_loop.RunFor(
-      std::chrono::duration_cast<std::chrono::milliseconds>(aTime));
+    m_loop.RunFor(std::chrono::duration_cast<std::chrono::milliseconds>(aTime));
   }
 
   TestLoop m_loop;
@@ -216,9 +213,10 @@
   m_entry->RecordBegin(StreamKey(1), kOld);
   const auto other = StartEntry();
   std::optional<SoftwareVersion> found;
-  other->Find(kPool, StreamKey(1), [&](std::optional<SoftwareVersion> aVersion) {
-    found = aVersion.value_or(SoftwareVersion("unknown"));
-  });
+  other->Find(
+    kPool, StreamKey(1), [&](std::optional<SoftwareVersion> aVersion) {
+      found = aVersion.value_or(SoftwareVersion("unknown"));
+    });
   EXPECT_TRUE(m_loop.RunUntil([&] { return found.has_value(); }));
   EXPECT_EQ(found, kOld);
 }
--- a/tests/streams/stream_versions_test.cpp
+++ b/tests/streams/stream_versions_test.cpp
@@ -61,12 +61,10 @@
   StreamVersions streams(kMemory, 4 * kVersions);
   streams.Record(StreamKey(kVersions), Version("first"), At({}));
   for (uint64_t key = 0; key < 300; ++key) {
-    streams.Record(
-      StreamKey(key), Version("v" + std::to_string(key)), At({}));
+    streams.Record(StreamKey(key), Version("v" + std::to_string(key)), At({}));
   }
   for (uint64_t key = 0; key < 300; ++key) {
-    EXPECT_EQ(streams.Find(StreamKey(key)),
-              Version("v" + std::to_string(key)));
+    EXPECT_EQ(streams.Find(StreamKey(key)), Version("v" + std::to_string(key)));
   }
 }
 
--- a/tests/teams/access_control_test.cpp
+++ b/tests/teams/access_control_test.cpp
@@ -213,7 +213,7 @@
 
 // Guards against a configuration whose age becomes unknown because many newer
 // ones are proved while it is in force.
-TEST(AccessControlTest, ProofOfTheVersionInForceStaysDuringManyChanges)
+TEST(ConfigAgeTest, ProofOfTheVersionInForceStaysDuringManyChanges)
 {
   AccessControl access({});
   access.SetConfig(MakeConfig(5, {}));
@@ -229,7 +229,7 @@
 }
 
 // Guards against calls that run as only an older configuration allows.
-TEST(AccessControlTest, OutdatedOnceANewerVersionIsOverdue)
+TEST(ConfigAgeTest, OutdatedOnceANewerVersionIsOverdue)
 {
   constexpr seconds kMaxAge(3);
   AccessControl access({});
--- a/tests/wire/retry_loop_test.cpp
+++ b/tests/wire/retry_loop_test.cpp
@@ -22,26 +22,26 @@
   EventLoopPort port{ loop.Base() };
   size_t rounds = 0;
   size_t failures = 0;
-  auto running = RepeatForever(
-                   port,
-                   { [&]() -> kj::Promise<void> {
-                      switch (++rounds % 4) {
-                        case 0:
-                          throw std::runtime_error("thrown");
-                        case 1:
-                          KJ_FAIL_REQUIRE("required");
-                        case 2:
-                          return KJ_EXCEPTION(FAILED, "a broken promise");
-                        default:
-                          return PromiseAfter(loop.Base(), kPause.count());
-                      }
+  auto running =
+    RepeatForever(port,
+                  { [&]() -> kj::Promise<void> {
+                     switch (++rounds % 4) {
+                       case 0:
+                         throw std::runtime_error("thrown");
+                       case 1:
+                         KJ_FAIL_REQUIRE("required");
+                       case 2:
+                         return KJ_EXCEPTION(FAILED, "a broken promise");
+                       default:
+                         return PromiseAfter(loop.Base(), kPause.count());
+                     }
+                   },
+                    [&](const kj::Exception&) {
+                      ++failures;
+                      throw std::runtime_error("thrown by the handler");
                     },
-                     [&](const kj::Exception&) {
-                       ++failures;
-                       throw std::runtime_error("thrown by the handler");
-                     },
-                     kPause })
-                   .eagerlyEvaluate(nullptr);
+                    kPause })
+      .eagerlyEvaluate(nullptr);
   EXPECT_TRUE(loop.RunUntil([&] { return rounds >= 40; }));
   EXPECT_GE(failures, 29U);
 }
--- a/wire/route_encoding.cpp
+++ b/wire/route_encoding.cpp
@@ -41,9 +41,8 @@
   ZSTD_CCtx_setParameter(context, ZSTD_c_compressionLevel, kLevel);
   ZSTD_CCtx_setParameter(context, ZSTD_c_checksumFlag, 1);
   ZSTD_CCtx_setParameter(context, ZSTD_c_enableLongDistanceMatching, 1);
-  ZSTD_CCtx_setParameter(context,
-                         ZSTD_c_windowLog,
-                         WindowLog(aDocument.size() + aBase.size()));
+  ZSTD_CCtx_setParameter(
+    context, ZSTD_c_windowLog, WindowLog(aDocument.size() + aBase.size()));
   ZSTD_CCtx_refPrefix(context, aBase.data(), aBase.size());
   std::string bytes(ZSTD_compressBound(aDocument.size()), '\0');
   const size_t size = ZSTD_compress2(
--- a/wire/route_fetch.cpp
+++ b/wire/route_fetch.cpp
@@ -66,7 +66,8 @@
   auto document = Decode(aTransfer, std::move(aBytes));
   m_canUseBase = document.has_value();
   const bool isAccepted =
-    document && Accept({ { aTransfer.m_version, std::move(*document) }, 0, size });
+    document &&
+    Accept({ { aTransfer.m_version, std::move(*document) }, 0, size });
   if (!isAccepted) {
     Want(aTransfer.m_version);
   }
@@ -82,8 +83,9 @@
   if (hasBase && aTransfer.m_base != m_held) {
     return std::nullopt;
   }
-  return DecodeRoutes(
-    aBytes, hasBase ? *m_heldDocument : std::string(), RouteAssembly::kMaxBytes);
+  return DecodeRoutes(aBytes,
+                      hasBase ? *m_heldDocument : std::string(),
+                      RouteAssembly::kMaxBytes);
 }
 
 bool RouteFetch::Accept(RouteArrival aArrival)
--- a/wire/route_fetch.h
+++ b/wire/route_fetch.h
@@ -21,8 +21,8 @@
 
 /// Receives route documents from control instances: whole ones in answers to
 /// other calls, and larger ones piece by piece, so that a document of any size
-/// arrives over a slow link beside other messages, however often a call fails or
-/// the instance changes.
+/// arrives over a slow link beside other messages, however often a call fails
+/// or the instance changes.
 /// @thread loop thread only.
 class RouteFetch
 {
