--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -463,7 +463,12 @@
 {
   return WaitForReports()
     .then([this] { return SendReportsOnce(); })
-    .then([](bool aIsSent) { KJ_REQUIRE(aIsSent, "the owner has no report"); });
+    .then([](bool aIsSent) -> kj::Promise<void> {
+      if (aIsSent) {
+        return kj::READY_NOW;
+      }
+      return KJ_EXCEPTION(DISCONNECTED, "the owner has no report");
+    });
 }
 
 kj::Promise<bool> DirectoryLink::SendReportsOnce()
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -75,7 +75,8 @@
   m_context.m_streams->Find(
     m_input.m_pool,
     attempt.IsEmpty() ? std::nullopt : std::optional(KeyOfStream(attempt)),
-    [this, isAlive = m_isAlive](std::optional<SoftwareVersion> aVersion) {
+    [this,
+     isAlive = m_isAlive](const std::optional<SoftwareVersion>& aVersion) {
       if (*isAlive && !m_isFinished) {
         HandleOrigin(aVersion);
       }
