--- a/control/route_source.h
+++ b/control/route_source.h
@@ -26,7 +26,7 @@
   /// owner has proved it.
   static constexpr Duration kMaxReplicaLag = std::chrono::milliseconds(300);
   /// Documents that are kept, the one served included.
-  static constexpr size_t kMaxDocuments = 32;
+  static constexpr size_t kMaxDocuments = 64;
 
   /// Bytes that are sent for a document, and what they are.
   struct Content
--- a/tests/control/route_source_test.cpp
+++ b/tests/control/route_source_test.cpp
@@ -67,7 +67,7 @@
 // in quick succession.
 TEST(RouteSourceTest, DocumentThatIsBeingReadStaysDuringChanges)
 {
-  constexpr size_t kPieces = 20;
+  constexpr size_t kPieces = 40;
   RouteSource source;
   source.SetReplicated(Routes(1, kPieces * RouteAssembly::kPieceBytes));
   RouteAssembly assembly;
@@ -84,6 +84,36 @@
             Routes(1, kPieces * RouteAssembly::kPieceBytes).m_document);
 }
 
+// The size to design for: 83 entries follow one relay, and start at different
+// moments while changes come in quick succession. Guards against entries that
+// take the kept documents from each other, so that none ever finishes.
+TEST(RouteSourceTest, EntriesOfADomainFinishReadingDuringChanges)
+{
+  constexpr size_t kEntries = 83;
+  constexpr size_t kPieces = 32;
+  constexpr size_t kSteps = 600;
+  constexpr size_t kStepsPerChange = 5;
+  std::vector<RouteAssembly> entries(kEntries);
+  std::vector<size_t> finished(kEntries);
+  RouteSource source;
+  for (size_t step = 0; step < kSteps; ++step) {
+    if (step % kStepsPerChange == 0) {
+      source.SetReplicated(
+        Routes(step + 1, kPieces * RouteAssembly::kPieceBytes));
+    }
+    for (size_t i = 0; i < std::min(step + 1, kEntries); ++i) {
+      RouteAssembly& entry = entries[i];
+      const auto document = entry.Add(
+        source.Read(entry.NextOffset() == 0 ? kPlain : entry.Transfer(),
+                    entry.NextOffset()));
+      finished[i] += document ? 1 : 0;
+    }
+  }
+  for (size_t i = 0; i < kEntries; ++i) {
+    EXPECT_GE(finished[i], 1U) << "entry " << i;
+  }
+}
+
 // Guards against slow readers that take the kept documents from everybody else:
 // two of them, each in the middle of a former document, made all other entries
 // begin anew at each change.
