--- a/tests/streams/stream_versions_test.cpp
+++ b/tests/streams/stream_versions_test.cpp
@@ -38,9 +38,8 @@
   EXPECT_FALSE(streams.Find(StreamKey(5)));
 }
 
-// The size to design for: 21,000 streams a second, of which each of 7 failure
-// domains is told of its own and of a copy of another's. Guards against memory
-// that grows with the streams.
+// Guards against memory that grows with the streams. The bound is a small one
+// here; an instance has StreamService::kMaxStreams.
 TEST(StreamVersionsTest, MemoryIsBounded)
 {
   StreamVersions streams(kMemory, kMaxStreams);
