--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -317,7 +317,7 @@
             return int(line.split()[1]), answer, await read_body(reader, answer)
         try:
             return await asyncio.wait_for(exchange(), timeout)
-        except (OSError, ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             return 0, {}, b""
         finally:
             if writer is not None:
