--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -386,7 +386,9 @@
 
 
 def run_case(play, record=None, **options):
-    """Plays a case; `play` returns its exit code."""
+    """Plays a case; `play` returns its exit code. A case that fails itself could not run."""
+    could_not_run = 2
+
     async def whole():
         with tempfile.TemporaryDirectory() as folder:
             lab = Lab(folder, record, **options)
@@ -394,4 +396,8 @@
                 return await asyncio.wait_for(play(lab), 110)
             finally:
                 lab.stop()
-    return asyncio.run(whole())
+    try:
+        return asyncio.run(whole())
+    except Exception as error:
+        print(f"could not run: {error!r}")
+        return could_not_run
