--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -20,10 +21,29 @@
            500: "Internal Server Error", 503: "Service Unavailable"}
 
 
-def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+CONTACT_S = 4.0
+
+
+def free_ports(hosts, count):
+    """Returns ports that are free at all the hosts; they are all held until they are chosen."""
+    held, ports = [], []
+    try:
+        while len(ports) < count:
+            first = socket.socket()
+            held.append(first)
+            first.bind((hosts[0], 0))
+            port = first.getsockname()[1]
+            try:
+                for host in hosts[1:]:
+                    held.append(socket.socket())
+                    held[-1].bind((host, port))
+                ports.append(port)
+            except OSError:
+                continue
+        return ports
+    finally:
+        for probe in held:
+            probe.close()
 
 
 def lookup(fields, path):
@@ -55,7 +75,7 @@
 class Node:
     def __init__(self, lab, name, role, fields):
         self.lab, self.name, self.role, self.fields = lab, name, role, fields
-        self.process, self.ends = None, []
+        self.process, self.ends, self.peak = None, [], 0.0
 
     def start(self):
         deploy = self.lab.deploy["roles"][self.role]
@@ -66,6 +86,8 @@
         log = open(self.lab.folder / f"{self.name}.log", "ab")
         self.process = subprocess.Popen(deploy["run"].split(), cwd=ROOT, env=env,
                                         stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        log.close()
+        self.started_at = self.lab.disturbed_at = time.monotonic()
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -77,6 +99,7 @@
         self.process.kill()
         self.process.wait()
         self.fields["Bootstrap"] = False
+        self.lab.disturbed_at = time.monotonic()
 
     def memory_mb(self, key="VmRSS"):
         try:
@@ -128,7 +151,8 @@
         self.version, self.models = version, models
         self.id = "i-" + secrets.token_hex(4)
         self.host = lab.engine_host
-        self.state, self.seq, self.running, self.born = "ready", 0, 0, int(time.time() * 1000)
+        self.state, self.seq, self.running = "ready", 0, 0
+        self.fence, self.born = 0, int(time.time() * 1000)
         self.connections = set()
         self.arrivals = []
         self.server = self.port = None
@@ -179,8 +203,18 @@
                     "KvUsed": 0, "KvTotal": 90000, "Handles": 0}
             writer.write(reply(200, json.dumps(body).encode()))
             return True
+        if request.path == "/healthz":
+            writer.write(reply(200, b"", [("Instance-Id", self.id), self.load()]))
+            return True
         if request.path == "/api/order":
-            writer.write(reply(409))
+            status = self.carry_out(json.loads(request.body))
+            self.lab.note("order", engine=self.id, status=status)
+            writer.write(reply(status))
+            return True
+        if self.running >= self.slots:
+            self.lab.note("full", engine=self.id, attempt=request.attempt)
+            writer.write(reply(503, b"", [("Attempt-Id", request.attempt), ("Not-Executed", "1"),
+                                          self.load()]))
             return True
         self.lab.note("arrive", engine=self.id, attempt=request.attempt, path=request.path)
         self.arrivals.append(request.attempt)
@@ -190,6 +224,22 @@
         finally:
             self.running -= 1
 
+    def carry_out(self, order):
+        """Carries out an order at once. Returns the status of the answer."""
+        if "Holder" not in order or "Fence" not in order or self.models is None:
+            return 400
+        if order["Fence"] < self.fence:
+            return 412
+        self.fence = order["Fence"]
+        if order.get("Expect", self.seq) != self.seq:
+            return 409
+        is_load = order["Op"] == "load"
+        if (order["Model"] in self.models) == is_load:
+            return 200
+        self.seq += 1
+        (self.models.append if is_load else self.models.remove)(order["Model"])
+        return 202
+
     def stamp(self, request):
         return [("Attempt-Id", request.attempt), ("Server-Stamp", f"{self.id}.{request.attempt}"),
                 self.load()]
@@ -216,13 +266,15 @@
                  net=None):
         self.folder = pathlib.Path(folder)
         self.record = open(record, "w") if record else None
-        self.begun = time.monotonic()
+        self.begun = self.disturbed_at = time.monotonic()
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         net = net or f"127.{random.randrange(10, 200)}.{random.randrange(1, 250)}"
         self.net = net
         self.engine_host = f"{net}.200"
         self.engines, self.runs, self.list_reads = [], {}, 0
-        ports = {n: free_port(f"{net}.1") for n in ("front", "ready", "wire", "op")}
+        hosts = [f"{net}.{1 + i}" for i in range(cores)] + \
+                [f"{net}.{50 + i}" for i in range(entries)]
+        ports = dict(zip(("front", "ready", "wire", "op"), free_ports(hosts, 4)))
         self.ports = ports
         self.platform_port = None
         names = list(ZONES)
@@ -341,6 +393,44 @@
         self.note("config", version=document["Version"], status=status)
         return status
 
+    async def enforce_memory(self, node, limit_mb):
+        """Does what the platform does: kills a process over its limit, and starts one again that
+        ended. `node.ends` gets the memory at each end."""
+        while True:
+            await asyncio.sleep(0.02)
+            used = node.memory_mb()
+            node.peak = max(node.peak, used)
+            if node.is_up() and used <= limit_mb:
+                continue
+            node.ends.append(round(used))
+            self.note("end", node=node.name, memory_mb=round(used), limit_mb=limit_mb)
+            node.kill()
+            await asyncio.sleep(0.5)
+            node.start()
+
+    async def is_ready(self, node):
+        status, _, _ = await self.call(node.ip, self.ports["ready"], "GET", "/api/readyz",
+                                       [("Host", "platform")], b"", 1.0)
+        return status == 200
+
+    async def wait_node_ready(self, node, timeout=15.0):
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            if await self.is_ready(node):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    def is_in_touch(self, since):
+        """Returns whether all machines have run undisturbed for the contact time before `since`,
+        and still run."""
+        return (since >= self.disturbed_at + CONTACT_S and
+                all(node.is_up() for node in self.cores + self.entries))
+
+    async def wait_in_touch(self):
+        """Waits for the contact time after the last start, and half a second."""
+        await asyncio.sleep(max(0, self.disturbed_at + CONTACT_S + 0.5 - time.monotonic()))
+
     async def wait_ready(self, timeout=20.0):
         end = time.monotonic() + timeout
         while time.monotonic() < end:
@@ -388,6 +478,8 @@
 def run_case(play, record=None, **options):
     """Plays a case; `play` returns its exit code. A case that fails itself could not run."""
     could_not_run = 2
+    # Ends the programs, too, if the script is ended from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(could_not_run))
 
     async def whole():
         with tempfile.TemporaryDirectory() as folder:
