Calls that may run once are not repeated because of the flag for streams

Cause: RoutedCall::MayRetryAfterRun() took the flag, which says something about streams only, as leave to repeat calls of any kind.

The front end in entry/ held its table before the fix.

Fix: Route::MayResume() and MayRunAgain() read kind and flag together, and all decisions ask them. The combination stays valid and has no effect. A new metric counts retries of calls that may have run.

--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -104,7 +104,7 @@
     return false;
   }
   m_input.m_software = software;
-  if (m_context.m_streams != nullptr && m_input.m_route->m_isResumable) {
+  if (m_context.m_streams != nullptr && m_input.m_route->MayResume()) {
     m_context.m_streams->RecordBegin(
       KeyOfStream(m_input.m_callFields.m_attempt), *software);
   }
@@ -445,6 +445,9 @@
     m_relay.ExpectResume();
   }
   m_context.m_metrics.Count("celeryspread_gateway_retries_total");
+  if (aMayHaveRun) {
+    m_context.m_metrics.Count("celeryspread_gateway_repeated_runs_total");
+  }
   m_choice.ChooseRetry(*target);
   return true;
 }
--- a/gateway/routed_call.h
+++ b/gateway/routed_call.h
@@ -32,10 +32,7 @@
 
   /// Returns whether the route permits a retry after an attempt that may have
   /// run. @pre m_route is set.
-  [[nodiscard]] bool MayRetryAfterRun() const
-  {
-    return m_route->m_kind == CallKind::Idempotent || m_route->m_isResumable;
-  }
+  [[nodiscard]] bool MayRetryAfterRun() const { return m_route->MayRunAgain(); }
   /// Returns the priority among the calls of its pool; 0 is the most urgent.
   /// @pre m_route is set.
   [[nodiscard]] uint32_t Priority() const
--- a/routes/route_config.h
+++ b/routes/route_config.h
@@ -13,7 +13,7 @@
 
 namespace celeryspread {
 
-/// Whether calls of a route may be retried once an upstream may have run them.
+/// What a route's calls are, which decides whether they may run again.
 enum class CallKind
 {
   /// The answer is an event stream; runs at most once unless the route is
@@ -48,12 +48,27 @@
   uint32_t m_priority = 0;
   /// Most attempts of one call that may have run; rejected ones don't count.
   uint32_t m_maxRuns = 1;
+  /// As the operator wrote it; it has a meaning for streams only, so decisions
+  /// ask MayResume().
   bool m_isResumable = false;
   /// Requests name a model and the parts of their prompt.
   bool m_hasPrompts = false;
   /// Calls need no key of a team, even if the configuration has teams.
   bool m_isPublic = false;
   std::vector<PoolShare> m_pools;
+
+  /// Returns whether a stream that has broken off may go on at another
+  /// upstream. @pre none. @thread any.
+  [[nodiscard]] bool MayResume() const
+  {
+    return m_kind == CallKind::Stream && m_isResumable;
+  }
+  /// Returns whether a call may be sent to another upstream after one that may
+  /// have run it. @pre none. @thread any.
+  [[nodiscard]] bool MayRunAgain() const
+  {
+    return m_kind == CallKind::Idempotent || MayResume();
+  }
 };
 
 /// What the calls of a team may use, summed over all entries.
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -110,6 +110,35 @@
   EXPECT_FALSE(config->FindPool(PoolId("t"))->m_engine);
 }
 
+// Guards against payments that run twice because their route carries the flag
+// that permits streams to be resumed: it is valid there and has no effect.
+TEST(RouteDocumentTest, ResumableHasNoEffectOnOtherKindsThanStreams)
+{
+  const std::string whole(kDocument);
+  const std::string kind = "\"streaming\"";
+  struct Expected
+  {
+    const char* m_kind;
+    bool m_mayResume;
+    bool m_mayRunAgain;
+  };
+  for (const Expected& expected :
+       { Expected{ "\"streaming\"", true, true },
+         Expected{ "\"idempotent\"", false, true },
+         Expected{ "\"non_idempotent\"", false, false } }) {
+    std::string document = whole;
+    document.replace(document.find(kind), kind.size(), expected.m_kind);
+    std::string reason;
+    const auto config =
+      platform::PlatformRouteDocument().Read(document, reason);
+    ASSERT_NE(config, nullptr) << expected.m_kind << ": " << reason;
+    const Route* route = config->Find("h.example", "/p/x");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->MayResume(), expected.m_mayResume) << expected.m_kind;
+    EXPECT_EQ(route->MayRunAgain(), expected.m_mayRunAgain) << expected.m_kind;
+  }
+}
+
 TEST(RouteDocumentTest, ReportsPathAndReasonOfAnError)
 {
   EXPECT_EQ(RejectionReason(kDocument, "\"Version\":7", "\"Version\":-1"),
