A stream whose last events bear no id is not begun anew

Callers: events of a resumable stream came twice when its engine broke off after events without an id, because the next engine went on after the last id, or from the first event.

Cause: the retry looked at the last id only, not at whether events were passed on after it.

Seen in the test only, not in a run of real processes.

Fix: EventSplitter tracks events without an id, comments aside, and such a stream is cut off, so that the caller sees that it is incomplete.

Measured: tests of gateway, streams and repeats pass.

--- a/gateway/answer_relay.h
+++ b/gateway/answer_relay.h
@@ -68,6 +68,9 @@
   {
     return m_events.LastId();
   }
+  /// Returns whether another upstream may go on with the answer, so that the
+  /// caller gets each event once. @pre none.
+  [[nodiscard]] bool MayResume() const { return m_events.MayResume(); }
   /// Expects the stream to go on after LastEventId(). @pre IsStreaming().
   void ExpectResume() { m_events.ExpectResume(); }
 
--- a/gateway/event_splitter.cpp
+++ b/gateway/event_splitter.cpp
@@ -60,9 +60,12 @@
 {
   const std::string_view id = FindId(aEvent);
   if (id.empty()) {
-    m_isOutOfOrder = m_isOutOfOrder || (m_checksNextId && !IsComment(aEvent));
+    const bool isComment = IsComment(aEvent);
+    m_isOutOfOrder = m_isOutOfOrder || (m_checksNextId && !isComment);
+    m_hasEventsAfterId = m_hasEventsAfterId || !isComment;
     return;
   }
+  m_hasEventsAfterId = false;
   if (m_checksNextId) {
     const auto previous = ParseNumber(m_lastId);
     const auto current = ParseNumber(id);
--- a/gateway/event_splitter.h
+++ b/gateway/event_splitter.h
@@ -24,6 +24,9 @@
   /// Returns the id of the last whole event; empty before the first one.
   /// @pre none.
   [[nodiscard]] const std::string& LastId() const { return m_lastId; }
+  /// Returns whether a stream that goes on after LastId() brings each event
+  /// once. Events without an id after it would come again. @pre none.
+  [[nodiscard]] bool MayResume() const { return !m_hasEventsAfterId; }
   /// Returns whether a resumed stream began with another event than expected,
   /// or with text that is no event of the stream. @pre none.
   [[nodiscard]] bool IsOutOfOrder() const { return m_isOutOfOrder; }
@@ -46,6 +49,8 @@
   std::string m_partial;
   std::string m_buffer;
   std::string m_lastId;
+  /// Whether events without an id, other than comments, followed the last id.
+  bool m_hasEventsAfterId = false;
   bool m_checksNextId = false;
   bool m_isOutOfOrder = false;
 };
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -426,7 +426,8 @@
                          m_input.m_deadline - now > EngineChoice::kMinTimeLeft;
   const bool mayBeHeld =
     !aMayHaveRun && m_choice.IsTrial() && m_choice.MayRepeatTrial();
-  if (!isAllowed || !m_isOriginKnown || (m_choice.IsHeld() && !mayBeHeld)) {
+  const bool mayGoOn = m_isOriginKnown && m_relay.MayResume();
+  if (!isAllowed || !mayGoOn || (m_choice.IsHeld() && !mayBeHeld)) {
     return false;
   }
   const auto target = m_choice.FindRetry();
--- a/tests/gateway/repeat_rules_test.cpp
+++ b/tests/gateway/repeat_rules_test.cpp
@@ -166,4 +166,32 @@
   }
 }
 
+// Guards against events that reach the caller twice: a resumed stream began
+// anew, or after an earlier event, because the last events had borne no id.
+TEST_F(RepeatRulesTest, StreamGoesOnOnlyAfterAnEventWithAnId)
+{
+  struct EventCase
+  {
+    const char* m_events;
+    bool m_isResumed;
+  };
+  for (const EventCase& events : { EventCase{ "", true },
+                                   EventCase{ ": comment\n\n", true },
+                                   EventCase{ "data: x\n\n", false },
+                                   EventCase{ "id: 1\ndata: x\n\n", true },
+                                   EventCase{ "id: 1\n\ndata: y\n\n", false },
+                                   EventCase{ "data: x\n\nid: 2\n\n", true },
+                                   EventCase{ "id: 1\n\n: more\n\n", true } }) {
+    SCOPED_TRACE(events.m_events);
+    StartCall({ CallKind::Stream, true, true });
+    Answer(0, 200, m_good);
+    m_time.RunFor(std::chrono::seconds(1));
+    Attempt(0).m_observer->OnUpstreamBody(events.m_events);
+    LoseConnection(0);
+    m_time.RunFor(std::chrono::seconds(1));
+    EXPECT_EQ(m_client.m_attempts.size(), events.m_isResumed ? 2U : 1U);
+    EXPECT_EQ(m_caller.m_isAborted, !events.m_isResumed);
+  }
+}
+
 } // namespace celeryspread::test
