An event that arrives in small chunks takes work in proportion to its bytes

Cause: EventSplitter searched and copied the whole incomplete event again for each chunk, on the one loop that serves all callers. SseScanner in entry/ did the same.

Evidence: EventBufferTest counts the bytes searched and copied.

Fix: both use EventBuffer, which goes on searching where it stopped and moves an event only once it is whole. The end of a line may now be CRLF in gateway/ too, as it was in entry/.

--- a/entry/sse_scanner.h
+++ b/entry/sse_scanner.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <cstddef>
-#include <string>
 #include <string_view>
 
+#include "core/event_buffer.h"
+
 namespace celeryspread {
 
 /// Cuts a server-sent event stream at the boundaries of its events.
@@ -11,7 +12,7 @@
 /// Only complete events are returned, so that a stream that breaks never leaves
 /// the caller with a partial event or a partial character.
 /// @thread loop thread only.
-class SseScanner
+class SseScanner : private EventVisitor
 {
 public:
   /// Appends bytes to the unfinished event kept from earlier calls and returns
@@ -28,17 +29,13 @@
   [[nodiscard]] bool IsMalformed() const { return m_isMalformed; }
   /// Returns the number of complete events so far. @pre none.
   [[nodiscard]] size_t EventCount() const { return m_eventCount; }
+  /// Returns how many bytes were searched and copied so far. @pre none.
+  [[nodiscard]] uint64_t WorkBytes() const { return m_events.WorkBytes(); }
 
 private:
-  /// Checks the complete events at the start of aBytes and returns their size.
-  size_t ScanEvents(std::string_view aBytes);
-  void CheckEvent(std::string_view aEvent);
+  bool OnEvent(std::string_view aEvent) override;
 
-  /// Unfinished event, kept for the next Feed().
-  std::string m_partial;
-  /// Holds the bytes of the view that Feed() returned, if they came in several
-  /// calls.
-  std::string m_buffer;
+  EventBuffer m_events;
   size_t m_eventCount = 0;
   bool m_isDone = false;
   bool m_isMalformed = false;
--- a/gateway/event_splitter.cpp
+++ b/gateway/event_splitter.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace celeryspread {
 
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
 
 std::optional<uint64_t> ParseNumber(std::string_view aText)
@@ -20,6 +20,11 @@
   return isWhole ? std::optional<uint64_t>(value) : std::nullopt;
 }
 
+std::string_view WithoutReturn(std::string_view aLine)
+{
+  return aLine.ends_with('\r') ? aLine.substr(0, aLine.size() - 1) : aLine;
+}
+
 std::string_view FindId(std::string_view aEvent)
 {
   size_t start = 0;
@@ -32,7 +37,7 @@
       if (line.starts_with(' ')) {
         line.remove_prefix(1);
       }
-      return line;
+      return WithoutReturn(line);
     }
     start = end + 1;
   }
@@ -46,7 +51,9 @@
   size_t start = 0;
   while (start < aEvent.size()) {
     const size_t end = std::min(aEvent.find('\n', start), aEvent.size());
-    if (end > start && aEvent[start] != ':') {
+    const std::string_view line =
+      WithoutReturn(aEvent.substr(start, end - start));
+    if (!line.empty() && line.front() != ':') {
       return false;
     }
     start = end + 1;
@@ -56,14 +63,14 @@
 
 } // namespace
 
-void EventSplitter::TrackId(std::string_view aEvent)
+bool EventSplitter::OnEvent(std::string_view aEvent)
 {
   const std::string_view id = FindId(aEvent);
   if (id.empty()) {
     const bool isComment = IsComment(aEvent);
     m_isOutOfOrder = m_isOutOfOrder || (m_checksNextId && !isComment);
     m_hasEventsAfterId = m_hasEventsAfterId || !isComment;
-    return;
+    return true;
   }
   m_hasEventsAfterId = false;
   if (m_checksNextId) {
@@ -73,31 +80,17 @@
     m_checksNextId = false;
   }
   m_lastId = id;
+  return true;
 }
 
 std::string_view EventSplitter::Feed(std::string_view aBytes)
 {
-  // Most reads contain only whole events, which are returned without a copy.
-  std::string_view bytes = aBytes;
-  if (!m_partial.empty()) {
-    m_partial += aBytes;
-    m_buffer.swap(m_partial);
-    m_partial.clear();
-    bytes = m_buffer;
-  }
-  size_t start = 0;
-  for (size_t end = bytes.find(kEventEnd); end != std::string_view::npos;
-       end = bytes.find(kEventEnd, start)) {
-    TrackId(bytes.substr(start, end - start));
-    start = end + kEventEnd.size();
-  }
-  m_partial = bytes.substr(start);
-  return bytes.substr(0, start);
+  return m_events.Feed(aBytes, *this);
 }
 
 void EventSplitter::ExpectResume()
 {
-  m_partial.clear();
+  m_events.Clear();
   m_checksNextId = !m_lastId.empty();
 }
 
--- a/gateway/event_splitter.h
+++ b/gateway/event_splitter.h
@@ -1,17 +1,18 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
+#include "core/event_buffer.h"
+
 namespace celeryspread {
 
 /// Splits a server-sent event stream into whole events and tracks their ids, so
 /// that another upstream can resume the stream after the last event that was
 /// passed on.
 /// @thread loop thread only.
-class EventSplitter
+class EventSplitter : private EventVisitor
 {
 public:
   /// Adds bytes; returns the whole events in the bytes added and buffered so
@@ -34,20 +35,21 @@
   /// bytes must not be added. @pre none.
   [[nodiscard]] bool IsOversized() const
   {
-    return m_partial.size() > kMaxEventBytes;
+    return m_events.PartialBytes() > kMaxEventBytes;
   }
   /// Returns whether bytes of an incomplete event are buffered. @pre none.
-  [[nodiscard]] bool HasPartialEvent() const { return !m_partial.empty(); }
+  [[nodiscard]] bool HasPartialEvent() const { return PartialBytes() > 0; }
   /// Returns how many bytes of an incomplete event are buffered. @pre none.
-  [[nodiscard]] size_t PartialBytes() const { return m_partial.size(); }
+  [[nodiscard]] size_t PartialBytes() const { return m_events.PartialBytes(); }
+  /// Returns how many bytes were searched and copied so far. @pre none.
+  [[nodiscard]] uint64_t WorkBytes() const { return m_events.WorkBytes(); }
 
 private:
   static constexpr size_t kMaxEventBytes = 262'144;
 
-  void TrackId(std::string_view aEvent);
+  bool OnEvent(std::string_view aEvent) override;
 
-  std::string m_partial;
-  std::string m_buffer;
+  EventBuffer m_events;
   std::string m_lastId;
   /// Whether events without an id, other than comments, followed the last id.
   bool m_hasEventsAfterId = false;
