--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -13,6 +13,7 @@
 #include "http/event_base.h"
 #include "http/event_timers.h"
 #include "http/evhttp_upstream_client.h"
+#include "http/loop_turns.h"
 #include "main/exit_code.h"
 #include "reports/platform_list.h"
 #include "reports/report_poller.h"
@@ -38,8 +39,9 @@
     , m_port(m_base.get())
     , m_random(std::random_device()())
     , m_timers(m_base.get())
-    , m_client(m_base.get(), m_clock)
     , m_log(m_settings.m_instance.Value())
+    , m_turns(m_base.get(), m_clock, m_log)
+    , m_client(m_base.get(), m_clock, SIZE_MAX, &m_turns)
     , m_router(m_upstreamTable, m_settings.m_failureDomain, m_random)
     , m_exporter(m_settings.m_traceFile, "celeryspread-entry")
     , m_tracer(m_clock, m_random, &m_exporter)
@@ -69,6 +71,7 @@
     m_poller->PollAll();
     PollPlatformList();
     m_gaugeTimer = m_timers.Every(kGaugePeriod, [this] {
+      m_turns.WriteTo(m_metrics);
       if (m_control != nullptr) {
         m_metrics.SetGauge("celeryspread_wire_bytes",
                            static_cast<double>(m_control->BytesTransferred()));
@@ -138,8 +141,8 @@
                                                              m_log });
     m_app = std::make_unique<EntryApp>(
       *m_context, m_settings.m_failureDomain, m_control.get());
-    m_server =
-      std::make_unique<CallerServer>(m_base.get(), m_clock, Limits(), *m_app);
+    m_server = std::make_unique<CallerServer>(
+      m_base.get(), m_clock, Limits(), *m_app, nullptr, &m_turns);
     m_poller = std::make_unique<ReportPoller>(
       ReportPoller::Dependencies{ m_clock, m_timers, m_client, m_log },
       std::chrono::milliseconds(m_settings.m_reportPeriodMs),
@@ -224,8 +227,9 @@
   SystemClock m_clock;
   SeededRandomSource m_random;
   EventTimers m_timers;
-  EvhttpUpstreamClient m_client;
   EasyEventLog m_log;
+  LoopTurns m_turns;
+  EvhttpUpstreamClient m_client;
   UpstreamTable m_upstreamTable;
   Router m_router;
   ServiceLimits m_limits;
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -16,6 +16,7 @@
 #include "http/event_timers.h"
 #include "http/evhttp_upstream_client.h"
 #include "http/http_status.h"
+#include "http/loop_turns.h"
 #include "main/exit_code.h"
 
 namespace celeryspread {
@@ -79,8 +80,12 @@
     , m_port(m_base.get())
     , m_random(std::random_device()())
     , m_timers(m_base.get())
-    , m_client(m_base.get(), m_clock, HeldBytesLimit(m_settings.m_memoryBytes))
     , m_log(m_settings.m_instance.Value())
+    , m_turns(m_base.get(), m_clock, m_log)
+    , m_client(m_base.get(),
+               m_clock,
+               HeldBytesLimit(m_settings.m_memoryBytes),
+               &m_turns)
     , m_learning(m_table)
     , m_selector(m_table,
                  m_settings.m_failureDomain,
@@ -148,7 +153,8 @@
                    m_clock,
                    ServerLimits(CallerLimits{}),
                    m_gateway,
-                   &m_clientLimits)
+                   &m_clientLimits,
+                   &m_turns)
     , m_probeServer(m_base.get(), m_clock, ProbeServerLimits(), m_probes)
     , m_metricsServer(m_base.get(), m_clock, ProbeServerLimits(), m_probes)
   {
@@ -228,6 +234,7 @@
   void UpdateGauges()
   {
     m_clientLimits.WriteTo(m_metrics, m_callServer);
+    m_turns.WriteTo(m_metrics);
     m_metrics.SetGauge("celeryspread_gateway_calls",
                        static_cast<double>(m_gateway.CallCount()));
     m_metrics.SetGauge("celeryspread_gateway_engines",
@@ -339,8 +346,9 @@
   SystemClock m_clock;
   SeededRandomSource m_random;
   EventTimers m_timers;
-  EvhttpUpstreamClient m_client;
   EasyEventLog m_log;
+  LoopTurns m_turns;
+  EvhttpUpstreamClient m_client;
   Metrics m_metrics;
   EngineTable m_table;
   EngineLearning m_learning;
--- a/http/caller_server.cpp
+++ b/http/caller_server.cpp
@@ -15,6 +15,7 @@
 
 #include "core/socket_address.h"
 #include "http/evhttp_caller_call.h"
+#include "http/loop_turns.h"
 
 namespace celeryspread {
 
@@ -85,12 +86,14 @@
                            const Clock& aClock,
                            CallerServerLimits aLimits,
                            CallHandler& aHandler,
-                           ClientLimitObserver* aObserver)
+                           ClientLimitObserver* aObserver,
+                           LoopTurns* aTurns)
   : m_base(aBase)
   , m_clock(aClock)
   , m_limits(aLimits)
   , m_handler(aHandler)
   , m_observer(aObserver)
+  , m_turns(aTurns)
   , m_budget(aLimits.m_maxHeldBytes, FinishBytes(aLimits))
   , m_http(evhttp_new(aBase))
   , m_sweepTimer(event_new(aBase, -1, EV_PERSIST, OnSweep, this))
@@ -200,6 +203,10 @@
                            void* aConnection)
 {
   auto* state = static_cast<Connection*>(aConnection);
+  if (aInfo->n_added > 0 && state->m_server->m_turns != nullptr) {
+    state->m_server->m_turns->Begin("caller",
+                                    bufferevent_getfd(state->m_bufferevent));
+  }
   state->m_server->CountInput(*state, *aInfo, evbuffer_get_length(aBuffer));
   if (state->m_phase == Phase::Responding) {
     return;
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -26,6 +26,8 @@
 
 namespace celeryspread {
 
+class LoopTurns;
+
 /// Receives the calls of a CallerServer.
 class CallHandler
 {
@@ -87,13 +89,14 @@
   /// A request is copied to be forwarded.
   static constexpr size_t kInputFactor = 2;
 
-  /// Prepares the server. @pre all arguments outlive the server; aObserver may
-  /// be null.
+  /// Prepares the server. @pre all arguments outlive the server; aObserver and
+  /// aTurns may be null.
   CallerServer(event_base* aBase,
                const Clock& aClock,
                CallerServerLimits aLimits,
                CallHandler& aHandler,
-               ClientLimitObserver* aObserver = nullptr);
+               ClientLimitObserver* aObserver = nullptr,
+               LoopTurns* aTurns = nullptr);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
@@ -240,6 +243,7 @@
   CallerServerLimits m_limits;
   CallHandler& m_handler;
   ClientLimitObserver* m_observer;
+  LoopTurns* m_turns;
   CallerBudget m_budget;
   evhttp* m_http;
   event* m_sweepTimer;
--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -8,6 +8,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "http/loop_turns.h"
+
 namespace celeryspread {
 
 namespace {
@@ -220,6 +222,12 @@
   if (!self->m_hasHeaders) {
     self->m_bytesBeforeHeaders += aInfo->n_added;
   }
+  const bool isRead = aInfo->n_added > 0;
+  if (isRead && self->m_client.m_turns != nullptr) {
+    self->m_client.m_turns->Begin(
+      "upstream",
+      bufferevent_getfd(evhttp_connection_get_bufferevent(self->m_connection)));
+  }
   // A single read may bring the headers and some of the body.
   const bool isEndlessHead =
     !self->m_hasHeaders && self->m_bytesBeforeHeaders > kMaxBytesBeforeHeaders;
--- a/http/evhttp_upstream_client.cpp
+++ b/http/evhttp_upstream_client.cpp
@@ -22,10 +22,12 @@
 
 EvhttpUpstreamClient::EvhttpUpstreamClient(event_base* aBase,
                                            const Clock& aClock,
-                                           size_t aMaxHeldBytes)
+                                           size_t aMaxHeldBytes,
+                                           LoopTurns* aTurns)
   : UpstreamClient(aMaxHeldBytes)
   , m_base(aBase)
   , m_clock(aClock)
+  , m_turns(aTurns)
   , m_expiryTimer(event_new(aBase, -1, EV_PERSIST, OnExpiryTimer, this))
   , m_freeEvent(event_new(
       aBase,
--- a/http/evhttp_upstream_client.h
+++ b/http/evhttp_upstream_client.h
@@ -13,16 +13,19 @@
 
 namespace celeryspread {
 
+class LoopTurns;
+
 /// UpstreamClient based on evhttp with a pool of idle keep-alive connections.
 /// @thread loop thread only.
 class EvhttpUpstreamClient : public UpstreamClient
 {
 public:
   /// Prepares the client. Responses of all calls together may take up
-  /// aMaxHeldBytes. @pre aBase and aClock outlive the client.
+  /// aMaxHeldBytes. @pre all arguments outlive the client; aTurns may be null.
   EvhttpUpstreamClient(event_base* aBase,
                        const Clock& aClock,
-                       size_t aMaxHeldBytes = SIZE_MAX);
+                       size_t aMaxHeldBytes = SIZE_MAX,
+                       LoopTurns* aTurns = nullptr);
   ~EvhttpUpstreamClient() override;
   EvhttpUpstreamClient(const EvhttpUpstreamClient&) = delete;
   EvhttpUpstreamClient& operator=(const EvhttpUpstreamClient&) = delete;
@@ -68,6 +71,7 @@
 
   event_base* m_base;
   const Clock& m_clock;
+  LoopTurns* m_turns;
   event* m_expiryTimer;
   event* m_freeEvent;
   std::map<UpstreamAddress, std::deque<IdleConnection>> m_idle;
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -25,6 +25,7 @@
   ListenFailed = 105,
   SettingsReloaded = 106,
   LogLinesDropped = 107,
+  LoopTurnLong = 108,
   ConfigInForce = 200,
   ConfigRefused = 201,
   ControlLinkUp = 202,
