A line with the size of a chunk is bounded to 16,384 bytes

Callers: an answer whose line with the size of a chunk has no end slows down all others, as each read costs more than the one before.

Cause: evhttp searches such a line from its beginning after each read, and up to 4 MiB of it were waited for.

Fix: while evhttp waits for that line, the buffer may hold 16,384 bytes, which no sound answer needs. Long chunks are still read.

--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -6,6 +6,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
 #include "http/loop_turns.h"
@@ -22,6 +23,9 @@
 /// Bytes that evhttp may hold back, as of a chunk that is not complete or a
 /// line without an end.
 constexpr size_t kMaxBufferedBytes = 4'194'304;
+/// A line with the size of a chunk. evhttp searches all of it again after each
+/// read.
+constexpr size_t kMaxChunkLineBytes = 16'384;
 
 timeval ToTimeval(Duration aDuration)
 {
@@ -88,6 +92,12 @@
   return isChunked || FindHeader(aRequest, "Content-Length") != nullptr;
 }
 
+/// Returns whether evhttp waits for the line with the size of the next chunk.
+bool AwaitsChunkLine(const evhttp_request& aRequest)
+{
+  return aRequest.chunked != 0 && aRequest.ntoread < 0;
+}
+
 /// Returns how long the connection may stay idle according to the server's
 /// Keep-Alive header; Duration::max() without one.
 Duration KeepAliveTimeout(evhttp_request* aRequest)
@@ -151,6 +161,7 @@
 {
   evhttp_request* request =
     evhttp_request_new(OnDone, m_callbackArgument.get());
+  m_evhttpRequest = request;
   evhttp_request_set_header_cb(request, OnHeaders);
   evhttp_request_set_chunked_cb(request, OnChunk);
   evhttp_request_set_error_cb(request,
@@ -233,7 +244,11 @@
     !self->m_hasHeaders && self->m_bytesBeforeHeaders > kMaxBytesBeforeHeaders;
   const size_t buffered = evbuffer_get_length(aBuffer);
   const bool isWithinBudget = self->m_buffered.Set(buffered);
-  if (isEndlessHead || !isWithinBudget || buffered > kMaxBufferedBytes) {
+  // Once evhttp has freed the request, it only drains the buffer.
+  const size_t maxBuffered = isRead && AwaitsChunkLine(*self->m_evhttpRequest)
+                               ? kMaxChunkLineBytes
+                               : kMaxBufferedBytes;
+  if (isEndlessHead || !isWithinBudget || buffered > maxBuffered) {
     // The connection can't be freed while evhttp reads from it.
     self->m_isOversized = true;
     event_active(self->m_deferredEvent, 0, 0);
--- a/http/evhttp_upstream_call.h
+++ b/http/evhttp_upstream_call.h
@@ -68,6 +68,8 @@
   UpstreamObserver& m_observer;
   evbuffer_cb_entry* m_outputCallback = nullptr;
   evbuffer_cb_entry* m_inputCallback = nullptr;
+  /// Belongs to evhttp, which frees it when the call ends.
+  evhttp_request* m_evhttpRequest = nullptr;
   size_t m_bytesBeforeHeaders = 0;
   /// What evhttp holds back of the response.
   ByteBudget::Holding m_buffered;
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -273,10 +273,9 @@
 class UpstreamClientTest : public ::testing::Test
 {
 protected:
-  /// Calls aServer, then lets the loop run so that the connection is kept or
-  /// freed.
   template<typename Server>
-  ResponseRecorder Call(const Server& aServer, UpstreamRequest aRequest = {})
+  static UpstreamRequest Request(const Server& aServer,
+                                 UpstreamRequest aRequest = {})
   {
     aRequest.m_address = { "127.0.0.1", aServer.Port() };
     if (aRequest.m_method.empty()) {
@@ -285,8 +284,16 @@
     aRequest.m_path = "/";
     aRequest.m_firstByteTimeout = std::chrono::seconds(30);
     aRequest.m_progressTimeout = std::chrono::seconds(30);
+    return aRequest;
+  }
+  /// Calls aServer, then lets the loop run so that the connection is kept or
+  /// freed.
+  template<typename Server>
+  ResponseRecorder Call(const Server& aServer, UpstreamRequest aRequest = {})
+  {
     ResponseRecorder recorder;
-    const auto call = m_client.Start(std::move(aRequest), recorder);
+    const auto call =
+      m_client.Start(Request(aServer, std::move(aRequest)), recorder);
     EXPECT_TRUE(m_loop.RunUntil([&] { return recorder.HasEnded(); }));
     m_loop.RunFor(std::chrono::milliseconds(20));
     return recorder;
@@ -396,6 +403,40 @@
   }
 }
 
+// Guards against work that grows with the square of the bytes: evhttp searches
+// a line with the size of a chunk from its beginning after each read.
+TEST_F(UpstreamClientTest, GivesUpOnALongLineWithTheSizeOfAChunk)
+{
+  constexpr size_t kPieceBytes = 512;
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  size_t held = 0;
+  for (const char* begin : { "", "5;", "1\r\nx\r\n" }) {
+    EndlessServer server(m_loop, head + begin, std::string(kPieceBytes, '0'));
+    ResponseRecorder recorder;
+    const auto call = m_client.Start(Request(server), recorder);
+    EXPECT_TRUE(m_loop.RunUntil([&] {
+      held = std::max(held, m_client.HeldBytes().Used());
+      return recorder.m_hasFailed;
+    }))
+      << begin;
+  }
+  constexpr size_t kMaxHeldBytes = 65'536;
+  EXPECT_LE(held, kMaxHeldBytes);
+}
+
+// A chunk that comes in full is read, however long it is.
+TEST_F(UpstreamClientTest, ReadsALongChunk)
+{
+  const std::string bytes(300'000, 'x');
+  FixedResponseServer server(
+    m_loop,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n" + bytes +
+      "\r\n0\r\n\r\n",
+    false);
+  EXPECT_EQ(Call(server).m_body, bytes);
+}
+
 // Guards against a process that many upstreams together make hold more bytes
 // than it has memory: each response was bounded, their sum was not.
 TEST_F(UpstreamClientTest, EndlessChunksOfManyUpstreamsAreBoundedTogether)
