An answer whose head is not valid HTTP is no answer

Callers: statuses such as 2, 20, -200, 99, 600, 1000, 101 and 103 of an engine in trouble reached callers; 000 did not.

Cause: evhttp reads a status for as far as it is a number and rejects 0 only; the gateway compared it with successes, errors and refusals, and passed on the rest. Lengths and names of fields were taken as evhttp read them.

UpstreamClientTest.AnswerWithAnInvalidHeadIsNone fails before the fix for all statuses that begin with a number other than 0.

Fix: ResponseHeadCheck reads the head beside evhttp; status lines and the fields that say where the body ends must have one meaning. Otherwise the attempt has failed and may have run. Fields of an interim answer no longer mix with those of the final one.

--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -9,6 +9,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include "http/http_status.h"
 #include "http/loop_turns.h"
 
 namespace celeryspread {
@@ -232,6 +233,7 @@
   auto* self = static_cast<EvhttpUpstreamCall*>(aSelf);
   if (!self->m_hasHeaders) {
     self->m_bytesBeforeHeaders += aInfo->n_added;
+    self->CheckHead(aBuffer, aInfo->n_added);
   }
   const bool isRead = aInfo->n_added > 0;
   if (isRead && self->m_client.m_turns != nullptr) {
@@ -255,16 +257,44 @@
   }
 }
 
+void EvhttpUpstreamCall::CheckHead(evbuffer* aInput, size_t aAdded)
+{
+  if (aAdded == 0) {
+    return;
+  }
+  evbuffer_ptr begin;
+  const size_t before = evbuffer_get_length(aInput) - aAdded;
+  if (evbuffer_ptr_set(aInput, &begin, before, EVBUFFER_PTR_SET) != 0) {
+    return;
+  }
+  std::string bytes(aAdded, '\0');
+  evbuffer_copyout_from(aInput, &begin, bytes.data(), bytes.size());
+  m_headCheck.Feed(bytes);
+}
+
 int EvhttpUpstreamCall::OnHeaders(evhttp_request* aRequest, void* aSelf)
 {
+  constexpr int kEndConnection = -1;
   EvhttpUpstreamCall* self = static_cast<CallbackArgument*>(aSelf)->m_call;
   if (self == nullptr) {
     return 0;
   }
+  const int status = evhttp_request_get_response_code(aRequest);
+  if (status == HttpStatus::kContinue && self->m_headCheck.IsValid()) {
+    // An interim answer; evhttp would add the fields of the final one to its.
+    evhttp_clear_headers(evhttp_request_get_input_headers(aRequest));
+    return 0;
+  }
   self->m_hasHeaders = true;
   self->SetTimeout(self->m_request.m_progressTimeout);
-  self->m_observer.OnUpstreamHeaders(evhttp_request_get_response_code(aRequest),
-                                     ReadHeaders(aRequest));
+  const HttpHeaders headers = ReadHeaders(aRequest);
+  self->m_isInvalid = !self->m_headCheck.IsValid() ||
+                      !HttpStatus::IsFinal(status) ||
+                      !ResponseHeadCheck::AreValidFields(headers);
+  if (self->m_isInvalid) {
+    return kEndConnection;
+  }
+  self->m_observer.OnUpstreamHeaders(status, headers);
   return 0;
 }
 
@@ -363,6 +393,11 @@
                "no connection to the upstream");
     return;
   }
+  if (self->m_isInvalid) {
+    self->Fail(UpstreamFailureKind::InvalidResponse,
+               "the head of the upstream's answer is not valid HTTP");
+    return;
+  }
   switch (self->m_evhttpError) {
     case EVREQ_HTTP_TIMEOUT:
       self->Fail(UpstreamFailureKind::Timeout, "the upstream fell silent");
--- a/http/evhttp_upstream_call.h
+++ b/http/evhttp_upstream_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/evhttp_upstream_client.h"
+#include "http/response_head_check.h"
 
 struct evbuffer;
 struct evbuffer_cb_entry;
@@ -60,6 +61,8 @@
   void Fail(UpstreamFailureKind aKind, std::string aReason);
   void RemoveBufferCallbacks();
   void SetTimeout(Duration aTimeout);
+  /// Checks the bytes of the head that a read added at the end of the input.
+  void CheckHead(evbuffer* aInput, size_t aAdded);
 
   EvhttpUpstreamClient& m_client;
   evhttp_connection* m_connection;
@@ -71,6 +74,9 @@
   /// Belongs to evhttp, which frees it when the call ends.
   evhttp_request* m_evhttpRequest = nullptr;
   size_t m_bytesBeforeHeaders = 0;
+  ResponseHeadCheck m_headCheck;
+  /// What came is no response that could be passed on.
+  bool m_isInvalid = false;
   /// What evhttp holds back of the response.
   ByteBudget::Holding m_buffered;
   event* m_deferredEvent;
--- a/http/http_status.h
+++ b/http/http_status.h
@@ -5,6 +5,7 @@
 /// HTTP status codes that the system sends or checks for.
 struct HttpStatus
 {
+  static constexpr int kContinue = 100;
   static constexpr int kOk = 200;
   static constexpr int kBadRequest = 400;
   static constexpr int kUnauthorized = 401;
@@ -30,6 +31,13 @@
     constexpr int kFirstRedirect = 300;
     return aStatus >= kOk && aStatus < kFirstRedirect;
   }
+  /// Returns whether a status is that of a final answer, not of an interim one
+  /// or none at all. @pre none. @thread any.
+  static constexpr bool IsFinal(int aStatus)
+  {
+    constexpr int kLastServerError = 599;
+    return aStatus >= kOk && aStatus <= kLastServerError;
+  }
   /// Returns whether callers take a status as a guarantee that the call did not
   /// run. @pre none. @thread any.
   static constexpr bool PromisesNoRun(int aStatus)
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -403,6 +403,50 @@
   }
 }
 
+// Guards against callers that get an answer whose status is none, or whose end
+// nobody knows: evhttp reads a status for as far as it is a number.
+TEST_F(UpstreamClientTest, AnswerWithAnInvalidHeadIsNone)
+{
+  const std::string statuses[] = { "000", "0",    "2",    "20",   "2x0",
+                                   "20x", "x00",  "-200", "+200", "001",
+                                   "099", "600",  "999",  "101",  "102",
+                                   "103", "1000", "2000", "0200", "2 00",
+                                   "",    "100" };
+  const std::string fields[] = { "Bad Name: x\r\n",
+                                 ": x\r\n",
+                                 "Content-Length: 5\r\n",
+                                 "Content-Length: +4\r\n",
+                                 "Transfer-Encoding: gzip, chunked\r\n" };
+  std::vector<std::string> heads;
+  for (const std::string& status : statuses) {
+    heads.push_back("HTTP/1.1 " + status + " Text\r\n");
+  }
+  for (const std::string& field : fields) {
+    heads.push_back("HTTP/1.1 200 OK\r\n" + field);
+  }
+  for (const std::string& head : heads) {
+    FixedResponseServer server(
+      m_loop, head + "Content-Length: 4\r\n\r\nbody", true);
+    const ResponseRecorder recorder = Call(server);
+    EXPECT_TRUE(recorder.m_hasFailed) << head;
+    EXPECT_EQ(recorder.m_status, 0) << head;
+    EXPECT_TRUE(recorder.m_failure.m_mayHaveSentBytes) << head;
+    EXPECT_EQ(m_client.IdleConnectionCount(), 0U) << head;
+  }
+}
+
+TEST_F(UpstreamClientTest, ReadsAnswersAfterInterimOnes)
+{
+  FixedResponseServer server(
+    m_loop,
+    "HTTP/1.1 100 Continue\r\n\r\n"
+    "HTTP/1.1 201 Made\r\nContent-Length: 4\r\n\r\nbody",
+    false);
+  const ResponseRecorder recorder = Call(server);
+  EXPECT_EQ(recorder.m_status, 201);
+  EXPECT_EQ(recorder.m_body, "body");
+}
+
 // Guards against work that grows with the square of the bytes: evhttp searches
 // a line with the size of a chunk from its beginning after each read.
 TEST_F(UpstreamClientTest, GivesUpOnALongLineWithTheSizeOfAChunk)
