Numbers in the heads of calls and answers are bounded before they are cast

Callers: none reported. An engine that states a slowness of 1e300 counted as 0 percent, one with nan as any number; Deadline-Ms of 1e300 became a deadline in the past; a Keep-Alive timeout of 2^63 overflowed.

Evidence: CallCodecTest.ReadsNumbersWithinBoundsOnly and UpstreamClientTest.KeepsAConnectionThatMayStayOpenForVeryLong fail before the fix, the latter with an overflow that the sanitizer reports.

--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -1,5 +1,6 @@
 #include "http/evhttp_upstream_call.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <event2/buffer.h>
@@ -113,7 +114,9 @@
   }
   const std::string_view digits = text.substr(at + kParameter.size());
   std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  return std::chrono::seconds(seconds) - kKeepAliveMargin;
+  constexpr int64_t kMaxSeconds = 86'400;
+  return std::chrono::seconds(std::clamp<int64_t>(seconds, 0, kMaxSeconds)) -
+         kKeepAliveMargin;
 }
 
 /// Returns whether the server closes the connection after the response.
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -403,6 +403,22 @@
   }
 }
 
+// Guards against a time that overflows: the connection was dropped at once, or
+// the process ended where overflows are checked.
+TEST_F(UpstreamClientTest, KeepsAConnectionThatMayStayOpenForVeryLong)
+{
+  for (const char* timeout : { "9223372036854775807", "99999999999999" }) {
+    FixedResponseServer server(
+      m_loop,
+      std::string("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=") + timeout +
+        "\r\nContent-Length: 4\r\n\r\nbody",
+      false);
+    EXPECT_EQ(Call(server).m_body, "body");
+    EXPECT_EQ(Call(server).m_body, "body");
+    EXPECT_EQ(server.ConnectionCount(), 1U) << timeout;
+  }
+}
+
 // Guards against callers that get an answer whose status is none, or whose end
 // nobody knows: evhttp reads a status for as far as it is a number.
 TEST_F(UpstreamClientTest, AnswerWithAnInvalidHeadIsNone)
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -258,6 +258,39 @@
   }
 }
 
+// Guards against numbers that a cast makes arbitrary: an absurd load or time
+// that an engine or a caller states would be planned with.
+TEST(CallCodecTest, ReadsNumbersWithinBoundsOnly)
+{
+  const auto percent = [](const std::string& aText) {
+    const auto load = platform::ParseInstanceLoad("3,0,8," + aText);
+    return load ? std::optional(load->m_slownessPercent) : std::nullopt;
+  };
+  EXPECT_EQ(percent("250"), 250U);
+  EXPECT_EQ(percent("0"), 1U);
+  for (const char* text : { "1e9", "1e300" }) {
+    EXPECT_EQ(percent(text), 100'000U) << text;
+  }
+  for (const char* text : { "nan", "inf", "-inf", "-1", "x", "" }) {
+    EXPECT_FALSE(percent(text)) << text;
+  }
+  for (const char* text :
+       { "4294967295,0,8", "0,4294967295,8", "1,1,2000000" }) {
+    EXPECT_FALSE(platform::ParseInstanceLoad(text)) << text;
+  }
+  const auto deadline = [](const char* aText) {
+    CallerRecord record;
+    const auto callFields = platform::PlatformCallCodec().ReadCall(
+      MakeCall(record, { { "Attempt-Id", "1" }, { "Deadline-Ms", aText } }));
+    return callFields ? callFields->m_callerTimeout : std::nullopt;
+  };
+  EXPECT_EQ(deadline("0.5"), std::chrono::microseconds(500));
+  EXPECT_EQ(deadline("1e300"), std::chrono::hours(24));
+  for (const char* text : { "nan", "inf", "-1" }) {
+    EXPECT_FALSE(deadline(text)) << text;
+  }
+}
+
 TEST(CallCodecTest, RejectsMalformedHeaders)
 {
   platform::PlatformCallCodec codec;
