Engines of a new software version are used once it is recorded

Operators of a system like this one saw streams of two versions at an entry that was out of step during a release.

Cause: the owner handed out engines of a new version beside the proposal to record it, and told entries that ask where a stream began from what was committed. In between it said that the pool has the former version only, so a stream of the new one went on at the former one. A stalled disk or a cut core stretch that time. Besides, an entry took an instance without a directory at its word that no streams need to be reported.

DirectoryLinkTest.VersionsAreThoseOfTheDirectory fails before the fix.

Fix: VersionAdmission keeps engines of versions that are not recorded out of the directory and has the list read again once they are. Whether streams are to be reported follows from the directory that an entry gets. E604 says when a version was first seen.

--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -292,7 +292,11 @@
     m_fleetOwner = std::make_unique<FleetOwner>(
       FleetOwner::Dependencies{ m_clock, m_timers, *m_engineControl, m_log },
       m_platform->m_ownerOptions,
-      [this] { return m_host->HasLease(); });
+      FleetOwner::ReplicatedState{
+        [this] { return m_host->HasLease(); },
+        [this](const PoolId& aPool, const SoftwareVersion& aVersion) {
+          return m_host->State().HasRecorded(aPool, aVersion);
+        } });
     m_fleet = std::make_unique<FleetService>(
       FleetService::Dependencies{ m_port,
                                   m_clock,
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -41,7 +41,7 @@
             m_self,
             m_domain)
   , m_quotas(aDeps.m_clock, aQuotaBounds)
-  , m_streams(aDeps.m_clock, aDeps.m_host)
+  , m_streams(aDeps.m_clock, aDeps.m_host, aDeps.m_log)
   , m_routeFetch(
       aDeps.m_port,
       [this] { return LeaderLink(); },
@@ -158,7 +158,7 @@
   UpdateOwnership();
   m_deps.m_owner.Tick();
   if (m_deps.m_owner.Term()) {
-    m_streams.Tick(m_deps.m_owner.Directory());
+    m_streams.Tick(m_deps.m_owner.Versions());
   }
   m_relay.SetFollowerCount(OwnFollowerCount(m_deps.m_clock.Now()));
   WakeFollowers();
@@ -443,7 +443,7 @@
   WriteControlInstances(aOut);
   WriteRouteProof(aOut);
   WriteRoutes(aState, aOut);
-  aOut.setRecordsStreams(m_streams.HasSeveralVersions());
+  aOut.setRecordsStreams(m_streams.HasSeveralVersions(ServedDirectory()));
   const bool isOwner = m_deps.m_owner.Term().has_value();
   aOut.setIsLeader(isOwner);
   const ReplicaAddress* leader = m_deps.m_host.LeaderAddress();
--- a/control/state_machine.cpp
+++ b/control/state_machine.cpp
@@ -128,4 +128,12 @@
   return isRead.value_or(false);
 }
 
+bool StateMachine::HasRecorded(const PoolId& aPool,
+                               const SoftwareVersion& aVersion) const
+{
+  const PoolVersions& recorded = RecordedVersions();
+  const auto pool = recorded.find(aPool);
+  return pool != recorded.end() && pool->second.contains(aVersion);
+}
+
 } // namespace celeryspread
--- a/control/state_machine.h
+++ b/control/state_machine.h
@@ -59,6 +59,9 @@
   /// @pre none.
   [[nodiscard]] const RouteChange& Routes() const { return m_routes; }
   /// Returns the software versions at which streams of each pool may have
+  /// Returns whether a software version is in the record of a pool. @pre none.
+  [[nodiscard]] bool HasRecorded(const PoolId& aPool,
+                                 const SoftwareVersion& aVersion) const;
   /// begun. @pre none.
   [[nodiscard]] const PoolVersions& RecordedVersions() const
   {
--- a/control/stream_service.cpp
+++ b/control/stream_service.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// A change of the directory is recorded at once, anything else in this time.
+/// A change of the list is recorded at once, anything else in this time.
 constexpr Duration kCensusPeriod = std::chrono::seconds(1);
 
 PoolVersions ServingVersions(const EngineDirectory& aDirectory)
@@ -23,11 +23,30 @@
   return serving;
 }
 
+std::string VersionsText(const std::set<SoftwareVersion>& aVersions)
+{
+  std::string text;
+  for (const SoftwareVersion& version : aVersions) {
+    text += (text.empty() ? "" : ",") + version.Value();
+  }
+  return text;
+}
+
+bool HasSeveral(const PoolVersions& aPools)
+{
+  return std::any_of(aPools.begin(), aPools.end(), [](const auto& aPool) {
+    return aPool.second.size() > 1;
+  });
+}
+
 } // namespace
 
-StreamService::StreamService(const Clock& aClock, ReplicaHost& aHost)
+StreamService::StreamService(const Clock& aClock,
+                             ReplicaHost& aHost,
+                             EventLog& aLog)
   : m_clock(aClock)
   , m_host(aHost)
+  , m_log(aLog)
   , m_streams(kStreamMemory, kMaxStreams)
 {
 }
@@ -36,33 +55,44 @@
 {
   m_census.Begin(m_host.State().RecordedVersions(), m_clock.Now());
   m_censusDue = TimePoint();
+  m_seenList = 0;
 }
 
-void StreamService::Tick(const EngineDirectory& aDirectory)
+void StreamService::Tick(const VersionAdmission& aListed)
 {
   const TimePoint now = m_clock.Now();
   const bool isDue =
-    now >= m_censusDue || aDirectory.Version() != m_seenDirectory;
-  if (!isDue || !aDirectory.HasList() || !m_host.HasLease()) {
+    now >= m_censusDue || aListed.ListedVersion() != m_seenList;
+  if (!isDue || aListed.ListedVersion() == 0 || !m_host.HasLease()) {
     return;
   }
   m_censusDue = now + kCensusPeriod;
-  m_seenDirectory = aDirectory.Version();
-  m_census.Observe(ServingVersions(aDirectory), now);
+  m_seenList = aListed.ListedVersion();
+  m_census.Observe(aListed.Listed(), now);
   // A change that is not committed is proposed again.
   for (const auto& [pool, versions] :
        m_census.Changes(m_host.State().RecordedVersions(), now)) {
+    m_log.Write(EventId::PoolVersionsProposed,
+                "pool=" + pool.Value() + " versions=\"" +
+                  VersionsText(versions) + "\"");
     m_host.Propose({ {}, PoolVersionsChange{ pool, versions } },
                    [](const std::optional<CommandResult>&) {});
   }
 }
 
-bool StreamService::HasSeveralVersions() const
+bool StreamService::HasSeveralVersions(const EngineDirectory* aDirectory)
 {
-  const PoolVersions& pools = m_host.State().RecordedVersions();
-  return std::any_of(pools.begin(), pools.end(), [](const auto& aPool) {
-    return aPool.second.size() > 1;
-  });
+  if (HasSeveral(m_host.State().RecordedVersions())) {
+    return true;
+  }
+  if (aDirectory == nullptr) {
+    return false;
+  }
+  if (m_servedVersion != aDirectory->Version()) {
+    m_servedVersion = aDirectory->Version();
+    m_servesSeveral = HasSeveral(ServingVersions(*aDirectory));
+  }
+  return m_servesSeveral;
 }
 
 void StreamService::Record(wire::StreamReport::Reader aReport)
--- a/control/stream_service.h
+++ b/control/stream_service.h
@@ -2,8 +2,9 @@
 
 #include "control/replica_host.h"
 #include "fleet/engine_directory.h"
-#include "fleet/version_census.h"
+#include "fleet/version_admission.h"
 #include "streams/stream_versions.h"
+#include "telemetry/event_log.h"
 #include "wire/celeryspread.capnp.h"
 
 namespace celeryspread {
@@ -24,15 +25,17 @@
   static constexpr size_t kMaxStreams = 3'000'000;
 
   /// Creates the service of an instance. @pre all arguments outlive it.
-  StreamService(const Clock& aClock, ReplicaHost& aHost);
+  StreamService(const Clock& aClock, ReplicaHost& aHost, EventLog& aLog);
 
   /// Begins a term as owner of the engines. @pre none.
   void Begin();
-  /// Proposes what the owner's directory adds to the recorded versions.
+  /// Proposes what the platform's list adds to the recorded versions.
   /// @pre this instance owns the engines; called several times a second.
-  void Tick(const EngineDirectory& aDirectory);
-  /// Returns whether entries have to report where streams begin. @pre none.
-  [[nodiscard]] bool HasSeveralVersions() const;
+  void Tick(const VersionAdmission& aListed);
+  /// Returns whether the followers of a directory have to report where streams
+  /// begin. The own replica may be behind the directory, which is the owner's.
+  /// @pre aDirectory may be null.
+  [[nodiscard]] bool HasSeveralVersions(const EngineDirectory* aDirectory);
   /// Takes a report. @pre none. @error throws if it is malformed.
   void Record(wire::StreamReport::Reader aReport);
   /// Tells where a stream of a pool began. @pre none.
@@ -43,11 +46,16 @@
 private:
   const Clock& m_clock;
   ReplicaHost& m_host;
+  EventLog& m_log;
   VersionCensus m_census;
   StreamVersions m_streams;
   TimePoint m_censusDue;
-  /// Version of the directory that the census has seen.
-  uint64_t m_seenDirectory = 0;
+  /// Version of the list that the census has seen.
+  uint64_t m_seenList = 0;
+  /// Version of the directory of which m_servesSeveral says whether it shows
+  /// several versions of a pool.
+  std::optional<uint64_t> m_servedVersion;
+  bool m_servesSeveral = false;
 };
 
 } // namespace celeryspread
--- a/fleet/fleet_owner.cpp
+++ b/fleet/fleet_owner.cpp
@@ -49,10 +49,11 @@
 
 FleetOwner::FleetOwner(Dependencies aDependencies,
                        Options aOptions,
-                       std::function<bool()> aHasLease)
+                       ReplicatedState aState)
   : m_deps(aDependencies)
   , m_options(std::move(aOptions))
-  , m_hasLease(std::move(aHasLease))
+  , m_hasLease(std::move(aState.m_hasLease))
+  , m_versions(std::move(aState.m_isVersionRecorded))
   , m_orders(
       { aDependencies.m_clock,
         aDependencies.m_timers,
@@ -98,6 +99,7 @@
   m_isReadingList = false;
   m_orders.LoseOwnership();
   m_directory.Clear();
+  m_versions.Clear();
   m_demand.Clear();
   m_crashes.Clear();
   m_crashChecks.clear();
@@ -124,6 +126,9 @@
     return;
   }
   const TimePoint now = m_deps.m_clock.Now();
+  if (m_versions.TakeAdmitted()) {
+    m_listDue = now;
+  }
   if (now >= m_listDue && !m_isReadingList) {
     ReadList();
   }
@@ -166,6 +171,7 @@
       }
       m_listReadAt = begunAt;
       m_listDue = m_deps.m_clock.Now() + ListPeriod(aList->size());
+      m_versions.Filter(*aList);
       const auto changes =
         m_directory.ApplyList(std::move(*aList), m_deps.m_clock.Now());
       for (const UpstreamId& id : changes.m_appeared) {
--- a/fleet/fleet_owner.h
+++ b/fleet/fleet_owner.h
@@ -9,6 +9,7 @@
 #include "fleet/engine_orders.h"
 #include "fleet/model_planner.h"
 #include "fleet/store_budget.h"
+#include "fleet/version_admission.h"
 #include "quarantine/crash_investigation.h"
 
 namespace celeryspread {
@@ -44,11 +45,19 @@
     double m_engineListCallsPerSecond = 1;
   };
 
-  /// Prepares the owner, without ownership. @pre aHasLease returns whether this
-  /// instance holds the leader's lease now.
+  /// What the owner asks the replicated state. All functions are set.
+  struct ReplicatedState
+  {
+    /// Returns whether this instance holds the leader's lease now.
+    std::function<bool()> m_hasLease;
+    /// Returns whether a software version is in the record of a pool.
+    VersionAdmission::IsRecorded m_isVersionRecorded;
+  };
+
+  /// Prepares the owner, without ownership. @pre none.
   FleetOwner(Dependencies aDependencies,
              Options aOptions,
-             std::function<bool()> aHasLease);
+             ReplicatedState aState);
   ~FleetOwner();
 
   /// Acquires ownership for a term of leadership. @pre aTerm is larger than
@@ -95,6 +104,9 @@
   [[nodiscard]] const CrashInvestigation& Crashes() const { return m_crashes; }
   /// Returns the engines as this owner knows them. @pre none.
   [[nodiscard]] const EngineDirectory& Directory() const { return m_directory; }
+  /// Returns the software versions of the list, also of engines that are not
+  /// in the directory yet. @pre none.
+  [[nodiscard]] const VersionAdmission& Versions() const { return m_versions; }
   /// Returns when the reading of the list began that the directory shows.
   /// @pre Directory().HasList().
   [[nodiscard]] TimePoint ListReadAt() const { return m_listReadAt; }
@@ -152,6 +164,7 @@
   Dependencies m_deps;
   Options m_options;
   std::function<bool()> m_hasLease;
+  VersionAdmission m_versions;
   EngineDirectory m_directory;
   DemandTracker m_demand;
   EngineOrders m_orders;
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -257,12 +257,16 @@
 void DirectoryLink::Apply(wire::FollowReply::Reader aReply, TimePoint aSentAt)
 {
   AddControlLinks(aReply);
-  m_recordsStreams = aReply.getRecordsStreams();
   const bool hasRoutes = m_routes.Apply(aReply, m_currentAddress, aSentAt);
   if (!aReply.getIsLeader() && !aReply.getHasDirectory()) {
     FollowOwner(aReply);
     return;
   }
+  if (aReply.getHasDirectory()) {
+    // The replica of another instance may not know yet of all versions that
+    // the engines of this entry have.
+    m_recordsStreams = aReply.getRecordsStreams();
+  }
   // A leader of an earlier term may not know yet that it was replaced.
   KJ_REQUIRE(!aReply.getHasDirectory() || aReply.getEpoch() >= m_directoryTerm,
              "the leader was replaced");
--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -74,6 +74,7 @@
   OrderFailed = 601,
   PlacementRefused = 602,
   PlacementPlanned = 603,
+  PoolVersionsProposed = 604,
   ClaimSettled = 700,
   AdminRefused = 701
 };
--- a/tests/fleet/crash_check_test.cpp
+++ b/tests/fleet/crash_check_test.cpp
@@ -47,13 +47,15 @@
   NullEventLog log;
   RefusingEngines engines;
   engines.m_list = { MakeEngine("e", "here", "m") };
-  FleetOwner owner({ clock, timers, engines, log },
-                   { InstanceId("owner"),
-                     std::chrono::seconds(3),
-                     std::chrono::seconds(5),
-                     true,
-                     100 },
-                   [] { return true; });
+  FleetOwner owner(
+    { clock, timers, engines, log },
+    { InstanceId("owner"),
+      std::chrono::seconds(3),
+      std::chrono::seconds(5),
+      true,
+      100 },
+    { [] { return true; },
+      [](const PoolId&, const SoftwareVersion&) { return true; } });
   owner.AcquireOwnership(FencingToken(1));
   owner.Tick();
   ASSERT_NE(owner.Directory().Find(UpstreamId("e")), nullptr);
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -25,6 +25,7 @@
 {
   bool m_isOwner = false;
   bool m_hasDirectory = true;
+  bool m_recordsStreams = false;
   /// Age of the proof of route version 3; negative for none.
   std::chrono::milliseconds m_proofAge{ -1 };
   /// Newest route version that the instance has, 0 for none.
@@ -181,6 +182,7 @@
       aReply.initLeader().setAddress(kOwnerAddress);
     }
     aReply.setHasDirectory(m_script.m_hasDirectory);
+    aReply.setRecordsStreams(m_script.m_recordsStreams);
     if (m_script.m_proofAge >= std::chrono::milliseconds::zero()) {
       aReply.setProvenRouteVersion(kProvenVersion);
       aReply.setRouteProofAgeMicros(
@@ -565,6 +567,23 @@
   EXPECT_TRUE(m_loop.RunUntil([&] { return m_link->HasDirectory(); }));
 }
 
+// Guards against streams that are not reported although the entry has engines
+// of several versions: an instance without a directory, whose replica is
+// behind, was believed.
+TEST_F(DirectoryLinkTest, VersionsAreThoseOfTheDirectory)
+{
+  m_relayScript.m_recordsStreams = true;
+  StartEntry();
+  ASSERT_TRUE(m_loop.RunUntil([this] { return m_link->HasSeveralVersions(); }));
+  m_relayScript.m_failsFollows = true;
+  m_ownerScript.m_hasDirectory = false;
+  ASSERT_TRUE(RunUntilFollowed(m_ownerScript));
+  EXPECT_TRUE(m_link->HasSeveralVersions());
+  m_ownerScript.m_hasDirectory = true;
+  EXPECT_TRUE(
+    m_loop.RunUntil([this] { return !m_link->HasSeveralVersions(); }));
+}
+
 TEST_F(DirectoryLinkTest, DemandOfAFailedReportIsReportedAgain)
 {
   StartEntry();
