--- a/gateway/call_end.cpp
+++ b/gateway/call_end.cpp
@@ -13,6 +13,18 @@
   return text;
 }
 
+/// Returns what a line says about a call for the rest of a stream: the attempt
+/// that began it, and the software version at which it may go on.
+std::string ResumeText(const RoutedCall& aCall)
+{
+  if (!aCall.m_callFields.m_isResumed) {
+    return {};
+  }
+  return " resumes=" + aCall.m_callFields.m_resumedAttempt.Value() +
+         " software=" +
+         (aCall.m_software ? aCall.m_software->Value() : "unknown");
+}
+
 } // namespace
 
 CallEnd::CallEnd(GatewayContext& aContext, const RoutedCall& aCall)
@@ -47,8 +59,9 @@
       " pool=" + m_call.m_pool.Value() +
       " model=" + callFields.m_target.m_model +
       " adapter=" + callFields.m_target.m_adapter +
-      " parts=" + PartsText(callFields.m_sharedParts) + " status=" +
-      std::to_string(aStatus) + " age_ms=" + std::to_string(age.count()) +
+      " parts=" + PartsText(callFields.m_sharedParts) +
+      " status=" + std::to_string(aStatus) +
+      " age_ms=" + std::to_string(age.count()) + ResumeText(m_call) +
       " attempts=\"" + aAttempts + "\" reason=\"" + aReason + "\"");
 }
 
