--- a/bench/pieces/piece_bench.cpp
+++ b/bench/pieces/piece_bench.cpp
@@ -128,8 +128,11 @@
   const SystemClock clock;
   const auto address = MakeSocketAddress("127.0.0.1", 0);
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
-  bind(listener, address->Get(), static_cast<socklen_t>(address->m_length));
-  listen(listener, 1);
+  const auto length = static_cast<socklen_t>(address->m_length);
+  if (bind(listener, address->Get(), length) != 0 || listen(listener, 1) != 0) {
+    std::perror("listen");
+    return;
+  }
   EvhttpUpstreamClient client(base.get(), clock);
   IgnoringObserver observer;
   UpstreamRequest request;
@@ -156,7 +159,11 @@
   server.Listen("127.0.0.1", 0);
   const auto address = MakeSocketAddress("127.0.0.1", server.Port());
   const int client = socket(AF_INET, SOCK_STREAM, 0);
-  connect(client, address->Get(), static_cast<socklen_t>(address->m_length));
+  const auto length = static_cast<socklen_t>(address->m_length);
+  if (connect(client, address->Get(), length) != 0) {
+    std::perror("connect");
+    return;
+  }
   SetNoDelay(client);
   Measure(base.get(), client, "request", aPart, aPieceSize);
   close(client);
--- a/control/stream_service.h
+++ b/control/stream_service.h
@@ -33,7 +33,8 @@
   /// @pre this instance owns the engines; called several times a second.
   void Tick(const VersionAdmission& aListed);
   /// Returns whether the followers of a directory have to report where streams
-  /// begin. The own replica may be behind the directory, which is the owner's.
+  /// begin. This instance's replica may be behind a directory that it got from
+  /// the owner.
   /// @pre aDirectory may be null.
   [[nodiscard]] bool HasSeveralVersions(const EngineDirectory* aDirectory);
   /// Takes a report. @pre none. @error throws if it is malformed.
