--- a/core/event_buffer.cpp
+++ b/core/event_buffer.cpp
@@ -63,7 +63,7 @@
     return {};
   }
   m_returned.swap(m_partial);
-  // No more than the bytes that were added.
+  // What is left is no longer than what was added.
   m_partial.assign(m_returned, whole);
   m_workBytes += m_partial.size();
   return std::string_view(m_returned).substr(0, whole);
--- a/http/http_status.h
+++ b/http/http_status.h
@@ -31,8 +31,8 @@
     constexpr int kFirstRedirect = 300;
     return aStatus >= kOk && aStatus < kFirstRedirect;
   }
-  /// Returns whether a status is that of a final answer, not of an interim one
-  /// or none at all. @pre none. @thread any.
+  /// Returns whether a status is that of a final answer, neither interim nor
+  /// invalid. @pre none. @thread any.
   static constexpr bool IsFinal(int aStatus)
   {
     constexpr int kLastServerError = 599;
--- a/tests/gateway/repeat_rules_test.cpp
+++ b/tests/gateway/repeat_rules_test.cpp
@@ -34,10 +34,11 @@
 
 } // namespace
 
-/// One way in which an attempt ends without a usable answer.
+/// Plays each way in which an attempt fails, for each kind of route.
 class RepeatRulesTest : public GatewayFixture
 {
 protected:
+  /// One way in which an attempt ends without a usable answer.
   using Break = void (RepeatRulesTest::*)();
   struct BreakCase
   {
@@ -80,7 +81,7 @@
   void LostWithinTheAnswer()
   {
     Answer(0, 200, m_good);
-    // Longer than any answer is without proof that its engine lives on.
+    // From here on, the break is not taken for the end of the engine.
     m_time.RunFor(std::chrono::seconds(1));
     Attempt(0).m_observer->OnUpstreamBody("id: 1\ndata: x\n\nid: 2\nda");
     LoseConnection(0);
--- a/tests/http/response_head_check_test.cpp
+++ b/tests/http/response_head_check_test.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-// Guards against answers with a status that is none, which reached the caller
-// as the number that its text begins with.
+// Guards against answers with an invalid status, which reached the caller as
+// the number that its text begins with.
 TEST(ResponseHeadCheckTest, StatusHasThreeDigitsOfAFinalAnswer)
 {
   struct Case
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -419,8 +419,8 @@
   }
 }
 
-// Guards against callers that get an answer whose status is none, or whose end
-// nobody knows: evhttp reads a status for as far as it is a number.
+// Guards against callers that get an answer with an invalid status or without a
+// certain end: evhttp reads a status for as far as it is a number.
 TEST_F(UpstreamClientTest, AnswerWithAnInvalidHeadIsNone)
 {
   const std::string statuses[] = { "000", "0",    "2",    "20",   "2x0",
--- a/tests/processes/invalid_answers.py
+++ b/tests/processes/invalid_answers.py
@@ -3,7 +3,7 @@
 requests with a head that is not valid HTTP, and prints what callers got. Run by hand:
 invalid_answers.py idempotent|non_idempotent|streaming
 
-The status is none (too few or too many digits, a sign, a letter, below 100, above
+The status is invalid (too few or too many digits, a sign, a letter, below 100, above
 599, an interim one as the final one), or a header field is malformed. Exits with 1
 if such a head reached a caller, if a refusal followed an answer, or if a process ended.
 """
