The log tells which attempts went out on a used connection

Cause: the line of a call names the upstream of each attempt, not whether its connection had carried other calls; a rejection on a new connection can't be a late copy, one on a used connection can. Change: each attempt in the log bears connection:new or connection:used.

--- a/gateway/attempt_log.cpp
+++ b/gateway/attempt_log.cpp
@@ -47,6 +47,11 @@
             (hasReading ? MillisecondsText(aNow - aState.m_readingAt) : "none");
 }
 
+void AttemptLog::AddConnection(bool aIsReused)
+{
+  m_text += aIsReused ? " connection:used" : " connection:new";
+}
+
 void AttemptLog::AddEvents(TimePoint aNow)
 {
   if (m_firstEventAt) {
--- a/gateway/attempt_log.h
+++ b/gateway/attempt_log.h
@@ -9,14 +9,18 @@
 
 /// Collects the attempts of one call for its line in the log. For each attempt:
 /// the upstream, its estimated load, the age of the load reading behind the
-/// estimate, the time until a stream's answer began and to its first event, its
-/// longest pause between events, the outcome and the duration.
+/// estimate, whether the connection had carried other calls, the time until a
+/// stream's answer began and to its first event, its longest pause between
+/// events, the outcome and the duration.
 /// @thread loop thread only.
 class AttemptLog
 {
 public:
   /// Adds an attempt that starts now. @pre the previous attempt was closed.
   void OpenAttempt(const EngineState& aState, TimePoint aNow);
+  /// Adds whether the attempt's connection had carried another call.
+  /// @pre OpenAttempt() was called.
+  void AddConnection(bool aIsReused);
   /// Records that a stream's answer began. @pre OpenAttempt() was called.
   void RecordBegin(TimePoint aNow) { m_begunAt = aNow; }
   /// Records that whole events of a stream arrived. @pre OpenAttempt() was
--- a/gateway/call_attempt.cpp
+++ b/gateway/call_attempt.cpp
@@ -83,6 +83,7 @@
   m_context.m_demand.RecordRunning(
     m_call.m_pool, m_call.m_callFields.m_target, 1);
   m_attempt = m_context.m_client.Start(std::move(request), aObserver);
+  m_log.AddConnection(m_attempt->IsConnectionReused());
 }
 
 void CallAttempt::Close(AttemptOutcome aOutcome)
