A call never returns to a connection that has carried it

Cause: attempts of a call are kept apart by the upstream's id, idle connections by its address, and the one used last is taken first. An upstream that starts anew is listed under its former and its new id at one address for some seconds. The former id rejects the call with 421, and the second attempt goes out on the connection that brought the rejection. If the upstream writes the rejection once more, it bears the id of the call that is under way there, and counts as proof.

Change: a connection remembers the ids that it has carried, is not used again for any of them, and ends after 512 calls instead of forgetting one. The proof needs an answer on a connection that has not carried the call. 421 is one of the statuses that promise "not run", so it isn't passed on without proof either.

Why this works: a copy bears the id of a call that its connection has carried. On a connection that carries each id once, an answer with the id of the call in progress can only be to that call.

--- a/gateway/call_attempt.cpp
+++ b/gateway/call_attempt.cpp
@@ -55,6 +55,7 @@
   request.m_body = m_call.m_caller->Body();
   request.m_firstByteTimeout = left;
   request.m_progressTimeout = left;
+  request.m_exchange = m_call.m_callFields.m_attempt.Value();
   m_upstream = record.m_id;
   m_software = record.m_software;
   m_tried.insert(record.m_id);
@@ -170,11 +171,13 @@
       m_context.m_learning->RecordReport(m_upstream, now);
     }
   }
-  // An answer without an id on a connection that has carried another call may
-  // be a late copy of that call's answer.
-  const bool isOwn = m_answer.m_attempt.IsEmpty()
-                       ? !m_attempt->IsConnectionReused()
-                       : IsOwnAnswer();
+  // An answer may be the late copy of one that the connection has brought: one
+  // without an id of any, one with an id of that to the call of this id.
+  const bool mayBeCopy = m_answer.m_attempt.IsEmpty()
+                           ? m_attempt->IsConnectionReused()
+                           : m_attempt->HasCarried(m_answer.m_attempt.Value());
+  const bool isOwn =
+    (m_answer.m_attempt.IsEmpty() || IsOwnAnswer()) && !mayBeCopy;
   m_isRejected = m_answer.m_hasNotRun && isOwn;
   RecordStatements(isOwn, now);
   const bool namesLimits =
--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -129,14 +129,15 @@
 
 } // namespace
 
-EvhttpUpstreamCall::EvhttpUpstreamCall(EvhttpUpstreamClient& aClient,
-                                       evhttp_connection* aConnection,
-                                       bool aIsConnectionReused,
-                                       UpstreamRequest aRequest,
-                                       UpstreamObserver& aObserver)
+EvhttpUpstreamCall::EvhttpUpstreamCall(
+  EvhttpUpstreamClient& aClient,
+  EvhttpUpstreamClient::Connection aConnection,
+  UpstreamRequest aRequest,
+  UpstreamObserver& aObserver)
   : m_client(aClient)
-  , m_connection(aConnection)
-  , m_isConnectionReused(aIsConnectionReused)
+  , m_connection(aConnection.m_connection)
+  , m_isConnectionReused(aConnection.m_isReused)
+  , m_history(std::move(aConnection.m_history))
   , m_request(std::move(aRequest))
   , m_observer(aObserver)
   , m_buffered(aClient.HeldBytes())
@@ -370,11 +371,14 @@
   bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
   const bool hasExtraBytes =
     evbuffer_get_length(bufferevent_get_input(bev)) > 0;
-  if (AsksToClose(aRequest) || !IsSelfDelimited(aRequest) || hasExtraBytes) {
+  m_history.Add(m_request.m_exchange);
+  if (AsksToClose(aRequest) || !IsSelfDelimited(aRequest) || hasExtraBytes ||
+      m_history.IsFull()) {
     m_client.FreeLater(m_connection, std::move(m_callbackArgument));
   } else {
-    m_client.KeepIdle(
-      m_request.m_address, m_connection, KeepAliveTimeout(aRequest));
+    m_client.KeepIdle(m_request.m_address,
+                      { m_connection, true, std::move(m_history) },
+                      KeepAliveTimeout(aRequest));
   }
   m_observer.OnUpstreamEnd();
 }
--- a/http/evhttp_upstream_call.h
+++ b/http/evhttp_upstream_call.h
@@ -17,8 +17,7 @@
 public:
   /// Sends aRequest on aConnection. @pre the connection has no other request.
   EvhttpUpstreamCall(EvhttpUpstreamClient& aClient,
-                     evhttp_connection* aConnection,
-                     bool aIsConnectionReused,
+                     EvhttpUpstreamClient::Connection aConnection,
                      UpstreamRequest aRequest,
                      UpstreamObserver& aObserver);
   ~EvhttpUpstreamCall() override;
@@ -31,6 +30,10 @@
   {
     return m_isConnectionReused;
   }
+  [[nodiscard]] bool HasCarried(std::string_view aExchange) const override
+  {
+    return m_history.Contains(aExchange);
+  }
 
 private:
   friend class EvhttpUpstreamClient;
@@ -67,6 +70,8 @@
   EvhttpUpstreamClient& m_client;
   evhttp_connection* m_connection;
   bool m_isConnectionReused;
+  /// Earlier calls of the connection.
+  ExchangeHistory m_history;
   UpstreamRequest m_request;
   UpstreamObserver& m_observer;
   evbuffer_cb_entry* m_outputCallback = nullptr;
--- a/http/evhttp_upstream_client.cpp
+++ b/http/evhttp_upstream_client.cpp
@@ -47,8 +47,9 @@
   event_free(m_freeEvent);
   for (auto& [address, connections] : m_idle) {
     for (const IdleConnection& idle : connections) {
-      evhttp_connection_set_closecb(idle.m_connection, nullptr, nullptr);
-      evhttp_connection_free(idle.m_connection);
+      evhttp_connection* connection = idle.m_connection.m_connection;
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+      evhttp_connection_free(connection);
     }
   }
   FreeRetired();
@@ -70,41 +71,47 @@
     m_base, nullptr, nullptr, aAddress.m_address.c_str(), aAddress.m_port);
 }
 
-evhttp_connection* EvhttpUpstreamClient::TakeIdle(
-  const UpstreamAddress& aAddress)
+std::optional<EvhttpUpstreamClient::Connection> EvhttpUpstreamClient::TakeIdle(
+  const UpstreamAddress& aAddress,
+  std::string_view aExchange)
 {
   const auto found = m_idle.find(aAddress);
   if (found == m_idle.end()) {
-    return nullptr;
-  }
-  CloseExpired(found->second);
-  if (found->second.empty()) {
-    m_idle.erase(found);
-    return nullptr;
+    return std::nullopt;
   }
+  std::deque<IdleConnection>& idle = found->second;
+  CloseExpired(idle);
   // The most recently used connection is the least likely to be closed by the
   // upstream.
-  evhttp_connection* connection = found->second.back().m_connection;
-  found->second.pop_back();
-  if (found->second.empty()) {
+  const auto usable =
+    std::find_if(idle.rbegin(), idle.rend(), [&](const IdleConnection& aEntry) {
+      return !aEntry.m_connection.m_history.Contains(aExchange);
+    });
+  std::optional<Connection> taken;
+  if (usable != idle.rend()) {
+    taken = std::move(usable->m_connection);
+    taken->m_isReused = true;
+    evhttp_connection_set_closecb(taken->m_connection, nullptr, nullptr);
+    idle.erase(std::next(usable).base());
+  }
+  if (idle.empty()) {
     m_idle.erase(found);
   }
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
-  return connection;
+  return taken;
 }
 
 void EvhttpUpstreamClient::KeepIdle(const UpstreamAddress& aAddress,
-                                    evhttp_connection* aConnection,
+                                    Connection aConnection,
                                     Duration aIdleTimeout)
 {
   std::deque<IdleConnection>& idle = m_idle[aAddress];
   if (idle.size() >= kMaxIdlePerUpstream) {
-    FreeLater(aConnection);
+    FreeLater(aConnection.m_connection);
     return;
   }
-  evhttp_connection_set_closecb(aConnection, OnIdleClosed, this);
-  idle.push_back(
-    { aConnection, m_clock.Now() + std::min(aIdleTimeout, kMaxIdleTime) });
+  evhttp_connection_set_closecb(aConnection.m_connection, OnIdleClosed, this);
+  idle.push_back({ std::move(aConnection),
+                   m_clock.Now() + std::min(aIdleTimeout, kMaxIdleTime) });
 }
 
 void EvhttpUpstreamClient::OnIdleClosed(evhttp_connection* aConnection,
@@ -115,7 +122,7 @@
     auto& idle = it->second;
     const auto found =
       std::find_if(idle.begin(), idle.end(), [&](const IdleConnection& aEntry) {
-        return aEntry.m_connection == aConnection;
+        return aEntry.m_connection.m_connection == aConnection;
       });
     if (found == idle.end()) {
       continue;
@@ -159,7 +166,7 @@
   std::erase_if(aIdle, [&](const IdleConnection& aEntry) {
     const bool isExpired = aEntry.m_expiresAt <= now;
     if (isExpired) {
-      FreeLater(aEntry.m_connection);
+      FreeLater(aEntry.m_connection.m_connection);
     }
     return isExpired;
   });
@@ -177,16 +184,15 @@
   UpstreamRequest aRequest,
   UpstreamObserver& aObserver)
 {
-  evhttp_connection* connection = nullptr;
+  std::optional<Connection> connection;
   if (aRequest.m_mayReuseConnection) {
-    connection = TakeIdle(aRequest.m_address);
+    connection = TakeIdle(aRequest.m_address, aRequest.m_exchange);
   }
-  const bool isReused = connection != nullptr;
-  if (!isReused) {
-    connection = Connect(aRequest.m_address);
+  if (!connection) {
+    connection = Connection{ Connect(aRequest.m_address), false, {} };
   }
   return std::make_unique<EvhttpUpstreamCall>(
-    *this, connection, isReused, std::move(aRequest), aObserver);
+    *this, std::move(*connection), std::move(aRequest), aObserver);
 }
 
 } // namespace celeryspread
--- a/http/evhttp_upstream_client.h
+++ b/http/evhttp_upstream_client.h
@@ -3,8 +3,10 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
+#include "http/exchange_history.h"
 #include "http/upstream_client.h"
 
 struct event;
@@ -39,9 +41,18 @@
 private:
   friend class EvhttpUpstreamCall;
 
+  /// A connection that carries one call at a time.
+  struct Connection
+  {
+    evhttp_connection* m_connection = nullptr;
+    /// Whether it has carried a call before.
+    bool m_isReused = false;
+    ExchangeHistory m_history;
+  };
+
   struct IdleConnection
   {
-    evhttp_connection* m_connection;
+    Connection m_connection;
     TimePoint m_expiresAt;
   };
 
@@ -54,12 +65,15 @@
 
   static void OnIdleClosed(evhttp_connection* aConnection, void* aSelf);
   static void OnExpiryTimer(int aFd, short aWhat, void* aSelf);
-  evhttp_connection* TakeIdle(const UpstreamAddress& aAddress);
+  /// Takes an idle connection that has not carried aExchange; empty if there is
+  /// none.
+  std::optional<Connection> TakeIdle(const UpstreamAddress& aAddress,
+                                     std::string_view aExchange);
   evhttp_connection* Connect(const UpstreamAddress& aAddress);
   /// Keeps a connection for reuse, for at most aIdleTimeout. @pre its last
   /// response is complete and it has no call.
   void KeepIdle(const UpstreamAddress& aAddress,
-                evhttp_connection* aConnection,
+                Connection aConnection,
                 Duration aIdleTimeout);
   /// Frees a connection once evhttp is no longer inside one of its callbacks;
   /// aArgument, the argument of these callbacks, is kept until then.
--- a/http/http_status.h
+++ b/http/http_status.h
@@ -15,6 +15,7 @@
   static constexpr int kRequestTimeout = 408;
   static constexpr int kConflict = 409;
   static constexpr int kTooLarge = 413;
+  static constexpr int kMisdirected = 421;
   static constexpr int kUnprocessable = 422;
   static constexpr int kTooManyRequests = 429;
   /// Not a registered code; recorded when the caller closed the connection.
@@ -43,7 +44,7 @@
   static constexpr bool PromisesNoRun(int aStatus)
   {
     return aStatus == kUnavailable || aStatus == kTooManyRequests ||
-           aStatus == kRequestTimeout;
+           aStatus == kRequestTimeout || aStatus == kMisdirected;
   }
 };
 
--- a/http/upstream_client.h
+++ b/http/upstream_client.h
@@ -29,6 +29,9 @@
   /// connection may show only after the request was sent, and then nothing
   /// proves that it was not run.
   bool m_mayReuseConnection = true;
+  /// Id that the upstream repeats in its answer; empty if it repeats none. No
+  /// connection carries an id twice.
+  std::string m_exchange;
 };
 
 /// Why an upstream call failed.
@@ -81,6 +84,9 @@
   /// Returns whether an earlier request was answered on the connection. Bytes
   /// that the upstream sends late may then belong to that one. @pre none.
   [[nodiscard]] virtual bool IsConnectionReused() const = 0;
+  /// Returns whether the connection carried an earlier call with this id, so
+  /// that an answer with it may be a late copy. @pre none.
+  [[nodiscard]] virtual bool HasCarried(std::string_view aExchange) const = 0;
 };
 
 /// Starts calls to upstreams.
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,8 @@
     UpstreamObserver* m_observer = nullptr;
     bool m_isCancelled = false;
     bool m_isConnectionReused = false;
+    /// Ids of earlier calls of the connection.
+    std::set<std::string, std::less<>> m_carried{};
   };
 
   std::unique_ptr<UpstreamCall> Start(UpstreamRequest aRequest,
@@ -126,6 +129,10 @@
     {
       return m_attempt->m_isConnectionReused;
     }
+    [[nodiscard]] bool HasCarried(std::string_view aExchange) const override
+    {
+      return m_attempt->m_carried.contains(aExchange);
+    }
 
   private:
     std::shared_ptr<StartedAttempt> m_attempt;
--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -124,6 +124,10 @@
     void Pause() override {}
     void Resume() override {}
     [[nodiscard]] bool IsConnectionReused() const override { return false; }
+    [[nodiscard]] bool HasCarried(std::string_view) const override
+    {
+      return false;
+    }
 
   private:
     std::shared_ptr<Request> m_request;
