A late copy of another call's rejection is discarded, not taken for a failure

Callers saw: 502 for calls that their upstream answered, one for each copy of a rejection that came first on a connection that was used again.

Cause: an answer with the id of another call ended the attempt, although the id names a call that the same connection has carried, so that it can only be a late copy and the call's own answer is due after it.

Change: UpstreamCall::DiscardAnswer() drops such an answer, body included, and reads on. An answer with an id that the connection has not carried, one whose end is not known and more than four copies in a row end the attempt as before. The copy is dropped before its load, back-off or limit is read.

RepeatedRejectionTest passes (copies with and without body, two in a row, in pieces at each third byte, without end, chunked).

--- a/gateway/call_attempt.cpp
+++ b/gateway/call_attempt.cpp
@@ -157,6 +157,14 @@
   }
 }
 
+bool CallAttempt::DiscardLateCopy(int aStatus, const HttpHeaders& aHeaders)
+{
+  const AttemptId attempt =
+    m_context.m_codec.ReadAnswer(aStatus, aHeaders).m_attempt;
+  return attempt != m_call.m_callFields.m_attempt &&
+         m_attempt->HasCarried(attempt.Value()) && m_attempt->DiscardAnswer();
+}
+
 void CallAttempt::RecordHeaders(int aStatus, const HttpHeaders& aHeaders)
 {
   const TimePoint now = m_context.m_clock.Now();
--- a/gateway/call_attempt.h
+++ b/gateway/call_attempt.h
@@ -36,6 +36,10 @@
   void Pause();
   void Resume();
 
+  /// Discards an answer if it is a late copy of that to an earlier call of the
+  /// connection; the attempt's own answer is still to come. @pre an attempt is
+  /// open. @return whether it did.
+  bool DiscardLateCopy(int aStatus, const HttpHeaders& aHeaders);
   /// Records the headers of an answer. @pre an attempt is open.
   void RecordHeaders(int aStatus, const HttpHeaders& aHeaders);
   /// Records that bytes of the answer arrived. @pre an attempt is open.
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -164,6 +164,10 @@
 
 void GatewayCall::OnUpstreamHeaders(int aStatus, const HttpHeaders& aHeaders)
 {
+  if (m_attempt.DiscardLateCopy(aStatus, aHeaders)) {
+    m_context.m_metrics.Count("celeryspread_gateway_late_answers_total");
+    return;
+  }
   m_relay.SetHeaders(aHeaders);
   m_attempt.RecordHeaders(aStatus, aHeaders);
   if (m_attempt.IsRejected()) {
--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -29,6 +29,10 @@
 /// read.
 constexpr size_t kMaxChunkLineBytes = 16'384;
 
+/// Body of an answer that may be discarded.
+constexpr size_t kMaxDiscardedBytes = 65'536;
+constexpr unsigned kMaxDiscardedAnswers = 4;
+
 timeval ToTimeval(Duration aDuration)
 {
   return { aDuration.count() / kMicrosPerSecond,
@@ -94,6 +98,20 @@
   return isChunked || FindHeader(aRequest, "Content-Length") != nullptr;
 }
 
+/// Returns the length of the response's body; empty unless it is stated.
+std::optional<size_t> BodyLength(evhttp_request* aRequest)
+{
+  const char* text = FindHeader(aRequest, "Content-Length");
+  if (text == nullptr || FindHeader(aRequest, "Transfer-Encoding") != nullptr) {
+    return std::nullopt;
+  }
+  const std::string_view digits = text;
+  size_t length = 0;
+  const auto result =
+    std::from_chars(digits.data(), digits.data() + digits.size(), length);
+  return result.ec == std::errc() ? std::optional(length) : std::nullopt;
+}
+
 /// Returns whether evhttp waits for the line with the size of the next chunk.
 bool AwaitsChunkLine(const evhttp_request& aRequest)
 {
@@ -235,7 +253,9 @@
                                  void* aSelf)
 {
   auto* self = static_cast<EvhttpUpstreamCall*>(aSelf);
-  if (!self->m_hasHeaders) {
+  if (aInfo->n_added > 0 && self->m_skippedBytes > 0) {
+    self->SkipBody(aBuffer);
+  } else if (!self->m_hasHeaders) {
     self->m_bytesBeforeHeaders += aInfo->n_added;
     self->CheckHead(aBuffer, aInfo->n_added);
   }
@@ -298,10 +318,56 @@
   if (self->m_isInvalid) {
     return kEndConnection;
   }
+  bool isDeleted = false;
+  self->m_deletedFlag = &isDeleted;
   self->m_observer.OnUpstreamHeaders(status, headers);
+  if (isDeleted) {
+    return 0;
+  }
+  self->m_deletedFlag = nullptr;
+  if (self->m_isDiscarding) {
+    self->AwaitNextAnswer();
+  }
   return 0;
 }
 
+bool EvhttpUpstreamCall::DiscardAnswer()
+{
+  const auto length = BodyLength(m_evhttpRequest);
+  if (!length || *length > kMaxDiscardedBytes ||
+      m_discardedAnswers >= kMaxDiscardedAnswers) {
+    return false;
+  }
+  ++m_discardedAnswers;
+  m_isDiscarding = true;
+  m_skippedBytes = *length;
+  return true;
+}
+
+void EvhttpUpstreamCall::AwaitNextAnswer()
+{
+  m_isDiscarding = false;
+  m_hasHeaders = false;
+  m_bytesBeforeHeaders = 0;
+  m_headCheck = ResponseHeadCheck();
+  evhttp_clear_headers(evhttp_request_get_input_headers(m_evhttpRequest));
+  // evhttp reads another head after an interim answer.
+  m_evhttpRequest->response_code = HttpStatus::kContinue;
+  SetTimeout(m_request.m_firstByteTimeout);
+  SkipBody(
+    bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection)));
+}
+
+void EvhttpUpstreamCall::SkipBody(evbuffer* aInput)
+{
+  const size_t skipped = std::min(m_skippedBytes, evbuffer_get_length(aInput));
+  m_skippedBytes -= skipped;
+  evbuffer_drain(aInput, skipped);
+  // What is left belongs to the head of the next answer.
+  m_bytesBeforeHeaders = evbuffer_get_length(aInput);
+  CheckHead(aInput, m_bytesBeforeHeaders);
+}
+
 bool EvhttpUpstreamCall::DeliverBody(evhttp_request* aRequest)
 {
   evbuffer* input = evhttp_request_get_input_buffer(aRequest);
--- a/http/evhttp_upstream_call.h
+++ b/http/evhttp_upstream_call.h
@@ -34,6 +34,7 @@
   {
     return m_history.Contains(aExchange);
   }
+  bool DiscardAnswer() override;
 
 private:
   friend class EvhttpUpstreamClient;
@@ -64,6 +65,10 @@
   void Fail(UpstreamFailureKind aKind, std::string aReason);
   void RemoveBufferCallbacks();
   void SetTimeout(Duration aTimeout);
+  /// Makes evhttp read another head after the answer that is discarded.
+  void AwaitNextAnswer();
+  /// Drops bytes of the body of a discarded answer.
+  void SkipBody(evbuffer* aInput);
   /// Checks the bytes of the head that a read added at the end of the input.
   void CheckHead(evbuffer* aInput, size_t aAdded);
 
@@ -79,6 +84,10 @@
   /// Belongs to evhttp, which frees it when the call ends.
   evhttp_request* m_evhttpRequest = nullptr;
   size_t m_bytesBeforeHeaders = 0;
+  /// Answers that were discarded, and what is to come of the last one's body.
+  unsigned m_discardedAnswers = 0;
+  bool m_isDiscarding = false;
+  size_t m_skippedBytes = 0;
   ResponseHeadCheck m_headCheck;
   /// What came is no response that could be passed on.
   bool m_isInvalid = false;
--- a/http/upstream_client.h
+++ b/http/upstream_client.h
@@ -61,7 +61,8 @@
 {
 public:
   virtual ~UpstreamObserver() = default;
-  /// The status and headers arrived.
+  /// The status and headers arrived; once more for each answer that the call
+  /// was made to discard.
   virtual void OnUpstreamHeaders(int aStatus, const HttpHeaders& aHeaders) = 0;
   /// A part of the body arrived; the view is valid during this callback only.
   virtual void OnUpstreamBody(std::string_view aBytes) = 0;
@@ -87,6 +88,10 @@
   /// Returns whether the connection carried an earlier call with this id, so
   /// that an answer with it may be a late copy. @pre none.
   [[nodiscard]] virtual bool HasCarried(std::string_view aExchange) const = 0;
+  /// Drops the answer whose headers have just arrived, and waits for the next
+  /// one. @pre called from OnUpstreamHeaders(). @error false if it is not known
+  /// where the answer ends, or many were discarded.
+  virtual bool DiscardAnswer() = 0;
 };
 
 /// Starts calls to upstreams.
--- a/tests/gateway/repeated_rejection_test.cpp
+++ b/tests/gateway/repeated_rejection_test.cpp
@@ -29,13 +29,14 @@
       m_table.Update(record);
     }
   }
-  void CallAndWait(const std::string& aPath)
+  void CallAndWait(const std::string& aPath, const std::string& aId = "a1")
   {
+    m_caller = CallerRecord();
     m_serving.OnCall(std::make_unique<FakeCallerCall>(
       m_caller,
       "GET",
       aPath,
-      HttpHeaders{ { "Host", "shop.example" }, { "id", "a1" } },
+      HttpHeaders{ { "Host", "shop.example" }, { "id", aId } },
       ""));
     EXPECT_TRUE(m_loop.RunUntil([&] { return m_caller.m_status != 0; }));
   }
@@ -104,10 +105,90 @@
   };
   CallAndWait("/pay/1");
   EXPECT_EQ(m_caller.m_status, 503);
-  m_caller = CallerRecord();
   CallAndWait("/pay/1");
   EXPECT_EQ(m_caller.m_status, 200);
   EXPECT_EQ(m_server.Requests().size(), 3U);
 }
 
+/// A copy of another call's rejection came first on a connection that was used
+/// again. The call failed although its own answer followed at once.
+TEST_F(RepeatedRejectionTest, AnswerAfterACopyOfAnotherCallsRejectionIsRead)
+{
+  const std::string head = "HTTP/1.1 503 X\r\nid: a1\r\nnot-run: 1\r\n";
+  const std::string copies[] = {
+    head + "Content-Length: 0\r\n\r\n",
+    head + "Content-Length: 4\r\n\r\nfull",
+    head + "Content-Length: 0\r\n\r\n" + head + "Content-Length: 4\r\n\r\nfull",
+    // Its bytes look like another answer.
+    head + "Content-Length: " + std::to_string(kRejection.size()) + "\r\n\r\n" +
+      kRejection,
+  };
+  for (const std::string& copy : copies) {
+    const std::string id = "b" + std::to_string(m_server.Requests().size());
+    const std::string answer = "HTTP/1.1 200 X\r\nid: " + id +
+                               "\r\nsigned: x\r\nContent-Length: 4\r\n\r\n"
+                               "paid";
+    m_script = [&](const ScriptedServer::Request&) { return kAnswer; };
+    CallAndWait("/pay/1", "a1");
+    m_script = [&](const ScriptedServer::Request& aRequest) {
+      return aRequest.m_earlier > 0 ? copy + answer : answer;
+    };
+    CallAndWait("/pay/1", id);
+    EXPECT_EQ(m_caller.m_status, 200) << copy;
+    EXPECT_EQ(m_caller.m_body, "paid") << copy;
+    EXPECT_GT(m_server.Requests().back().m_earlier, 0U) << copy;
+  }
+}
+
+/// The copy and the answer come in pieces.
+TEST_F(RepeatedRejectionTest, CopyThatComesInPiecesIsDiscarded)
+{
+  const std::string copy = "HTTP/1.1 503 X\r\nid: a1\r\nnot-run: 1\r\n"
+                           "Content-Length: 4\r\n\r\nfull";
+  const std::string bytes = copy + "HTTP/1.1 200 X\r\nid: a2\r\nsigned: x\r\n"
+                                   "Content-Length: 4\r\n\r\npaid";
+  for (size_t split = 1; split < bytes.size(); split += 3) {
+    m_script = [&](const ScriptedServer::Request&) { return kAnswer; };
+    CallAndWait("/pay/1", "a1");
+    std::unique_ptr<Timer> timer;
+    m_script = [&](const ScriptedServer::Request& aRequest) {
+      EXPECT_GT(aRequest.m_earlier, 0U);
+      timer = m_loop.GetTimers().After(
+        std::chrono::milliseconds(2), [this, &bytes, aRequest, split] {
+          m_server.Send(aRequest.m_connection, bytes.substr(split));
+        });
+      return bytes.substr(0, split);
+    };
+    CallAndWait("/pay/1", "a2");
+    EXPECT_EQ(m_caller.m_status, 200) << split;
+    EXPECT_EQ(m_caller.m_body, "paid") << split;
+    // The next call gets a connection that knows neither id.
+    m_loop.RunFor(std::chrono::milliseconds(1));
+  }
+}
+
+/// Copies without end, or whose own end is not known, end the attempt.
+TEST_F(RepeatedRejectionTest, CopiesThatCannotBeDiscardedEndTheAttempt)
+{
+  const std::string head = "HTTP/1.1 503 X\r\nid: a1\r\nnot-run: 1\r\n";
+  std::string many;
+  for (int i = 0; i < 20; ++i) {
+    many += head + "Content-Length: 0\r\n\r\n";
+  }
+  const std::string copies[] = {
+    many,
+    head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    head + "Content-Length: 100000000\r\n\r\n",
+  };
+  for (const std::string& copy : copies) {
+    m_script = [&](const ScriptedServer::Request&) { return kAnswer; };
+    CallAndWait("/pay/1", "a1");
+    m_script = [&](const ScriptedServer::Request&) { return copy; };
+    CallAndWait("/pay/1", "a2");
+    EXPECT_EQ(m_caller.m_status, 502) << copy.substr(0, 100);
+    m_loop.RunFor(std::chrono::milliseconds(5));
+    EXPECT_EQ(m_http.IdleConnectionCount(), 0U) << copy.substr(0, 100);
+  }
+}
+
 } // namespace celeryspread::test
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -102,6 +102,7 @@
     bool m_isConnectionReused = false;
     /// Ids of earlier calls of the connection.
     std::set<std::string, std::less<>> m_carried{};
+    size_t m_discardedAnswers = 0;
   };
 
   std::unique_ptr<UpstreamCall> Start(UpstreamRequest aRequest,
@@ -133,6 +134,11 @@
     {
       return m_attempt->m_carried.contains(aExchange);
     }
+    bool DiscardAnswer() override
+    {
+      ++m_attempt->m_discardedAnswers;
+      return true;
+    }
 
   private:
     std::shared_ptr<StartedAttempt> m_attempt;
--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -128,6 +128,7 @@
     {
       return false;
     }
+    bool DiscardAnswer() override { return false; }
 
   private:
     std::shared_ptr<Request> m_request;
