Idempotent calls are tried again after a refusal without proof

Callers saw: 502 at once for an idempotent call that an upstream had refused with 429, 408 or 421 without a proof, though others could serve it.

Cause: only statuses from 500 on counts as the upstream's fault in DeliverAnswer().

Change: statuses that promise "not run" count as one too.

--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -290,7 +290,8 @@
     HandleFailedAttempt(true, "the answer bears no signature");
     return;
   }
-  const bool isUpstreamFault = status >= HttpStatus::kFirstServerError;
+  const bool isUpstreamFault = status >= HttpStatus::kFirstServerError ||
+                               HttpStatus::PromisesNoRun(status);
   m_attempt.RecordSound();
   m_attempt.Close(isUpstreamFault ? AttemptOutcome::Erred
                                   : AttemptOutcome::Answered);
