A connection that brought an error to a call without an id is used again

Callers saw: callers of the product's own front end got the refusal of another call (409, 421, 429), or were told "not run" for a call that ran (503). Control saw an order as refused or fenced off that the engine had accepted, and reports and lists as lost that had been sent. Cause: an upstream may write a refusal once more, where the next answer on the connection is due. Calls of entry/ and control calls bear no id, so nothing told such a copy from the answer. Change: a connection on which a call without an id got 400 or more is closed. No connection that is used again has brought a refusal to such a call, so no copy of one can come on it. The pools of entry and control carry no calls with ids. Calls with an id keep their connections, since the id tells. As a defence, entry takes X-Outcome: not_run only on a connection that was not used before. That refuses nothing: calls that must not run twice always take a new one, and idempotent ones are repeated either way and hold no claim; their callers read "failed" in place of "not_run" there. Each error costs a new connection. Not run: the whole suite, the processes, the cost under load.

--- a/entry/call_session.cpp
+++ b/entry/call_session.cpp
@@ -368,9 +368,12 @@
     return;
   }
   if (m_status >= HttpStatus::kFirstServerError) {
-    // Without this header, the upstream may have started the work.
+    // Without this header, the upstream may have started the work. On a
+    // connection that was used before, it may be the copy of another call's.
+    // Only idempotent calls use one, and these may be repeated in any case.
     const bool isConfirmedNotRun =
-      HeaderValue(m_answerHeaders, "X-Outcome") == "not_run";
+      HeaderValue(m_answerHeaders, "X-Outcome") == "not_run" &&
+      !m_attempt->IsConnectionReused();
     FailAttempt(!isConfirmedNotRun,
                 "the upstream answered " + std::to_string(m_status));
     return;
--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -33,6 +33,8 @@
 constexpr size_t kMaxDiscardedBytes = 65'536;
 constexpr unsigned kMaxDiscardedAnswers = 4;
 
+constexpr int kFirstErrorStatus = 400;
+
 timeval ToTimeval(Duration aDuration)
 {
   return { aDuration.count() / kMicrosPerSecond,
@@ -437,9 +439,13 @@
   bufferevent* bev = evhttp_connection_get_bufferevent(m_connection);
   const bool hasExtraBytes =
     evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+  // Without ids, nothing tells a late copy of an error from the next answer.
+  const bool mayBringCopy =
+    m_request.m_exchange.empty() &&
+    evhttp_request_get_response_code(aRequest) >= kFirstErrorStatus;
   m_history.Add(m_request.m_exchange);
   if (AsksToClose(aRequest) || !IsSelfDelimited(aRequest) || hasExtraBytes ||
-      m_history.IsFull()) {
+      mayBringCopy || m_history.IsFull()) {
     m_client.FreeLater(m_connection, std::move(m_callbackArgument));
   } else {
     m_client.KeepIdle(m_request.m_address,
