Load figures of an answer that is not the call's own are taken for new

Callers saw: nothing measured; calls may go to an engine by its old figures. Cause: the gateway recorded Instance-Load of every answer, also of one with the id of another call, or without an id on a connection that was used before. Such an answer may be a late copy, with the figures of then. Change: the load is recorded with the other statements of an upstream about itself, if the answer is the call's own. Measured (Debug with ASan): the new test failed without the change, passed with it, also 200 times in a row; RejectionProof*, RepeatedRejection*, Gateway* and Call* passed.

--- a/gateway/call_attempt.cpp
+++ b/gateway/call_attempt.cpp
@@ -173,12 +173,6 @@
   SettleRetry(m_fate);
   m_answer = m_context.m_codec.ReadAnswer(aStatus, aHeaders);
   m_context.m_table.RecordBytes(m_upstream, now);
-  if (m_answer.m_load) {
-    m_context.m_table.RecordLoad(m_upstream, *m_answer.m_load, now);
-    if (m_context.m_learning != nullptr) {
-      m_context.m_learning->RecordReport(m_upstream, now);
-    }
-  }
   // An answer may be the late copy of one that the connection has brought: one
   // without an id of any, one with an id of that to the call of this id.
   const bool mayBeCopy = m_answer.m_attempt.IsEmpty()
@@ -204,6 +198,12 @@
   if (!aIsOwn) {
     return;
   }
+  if (m_answer.m_load) {
+    m_context.m_table.RecordLoad(m_upstream, *m_answer.m_load, aNow);
+    if (m_context.m_learning != nullptr) {
+      m_context.m_learning->RecordReport(m_upstream, aNow);
+    }
+  }
   if (m_answer.m_isLeaving) {
     m_context.m_table.RecordLeaving(m_upstream);
   }
--- a/tests/gateway/rejection_proof_test.cpp
+++ b/tests/gateway/rejection_proof_test.cpp
@@ -162,6 +162,23 @@
   }
 }
 
+/// The figures of an answer that might be a late copy were taken for the load
+/// of the engine now.
+TEST_F(RejectionProofTest, OnlyAnOwnAnswerTellsTheLoad)
+{
+  for (const Case& aCase : kCases) {
+    for (const char* engine : { "e1", "e2" }) {
+      m_table.RecordLoad(UpstreamId(engine), { 0, 0, 4 }, m_clock.Now());
+    }
+    Open("/pay/1", aCase);
+    const UpstreamId engine(m_codec.m_lastFields.m_upstream);
+    Answer(0, 503, Headers(aCase.m_id, { { "load", "3" } }));
+    const bool isOwn = aCase.m_meaning == Meaning::Proof;
+    EXPECT_EQ(m_table.Find(engine)->m_reading.m_running, isOwn ? 3U : 0U)
+      << NameOf(aCase);
+  }
+}
+
 /// An answer is the caller's only with the id of the call.
 TEST_F(RejectionProofTest, AnswerNeedsTheIdOfTheCall)
 {
--- a/tests/support/gateway_fakes.h
+++ b/tests/support/gateway_fakes.h
@@ -147,8 +147,8 @@
 
 /// CallCodec with plain headers: "id", "key", "model", "adapter", "parts" and
 /// "left" (milliseconds until the deadline) of a call, "upstream" of an
-/// attempt, and "id", "not-run", "signed", "leaving", "back-off" and "limit" of
-/// an answer.
+/// attempt, and "id", "not-run", "signed", "leaving", "back-off", "limit" and
+/// "load" (running requests) of an answer.
 class FakeCodec : public CallCodec
 {
 public:
@@ -206,6 +206,11 @@
       if (header.m_name == "limit") {
         answerFields.m_rateLimit = std::stod(header.m_value);
       }
+      if (header.m_name == "load") {
+        answerFields.m_load = LoadReading{
+          static_cast<uint32_t>(std::stoul(header.m_value)), 0, 4
+        };
+      }
       answerFields.m_isSigned =
         answerFields.m_isSigned || header.m_name == "signed";
     }
