Test: connections that go silent without a reset are noticed

Cause: no test covered an open connection whose bytes vanish. Nothing in the repository sets TCP_USER_TIMEOUT or SO_KEEPALIVE. libevent 2.1 sets SO_KEEPALIVE on listening sockets and accepted ones inherit it, with the kernel's 7200 s; no user timeout (trial program, getsockopt). So only our own timeouts notice.

No change of product code.

--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -54,6 +54,14 @@
   [[nodiscard]] size_t ConnectionCount() const { return m_connections.size(); }
   /// Returns all bytes of the requests so far.
   [[nodiscard]] const std::string& Received() const { return m_received; }
+  /// Answers nothing more on the open connections and doesn't close them, as if
+  /// their bytes were lost on the way.
+  void FallSilent()
+  {
+    for (bufferevent* bev : m_connections) {
+      bufferevent_disable(bev, EV_READ);
+    }
+  }
   /// Sends the response once more on every connection.
   void SendAgain()
   {
@@ -351,6 +359,33 @@
   EXPECT_EQ(server.ConnectionCount(), 2U);
 }
 
+// Guards against a kept connection that went silent without a reset and holds a
+// call for longer than the call allows, or that fails the next call as well.
+TEST_F(UpstreamClientTest, SilentIdleConnectionCostsOneCallItsTimeout)
+{
+  constexpr Duration kTimeout = std::chrono::milliseconds(300);
+  constexpr Duration kMargin = std::chrono::milliseconds(500);
+  FixedResponseServer server(
+    m_loop, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false);
+  EXPECT_EQ(Call(server).m_body, "body");
+  ASSERT_EQ(m_client.IdleConnectionCount(), 1U);
+  server.FallSilent();
+  UpstreamRequest request = Request(server);
+  request.m_firstByteTimeout = kTimeout;
+  const TimePoint begin = m_loop.GetClock().Now();
+  ResponseRecorder recorder;
+  const auto call = m_client.Start(std::move(request), recorder);
+  EXPECT_TRUE(call->IsConnectionReused());
+  ASSERT_TRUE(m_loop.RunUntil([&] { return recorder.HasEnded(); }));
+  EXPECT_LE(m_loop.GetClock().Now() - begin, kTimeout + kMargin);
+  ASSERT_TRUE(recorder.m_hasFailed);
+  EXPECT_EQ(recorder.m_failure.m_kind, UpstreamFailureKind::Timeout);
+  EXPECT_TRUE(recorder.m_failure.m_mayHaveSentBytes);
+  EXPECT_EQ(m_client.IdleConnectionCount(), 0U);
+  EXPECT_EQ(Call(server).m_body, "body");
+  EXPECT_EQ(server.ConnectionCount(), 2U);
+}
+
 // With a Keep-Alive timeout of 1 s the client keeps the connection for 500 ms.
 TEST_F(UpstreamClientTest, DropsAnIdleConnectionBeforeItsServerClosesIt)
 {
