--- a/telemetry/event_catalog.h
+++ b/telemetry/event_catalog.h
@@ -49,6 +49,7 @@
   EngineReachability = 308,
   EngineEnded = 309,
   EngineLimited = 310,
+  PoolReach = 311,
   CallFailed = 400,
   StreamBroken = 401,
   CallRefused = 402,
