The inner protocol carries the entries that take forwarded calls

Cause: an entry that is cut off from the upstreams of a pool can forward calls only to entries that it knows, and follow calls named none.

Change: a follow request has the entry's own address for forwarded calls, and from a relay the list of its entries; the reply has a list of peers.

--- a/wire/celeryspread.capnp
+++ b/wire/celeryspread.capnp
@@ -231,6 +231,15 @@
   prefillMicros @5 :UInt64;
 }
 
+# An entry that takes calls which other entries forward to it.
+struct PeerEntry {
+  instance @0 :Text;
+  # Where it takes them.
+  address @1 :Text;
+  port @2 :UInt16;
+  failureDomain @3 :Text;
+}
+
 struct FollowRequest {
   instance @0 :Text;
   failureDomain @1 :Text;
@@ -258,6 +267,13 @@
   routeBase @12 :UInt64;
   # Whether the sender takes compressed documents.
   acceptsEncodedRoutes @13 :Bool;
+  # Where the entry that sends this takes forwarded calls; port 0 while it takes
+  # none.
+  forwardAddress @14 :Text;
+  forwardPort @15 :UInt16;
+  # Entries that follow the relay that sends this and take forwarded calls; null
+  # if the relay reports none of them this time.
+  peers @16 :List(PeerEntry);
 }
 
 # A piece of a route document. Pieces of one version belong to one document.
@@ -360,6 +376,10 @@
   # Whether engines of several software versions serve some pool, so that the
   # sender has to be told where streams begin.
   recordsStreams @21 :Bool;
+  # Whether peers replaces the list that the sender of the request has.
+  hasPeers @22 :Bool;
+  # Some of the other entries that take forwarded calls.
+  peers @23 :List(PeerEntry);
 }
 
 # Where streams began, with positions in the list of versions.
--- a/wire/celeryspread.capnp.h
+++ b/wire/celeryspread.capnp.h
@@ -47,6 +47,7 @@
 CAPNP_DECLARE_SCHEMA(fdd2ed56288ea999);
 CAPNP_DECLARE_SCHEMA(bc108f4f24518174);
 CAPNP_DECLARE_SCHEMA(f0e77f969d615e7b);
+CAPNP_DECLARE_SCHEMA(d96cd8ad73f0002e);
 CAPNP_DECLARE_SCHEMA(f1be59d92bd792c1);
 CAPNP_DECLARE_SCHEMA(9cb69aacedb895f5);
 CAPNP_DECLARE_SCHEMA(9658daba4af7d143);
@@ -548,6 +549,21 @@
   };
 };
 
+struct PeerEntry {
+  PeerEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d96cd8ad73f0002e, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FollowRequest {
   FollowRequest() = delete;
 
@@ -556,7 +572,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 8, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f1be59d92bd792c1, 8, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -676,7 +692,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 10, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b18c2b5bed9a4a67, 10, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4501,6 +4517,112 @@
 };
 #endif  // !CAPNP_LITE
 
+class PeerEntry::Reader {
+public:
+  typedef PeerEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint16_t getPort() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerEntry::Builder {
+public:
+  typedef PeerEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerEntry::Pipeline {
+public:
+  typedef PeerEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FollowRequest::Reader {
 public:
   typedef FollowRequest Reads;
@@ -4550,6 +4672,14 @@
 
   inline bool getAcceptsEncodedRoutes() const;
 
+  inline bool hasForwardAddress() const;
+  inline  ::capnp::Text::Reader getForwardAddress() const;
+
+  inline  ::uint16_t getForwardPort() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4637,6 +4767,23 @@
   inline bool getAcceptsEncodedRoutes();
   inline void setAcceptsEncodedRoutes(bool value);
 
+  inline bool hasForwardAddress();
+  inline  ::capnp::Text::Builder getForwardAddress();
+  inline void setForwardAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initForwardAddress(unsigned int size);
+  inline void adoptForwardAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownForwardAddress();
+
+  inline  ::uint16_t getForwardPort();
+  inline void setForwardPort( ::uint16_t value);
+
+  inline bool hasPeers();
+  inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>> disownPeers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5413,6 +5560,11 @@
 
   inline bool getRecordsStreams() const;
 
+  inline bool getHasPeers() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5531,6 +5683,16 @@
   inline bool getRecordsStreams();
   inline void setRecordsStreams(bool value);
 
+  inline bool getHasPeers();
+  inline void setHasPeers(bool value);
+
+  inline bool hasPeers();
+  inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>> disownPeers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -13334,6 +13496,122 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerEntry::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerEntry::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerEntry::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerEntry::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerEntry::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerEntry::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerEntry::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerEntry::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerEntry::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerEntry::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerEntry::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerEntry::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerEntry::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerEntry::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerEntry::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerEntry::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t PeerEntry::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t PeerEntry::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerEntry::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerEntry::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerEntry::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerEntry::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerEntry::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerEntry::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerEntry::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerEntry::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerEntry::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool FollowRequest::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -13614,6 +13892,88 @@
       ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowRequest::Reader::hasForwardAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowRequest::Builder::hasForwardAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FollowRequest::Reader::getForwardAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FollowRequest::Builder::getForwardAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::setForwardAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FollowRequest::Builder::initForwardAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FollowRequest::Builder::adoptForwardAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FollowRequest::Builder::disownForwardAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t FollowRequest::Reader::getForwardPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FollowRequest::Builder::getForwardPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setForwardPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowRequest::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowRequest::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Reader FollowRequest::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::setPeers( ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FollowRequest::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>> FollowRequest::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RoutePiece::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -14646,6 +15006,54 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowReply::Reader::getHasPeers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowReply::Builder::getHasPeers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setHasPeers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowReply::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setPeers( ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celeryspread::wire::PeerEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t StreamRecord::Reader::getStream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
