An entry that is cut off from upstreams forwards calls to another entry

Cause: an entry sends calls over its own connections only. Nothing passes a call on to an entry that has a path.

A call is sent to a peer as one attempt, with a proof of the cluster key; the peer runs it as its own and says "not run" only with a proof. Possible runs count over both entries, a forwarded call is never forwarded again, and the quota is taken once. A cut-off entry that knows no peer refuses at once. The setting forward_port turns it on.

--- a/gateway/attempt_log.cpp
+++ b/gateway/attempt_log.cpp
@@ -33,16 +33,25 @@
 
 } // namespace
 
-void AttemptLog::OpenAttempt(const EngineState& aState, TimePoint aNow)
+void AttemptLog::Begin(const std::string& aTarget, TimePoint aNow)
 {
   m_startedAt = aNow;
   m_begunAt.reset();
   m_firstEventAt.reset();
   m_longestPause = Duration::zero();
+  m_text += (m_text.empty() ? "" : " ") + aTarget;
+}
+
+void AttemptLog::OpenForwarded(const InstanceId& aPeer, TimePoint aNow)
+{
+  Begin("peer:" + aPeer.Value(), aNow);
+}
+
+void AttemptLog::OpenAttempt(const EngineState& aState, TimePoint aNow)
+{
+  Begin(aState.m_record.m_id.Value(), aNow);
   const bool hasReading = aState.m_readingAt != TimePoint();
-  m_text += m_text.empty() ? "" : " ";
-  m_text += aState.m_record.m_id.Value() +
-            " load:" + std::to_string(aState.EstimatedLoad(aNow)) + "/" +
+  m_text += " load:" + std::to_string(aState.EstimatedLoad(aNow)) + "/" +
             std::to_string(aState.m_record.m_slots) + " reading_ms:" +
             (hasReading ? MillisecondsText(aNow - aState.m_readingAt) : "none");
 }
--- a/gateway/attempt_log.h
+++ b/gateway/attempt_log.h
@@ -18,6 +18,9 @@
 public:
   /// Adds an attempt that starts now. @pre the previous attempt was closed.
   void OpenAttempt(const EngineState& aState, TimePoint aNow);
+  /// Adds an attempt that is forwarded to another entry. @pre the previous
+  /// attempt was closed.
+  void OpenForwarded(const InstanceId& aPeer, TimePoint aNow);
   /// Adds whether the attempt's connection had carried another call.
   /// @pre OpenAttempt() was called.
   void AddConnection(bool aIsReused);
@@ -32,6 +35,9 @@
   [[nodiscard]] const std::string& Text() const { return m_text; }
 
 private:
+  /// Begins the text of an attempt at aTarget.
+  void Begin(const std::string& aTarget, TimePoint aNow);
+
   std::string m_text;
   TimePoint m_startedAt;
   std::optional<TimePoint> m_begunAt;
--- a/gateway/call_attempt.cpp
+++ b/gateway/call_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gateway/call_forwarding.h"
 #include "gateway/call_priority.h"
 #include "http/http_status.h"
 
@@ -26,6 +27,67 @@
   SettleRetry(RetryFate::Unknown);
 }
 
+void CallAttempt::Begin(const UpstreamId& aUpstream, TimePoint aNow)
+{
+  m_upstream = aUpstream;
+  m_peer.reset();
+  m_forwardedAnswer = {};
+  m_startedAt = aNow;
+  m_runsSince = aNow;
+  m_status = 0;
+  m_fate = RetryFate::Unknown;
+  m_unprovenSince.reset();
+  m_isRejected = false;
+  ++m_count;
+  m_lastEventAt.reset();
+  m_pendingPrefill = Duration::zero();
+  m_isPrefillSample = false;
+}
+
+UpstreamRequest CallAttempt::MakeRequest(const UpstreamAddress& aAddress,
+                                         const AttemptFields& aFields) const
+{
+  UpstreamRequest request;
+  request.m_address = aAddress;
+  request.m_method = m_call.m_caller->Method();
+  request.m_path = m_call.m_caller->Target();
+  request.m_headers =
+    m_context.m_codec.AttemptHeaders(*m_call.m_caller, aFields);
+  request.m_body = m_call.m_caller->Body();
+  request.m_firstByteTimeout = aFields.m_timeLeft;
+  request.m_progressTimeout = aFields.m_timeLeft;
+  request.m_exchange = m_call.m_callFields.m_attempt.Value();
+  return request;
+}
+
+void CallAttempt::OpenForwarded(const EntryPeer& aPeer,
+                                const std::string& aLastEvent,
+                                uint32_t aPossibleRuns,
+                                UpstreamObserver& aObserver)
+{
+  const TimePoint now = m_context.m_clock.Now();
+  CallForwarding& forwarding = *m_context.m_forwarding;
+  Begin(UpstreamId(aPeer.m_instance.Value()), now);
+  m_peer = aPeer;
+  m_triedPeers.insert(aPeer.m_instance);
+  // The other entry identifies the caller itself.
+  AttemptFields fields;
+  fields.m_timeLeft = m_call.m_deadline - now;
+  fields.m_lastEvent = aLastEvent;
+  UpstreamRequest request = MakeRequest(aPeer.m_address, fields);
+  ForwardedFields forwarded;
+  forwarded.m_forwarder = forwarding.Self();
+  forwarded.m_possibleRuns = aPossibleRuns;
+  forwarded.m_software = m_call.m_software.value_or(SoftwareVersion());
+  forwarding.Protocol().WriteCall(
+    forwarded, request.m_method, request.m_path, request.m_headers);
+  m_log.OpenForwarded(aPeer.m_instance, now);
+  forwarding.Peers().RecordStart(aPeer.m_instance);
+  m_context.m_metrics.Count("celeryspread_gateway_forwarded_calls_total");
+  m_attempt = m_context.m_client.Start(std::move(request), aObserver);
+  m_log.AddConnection(m_attempt->IsConnectionReused());
+}
+
 void CallAttempt::Open(const EngineState& aState,
                        const std::string& aLastEvent,
                        UpstreamObserver& aObserver)
@@ -46,27 +108,11 @@
       *m_call.m_route,
       { m_call.Age(now), m_context.m_selector.ExpectedWait(aState, now) });
   }
-  UpstreamRequest request;
-  request.m_address = record.m_address;
-  request.m_method = m_call.m_caller->Method();
-  request.m_path = m_call.m_caller->Target();
-  request.m_headers =
-    m_context.m_codec.AttemptHeaders(*m_call.m_caller, fields);
-  request.m_body = m_call.m_caller->Body();
-  request.m_firstByteTimeout = left;
-  request.m_progressTimeout = left;
-  request.m_exchange = m_call.m_callFields.m_attempt.Value();
-  m_upstream = record.m_id;
+  UpstreamRequest request = MakeRequest(record.m_address, fields);
+  Begin(record.m_id, now);
   m_software = record.m_software;
   m_tried.insert(record.m_id);
-  m_startedAt = now;
   m_runsSince = now + m_context.m_selector.ExpectedWait(aState, now);
-  m_status = 0;
-  m_fate = RetryFate::Unknown;
-  m_unprovenSince.reset();
-  m_isRejected = false;
-  ++m_count;
-  m_lastEventAt.reset();
   m_log.OpenAttempt(aState, now);
   m_pendingPrefill = ExpectedPrefill();
   m_isPrefillSample =
@@ -92,12 +138,22 @@
   if (!IsOpen()) {
     return;
   }
+  const TimePoint now = m_context.m_clock.Now();
+  m_log.CloseAttempt(aOutcome, now);
+  if (m_peer) {
+    // A peer that refuses one call may serve the next.
+    const bool isUnanswered =
+      aOutcome == AttemptOutcome::Failed && m_status == 0;
+    const bool hasFailed = isUnanswered || m_forwardedAnswer.m_isUnable;
+    m_context.m_forwarding->Peers().RecordEnd(
+      m_peer->m_instance, hasFailed, now);
+    Finish();
+    return;
+  }
   m_context.m_table.RecordPrefillEnd(m_upstream, m_pendingPrefill);
   m_context.m_demand.RecordRunning(
     m_call.m_pool, m_call.m_callFields.m_target, -1);
   m_pendingPrefill = Duration::zero();
-  const TimePoint now = m_context.m_clock.Now();
-  m_log.CloseAttempt(aOutcome, now);
   m_context.m_table.RecordEnd(m_upstream, aOutcome, now);
   if (m_context.m_learning != nullptr) {
     m_context.m_learning->RecordEnd(m_upstream, aOutcome, m_started, now);
@@ -106,9 +162,15 @@
     m_context.m_overload->RecordServed(
       m_call, std::max(Duration::zero(), now - m_runsSince), now);
   }
+  Finish();
+}
+
+void CallAttempt::Finish()
+{
   m_mayHaveArrived = m_mayHaveArrived || m_fate != RetryFate::NotSent;
   SettleRetry(m_fate);
   m_upstream = UpstreamId();
+  m_peer.reset();
   m_attempt.reset();
 }
 
@@ -128,6 +190,10 @@
 
 std::optional<SoftwareVersion> CallAttempt::Software() const
 {
+  if (m_peer) {
+    // The other entry goes on with the stream if its upstream breaks off.
+    return std::nullopt;
+  }
   // Another process may have started under the same id, of which the list told
   // late.
   const EngineState* state = m_context.m_table.Find(m_upstream);
@@ -172,6 +238,10 @@
   m_fate = RetryFate::Settled;
   SettleRetry(m_fate);
   m_answer = m_context.m_codec.ReadAnswer(aStatus, aHeaders);
+  if (m_peer) {
+    ReadForwardedAnswer(aHeaders);
+  }
+  RecordAnswered();
   m_context.m_table.RecordBytes(m_upstream, now);
   // An answer may be the late copy of one that the connection has brought: one
   // without an id of any, one with an id of that to the call of this id.
@@ -181,19 +251,60 @@
   const bool isOwn =
     (m_answer.m_attempt.IsEmpty() || IsOwnAnswer()) && !mayBeCopy;
   m_isRejected = m_answer.m_hasNotRun && isOwn;
-  RecordStatements(isOwn, now);
+  if (m_peer && m_isRejected) {
+    m_fate = RetryFate::NotSent;
+  }
+  const UpstreamId& speaker =
+    m_peer ? m_forwardedAnswer.m_upstream : m_upstream;
+  RecordStatements(speaker, isOwn, now);
   const bool namesLimits =
     IsOwnAnswer() && (m_answer.m_rateLimit || IsSuccess());
-  if (namesLimits && m_context.m_table.RecordRateLimit(
-                       m_upstream, m_answer.m_rateLimit, now)) {
-    m_context.m_rates.ReportRateLimitEnd(m_upstream);
+  if (namesLimits &&
+      m_context.m_table.RecordRateLimit(speaker, m_answer.m_rateLimit, now)) {
+    m_context.m_rates.ReportRateLimitEnd(speaker);
   }
   if (!m_isRejected && IsOwnAnswer()) {
     m_unprovenSince = now;
   }
 }
 
-void CallAttempt::RecordStatements(bool aIsOwn, TimePoint aNow)
+void CallAttempt::ReadForwardedAnswer(const HttpHeaders& aHeaders)
+{
+  m_forwardedAnswer = ForwardingProtocol::ReadAnswer(aHeaders);
+  m_answer.m_hasNotRun = m_forwardedAnswer.m_hasNotRun;
+  m_answer.m_isMisdirected = false;
+  m_answer.m_load.reset();
+}
+
+void CallAttempt::RecordAnswered()
+{
+  if (m_context.m_forwarding == nullptr || m_peer) {
+    return;
+  }
+  UpstreamReach& reach = m_context.m_forwarding->Reach();
+  if (m_attempt->IsConnectionReused()) {
+    reach.RecordAnswer(m_call.m_pool, m_context.m_clock.Now());
+  } else {
+    reach.RecordConnected(m_call.m_pool);
+  }
+}
+
+void CallAttempt::RecordNoConnection()
+{
+  if (m_context.m_forwarding == nullptr || m_peer) {
+    return;
+  }
+  m_context.m_forwarding->Reach().RecordNoConnection(
+    m_call.m_pool,
+    m_upstream,
+    UpstreamReach::Source::Attempt,
+    m_context.m_table.InPool(m_call.m_pool).size(),
+    m_context.m_clock.Now());
+}
+
+void CallAttempt::RecordStatements(const UpstreamId& aUpstream,
+                                   bool aIsOwn,
+                                   TimePoint aNow)
 {
   if (!aIsOwn) {
     return;
@@ -205,12 +316,12 @@
     }
   }
   if (m_answer.m_isLeaving) {
-    m_context.m_table.RecordLeaving(m_upstream);
+    m_context.m_table.RecordLeaving(aUpstream);
   }
   if (m_answer.m_backOff) {
-    m_context.m_table.RecordBackOff(m_upstream, aNow + *m_answer.m_backOff);
+    m_context.m_table.RecordBackOff(aUpstream, aNow + *m_answer.m_backOff);
   } else {
-    m_context.m_table.RecordBackOffOver(m_upstream, m_startedAt);
+    m_context.m_table.RecordBackOffOver(aUpstream, m_startedAt);
   }
 }
 
@@ -261,6 +372,13 @@
   } else if (isClosed) {
     m_fate = RetryFate::Settled;
   }
+  // What resets connections may accept them first.
+  const bool isResetAtOnce =
+    aFailure.m_kind == UpstreamFailureKind::ConnectionLost &&
+    !aFailure.m_hasResponseBytes && !m_attempt->IsConnectionReused();
+  if (aFailure.m_kind == UpstreamFailureKind::ConnectFailed || isResetAtOnce) {
+    RecordNoConnection();
+  }
 }
 
 void CallAttempt::RecordSound()
--- a/gateway/call_attempt.h
+++ b/gateway/call_attempt.h
@@ -6,8 +6,10 @@
 #include <string>
 
 #include "gateway/attempt_log.h"
+#include "gateway/forwarding_protocol.h"
 #include "gateway/gateway_context.h"
 #include "gateway/routed_call.h"
+#include "routes/entry_peer.h"
 
 namespace celeryspread {
 
@@ -28,6 +30,12 @@
   void Open(const EngineState& aState,
             const std::string& aLastEvent,
             UpstreamObserver& aObserver);
+  /// Forwards the call to another entry, after aPossibleRuns attempts that may
+  /// have run it. @pre as for Open(); the gateway forwards calls.
+  void OpenForwarded(const EntryPeer& aPeer,
+                     const std::string& aLastEvent,
+                     uint32_t aPossibleRuns,
+                     UpstreamObserver& aObserver);
   /// Ends the open attempt, if there is one. @pre none.
   void Close(AttemptOutcome aOutcome);
   /// Returns whether an attempt is open. @pre none.
@@ -60,7 +68,15 @@
   /// holds one. @pre none.
   void SettleRetry(RetryFate aFate);
 
-  /// Returns the upstream of the open attempt, empty for none. @pre none.
+  /// Returns whether the open attempt is forwarded. @pre none.
+  [[nodiscard]] bool IsForwarded() const { return m_peer.has_value(); }
+  /// Returns the entries to which the call was forwarded. @pre none.
+  [[nodiscard]] const std::set<InstanceId>& TriedPeers() const
+  {
+    return m_triedPeers;
+  }
+  /// Returns the upstream of the open attempt, empty for none; that of a
+  /// forwarded one bears the name of the other entry. @pre none.
   [[nodiscard]] const UpstreamId& Upstream() const { return m_upstream; }
   /// Returns the software of the last attempt's upstream; empty if the upstream
   /// has changed it since. @pre none.
@@ -97,9 +113,23 @@
   [[nodiscard]] const std::string& LogText() const { return m_log.Text(); }
 
 private:
-  /// Records what the upstream says about itself in the headers of an answer,
+  /// Forgets what was known of the previous attempt.
+  void Begin(const UpstreamId& aUpstream, TimePoint aNow);
+  /// Settles the retry and drops the attempt.
+  void Finish();
+  /// Builds the request of an attempt.
+  [[nodiscard]] UpstreamRequest MakeRequest(const UpstreamAddress& aAddress,
+                                            const AttemptFields& aFields) const;
+  /// Reads what another entry states about its answer.
+  void ReadForwardedAnswer(const HttpHeaders& aHeaders);
+  /// Records what an upstream says about itself in the headers of an answer,
   /// unless they are those of the answer to another call.
-  void RecordStatements(bool aIsOwn, TimePoint aNow);
+  void RecordStatements(const UpstreamId& aUpstream,
+                        bool aIsOwn,
+                        TimePoint aNow);
+  /// Record what the attempt's connection shows about the upstreams in reach.
+  void RecordAnswered();
+  void RecordNoConnection();
   [[nodiscard]] Duration ExpectedPrefill() const;
 
   GatewayContext& m_context;
@@ -108,6 +138,11 @@
   UpstreamId m_upstream;
   SoftwareVersion m_software;
   std::set<UpstreamId> m_tried;
+  /// The entry to which the open attempt is forwarded.
+  std::optional<EntryPeer> m_peer;
+  std::set<InstanceId> m_triedPeers;
+  /// What that entry states about its answer.
+  ForwardedAnswer m_forwardedAnswer;
   TimePoint m_startedAt;
   /// What was predicted for the attempt, if the entry learns.
   EngineLearning::Started m_started;
--- a/gateway/call_fields.h
+++ b/gateway/call_fields.h
@@ -67,6 +67,7 @@
 /// What an attempt adds to the caller's request.
 struct AttemptFields
 {
+  /// Empty if the attempt goes to another entry.
   UpstreamId m_upstream;
   Duration m_timeLeft{};
   /// 0 is admitted first; empty selects the upstream's default.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/key_hash.h"
+#include "gateway/forwarded_caller_call.h"
 #include "http/http_status.h"
 
 namespace celeryspread {
@@ -112,6 +113,25 @@
 }
 
 void Gateway::OnCall(std::unique_ptr<CallerCall> aCall)
+{
+  Accept(std::move(aCall), std::nullopt);
+}
+
+void Gateway::OnForwardedCall(std::unique_ptr<CallerCall> aCall,
+                              const ForwardedFields& aFields)
+{
+  Accept(std::make_unique<ForwardedCallerCall>(std::move(aCall)), aFields);
+}
+
+HttpHeaders Gateway::OwnAnswerHeaders(const CallerCall& aCall)
+{
+  const auto callFields = m_context.m_codec.ReadCall(aCall);
+  return m_context.m_codec.GatewayAnswerHeaders(
+    callFields ? &*callFields : nullptr, std::nullopt);
+}
+
+void Gateway::Accept(std::unique_ptr<CallerCall> aCall,
+                     std::optional<ForwardedFields> aForwarded)
 {
   const TimePoint now = m_context.m_clock.Now();
   auto callFields = m_context.m_codec.ReadCall(*aCall);
@@ -162,6 +182,7 @@
   input.m_config = m_config;
   input.m_route = route;
   input.m_pool = ChoosePool(*route, input.m_callFields.m_attempt);
+  input.m_forwarded = std::move(aForwarded);
   input.m_arrivedAt = now;
   const Duration callerTimeout =
     input.m_callFields.m_callerTimeout.value_or(route->m_timeout);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -35,10 +35,18 @@
   /// instance that lags. @pre none.
   [[nodiscard]] bool HasProvenConfig() const;
   void OnCall(std::unique_ptr<CallerCall> aCall) override;
+  /// Receives a call that another entry forwards. @pre aCall is not null.
+  void OnForwardedCall(std::unique_ptr<CallerCall> aCall,
+                       const ForwardedFields& aFields);
+  /// Returns the headers of an answer that this entry gives without the call's
+  /// being taken. @pre none.
+  [[nodiscard]] HttpHeaders OwnAnswerHeaders(const CallerCall& aCall);
   /// Returns the number of calls in progress. @pre none.
   [[nodiscard]] size_t CallCount() const { return m_calls.size(); }
 
 private:
+  void Accept(std::unique_ptr<CallerCall> aCall,
+              std::optional<ForwardedFields> aForwarded);
   void RefuseUnrouted(CallerCall& aCall,
                       int aStatus,
                       const CallFields* aCallFields,
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_call.h"
 
+#include "gateway/call_forwarding.h"
+
 namespace celeryspread {
 
 namespace {
@@ -7,6 +9,9 @@
 /// Attempts of one call, rejected ones included; more of them would only use up
 /// the retry budget.
 constexpr uint32_t kMaxDispatches = 3;
+/// The same with those that are forwarded, which may follow attempts that met
+/// no upstream.
+constexpr uint32_t kMaxForwardedDispatches = 5;
 /// An answer that has gone on for this long did not end its engine.
 constexpr Duration kSoundAfter = std::chrono::seconds(1);
 
@@ -37,6 +42,12 @@
 void GatewayCall::Start()
 {
   m_input.m_caller->SetObserver(this);
+  if (m_input.m_forwarded) {
+    // The other entry has counted the call and taken its quota.
+    m_possibleRuns = m_input.m_forwarded->m_possibleRuns;
+    FindOrigin();
+    return;
+  }
   m_context.m_retries.RecordCall(m_input.m_pool, m_input.m_arrivedAt);
   m_quota.Take(
     [this](const QuotaGate::Verdict& aVerdict) { HandleQuota(aVerdict); });
@@ -62,12 +73,51 @@
   }
 }
 
+bool GatewayCall::IsCutOff() const
+{
+  return m_context.m_forwarding != nullptr &&
+         m_context.m_forwarding->Reach().IsCutOff(m_input.m_pool);
+}
+
+std::optional<EntryPeer> GatewayCall::ChoosePeer() const
+{
+  return IsCutOff() && !m_input.m_forwarded
+           ? m_context.m_forwarding->ChoosePeer(m_attempt.TriedPeers(),
+                                                m_context.m_clock.Now())
+           : std::nullopt;
+}
+
+void GatewayCall::Forward(const EntryPeer& aPeer)
+{
+  m_relay.ClearBody();
+  m_attempt.OpenForwarded(aPeer, m_relay.LastEventId(), m_possibleRuns, *this);
+}
+
+void GatewayCall::ChooseUpstream()
+{
+  if (!IsCutOff()) {
+    m_choice.Choose();
+    return;
+  }
+  if (const auto peer = ChoosePeer()) {
+    Forward(*peer);
+    return;
+  }
+  Refuse("the entry is cut off from the upstreams of the pool",
+         m_choice.BusyRetryAfter());
+}
+
 void GatewayCall::FindOrigin()
 {
+  if (m_input.m_forwarded && !m_input.m_forwarded->m_software.IsEmpty()) {
+    m_input.m_software = m_input.m_forwarded->m_software;
+    ChooseUpstream();
+    return;
+  }
   const bool isResumed = m_input.m_callFields.m_isResumed &&
                          m_input.m_route->m_kind == CallKind::Stream;
   if (!isResumed || m_context.m_streams == nullptr) {
-    m_choice.Choose();
+    ChooseUpstream();
     return;
   }
   m_context.m_metrics.Count("celeryspread_gateway_streams_resumed_total");
@@ -94,7 +144,7 @@
     return;
   }
   m_input.m_software = aVersion;
-  m_choice.Choose();
+  ChooseUpstream();
 }
 
 bool GatewayCall::RecordOrigin()
@@ -162,13 +212,26 @@
   return m_relay.IsStreaming() && m_attempt.IsSuccess();
 }
 
+void GatewayCall::SetAnswerHeaders(const HttpHeaders& aHeaders)
+{
+  if (m_attempt.IsForwarded()) {
+    m_relay.SetHeaders(ForwardingProtocol::Strip(aHeaders));
+    return;
+  }
+  HttpHeaders headers = aHeaders;
+  if (m_input.m_forwarded) {
+    ForwardingProtocol::WriteUpstream(m_attempt.Upstream(), headers);
+  }
+  m_relay.SetHeaders(headers);
+}
+
 void GatewayCall::OnUpstreamHeaders(int aStatus, const HttpHeaders& aHeaders)
 {
   if (m_attempt.DiscardLateCopy(aStatus, aHeaders)) {
     m_context.m_metrics.Count("celeryspread_gateway_late_answers_total");
     return;
   }
-  m_relay.SetHeaders(aHeaders);
+  SetAnswerHeaders(aHeaders);
   m_attempt.RecordHeaders(aStatus, aHeaders);
   if (m_attempt.IsRejected()) {
     return;
@@ -314,6 +377,7 @@
 {
   const ModelTarget& target = m_input.m_callFields.m_target;
   const bool isMisdirected = m_attempt.Answer().m_isMisdirected;
+  const bool isForwarded = m_attempt.IsForwarded();
   if (isMisdirected) {
     m_context.m_table.RecordMissing(m_attempt.Upstream(), target);
   }
@@ -329,7 +393,8 @@
     return;
   }
   Refuse("the attempt was rejected and no retry is possible",
-         m_choice.BusyRetryAfter());
+         isForwarded ? m_attempt.Answer().m_backOff
+                     : m_choice.BusyRetryAfter());
 }
 
 void GatewayCall::OnUpstreamFailed(const UpstreamFailure& aFailure)
@@ -339,7 +404,9 @@
     HandleRejection();
     return;
   }
-  if (aFailure.m_kind != UpstreamFailureKind::ConnectionLost) {
+  // Another entry looks for calls that end its upstreams itself.
+  if (aFailure.m_kind != UpstreamFailureKind::ConnectionLost ||
+      m_attempt.IsForwarded()) {
     HandleFailedAttempt(aFailure.m_mayHaveSentBytes, aFailure.m_reason);
     return;
   }
@@ -372,7 +439,7 @@
 
 void GatewayCall::HandleBrokenAnswer(const std::string& aReason)
 {
-  if (!m_attempt.UnprovenSince()) {
+  if (!m_attempt.UnprovenSince() || m_attempt.IsForwarded()) {
     HandleFailedAttempt(true, aReason);
     return;
   }
@@ -426,8 +493,11 @@
 {
   m_possibleRuns += aMayHaveRun ? 1 : 0;
   const TimePoint now = m_context.m_clock.Now();
+  const auto peer = ChoosePeer();
+  const uint32_t maxDispatches =
+    peer ? kMaxForwardedDispatches : kMaxDispatches;
   const bool isAllowed = m_possibleRuns < m_input.m_route->m_maxRuns &&
-                         m_attempt.Count() < kMaxDispatches &&
+                         m_attempt.Count() < maxDispatches &&
                          m_input.m_deadline - now > EngineChoice::kMinTimeLeft;
   const bool mayBeHeld =
     !aMayHaveRun && m_choice.IsTrial() && m_choice.MayRepeatTrial();
@@ -435,8 +505,8 @@
   if (!isAllowed || !mayGoOn || (m_choice.IsHeld() && !mayBeHeld)) {
     return false;
   }
-  const auto target = m_choice.FindRetry();
-  if (!target) {
+  const auto target = IsCutOff() ? std::nullopt : m_choice.FindRetry();
+  if (!peer && !target) {
     return false;
   }
   // An attempt after some that never reached an upstream is a first one there.
@@ -454,6 +524,10 @@
   if (aMayHaveRun) {
     m_context.m_metrics.Count("celeryspread_gateway_repeated_runs_total");
   }
+  if (peer) {
+    Forward(*peer);
+    return true;
+  }
   m_choice.ChooseRetry(*target);
   return true;
 }
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -66,12 +66,23 @@
                       std::optional<Duration> aRetryAfter) override;
   void OnNoTimeLeft() override;
   void HandleQuota(const QuotaGate::Verdict& aVerdict);
+  /// Sends the call to an upstream, or forwards it if the entry is cut off from
+  /// them.
+  void ChooseUpstream();
+  /// Returns whether the entry is cut off from the upstreams of the pool.
+  [[nodiscard]] bool IsCutOff() const;
+  /// Returns the entry to forward the call to; empty if it must not be
+  /// forwarded or no entry can be asked.
+  [[nodiscard]] std::optional<EntryPeer> ChoosePeer() const;
+  void Forward(const EntryPeer& aPeer);
   /// Finds out where the stream began whose rest the caller asks for.
   void FindOrigin();
   void HandleOrigin(const std::optional<SoftwareVersion>& aVersion);
   /// Records at which software the stream begins. @return false if that is not
   /// known, so that no other engine may go on with it.
   bool RecordOrigin();
+  /// Keeps the headers of an answer, those between two entries apart.
+  void SetAnswerHeaders(const HttpHeaders& aHeaders);
   /// Whether the bytes that arrive are events of the caller's stream.
   [[nodiscard]] bool IsReceivingEvents() const;
   /// Retries the call after an attempt that ended without a usable answer.
--- a/gateway/gateway_context.h
+++ b/gateway/gateway_context.h
@@ -22,6 +22,8 @@
 
 namespace celeryspread {
 
+class CallForwarding;
+
 /// Asks the owner of the engines to load adapters.
 class AdapterLoader
 {
@@ -102,6 +104,8 @@
   const RequestNamer* m_requests = nullptr;
   /// Null if the engines of a pool all have the same software.
   StreamOrigins* m_streams = nullptr;
+  /// Null if the entry neither forwards calls nor takes forwarded ones.
+  CallForwarding* m_forwarding = nullptr;
 };
 
 } // namespace celeryspread
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -6,9 +6,12 @@
 #include <event2/event.h>
 
 #include "core/system_clock.h"
+#include "gateway/call_forwarding.h"
 #include "gateway/directory_link.h"
+#include "gateway/forwarded_call_handler.h"
 #include "gateway/gateway.h"
 #include "gateway/quota_link.h"
+#include "gateway/reach_probe.h"
 #include "gateway/stream_origin_link.h"
 #include "http/client_limit_log.h"
 #include "http/client_limits.h"
@@ -28,6 +31,10 @@
 constexpr Duration kDrainDelay = std::chrono::milliseconds(3000);
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
 constexpr size_t kMaxConnections = 3'000;
+/// Calls that other entries may forward at once, and the part of the memory for
+/// callers that they may take.
+constexpr size_t kMaxForwardedConnections = 512;
+constexpr size_t kForwardedMemoryDivisor = 4;
 
 /// Answers the load balancer's probes and requests for the metrics.
 class ProbeHandler : public CallHandler
@@ -120,6 +127,12 @@
                   m_log })
     , m_overload(m_random, m_selector, m_prefill, m_metrics)
     , m_requests(kDefaultClusterKey)
+    , m_peers(m_settings.m_failureDomain, m_settings.m_regions, m_random)
+    , m_probe({ m_clock, m_timers, m_client, m_table, m_reach, m_log })
+    , m_forwarding(m_reach,
+                   m_peers,
+                   ForwardingProtocol(ClusterKey(kDefaultClusterKey)),
+                   m_settings.m_instance)
     , m_context{ m_clock,
                  m_timers,
                  m_client,
@@ -141,7 +154,8 @@
                  m_settings.m_hasOverloadAdmission ? &m_overload : nullptr,
                  m_settings.m_routeProofTime,
                  &m_requests,
-                 &m_streams }
+                 &m_streams,
+                 m_settings.m_forwardPort == 0 ? nullptr : &m_forwarding }
     , m_gateway(m_context)
     , m_probes(
         m_platform.m_readyPath,
@@ -155,6 +169,17 @@
                    m_gateway,
                    &m_clientLimits,
                    &m_turns)
+    , m_forwardedCalls(
+        m_forwarding.Protocol(),
+        m_gateway,
+        [this] { return TakesForwardedCalls(); },
+        m_metrics)
+    , m_forwardServer(m_base.get(),
+                      m_clock,
+                      ForwardServerLimits(CallerLimits{}),
+                      m_forwardedCalls,
+                      &m_clientLimits,
+                      &m_turns)
     , m_probeServer(m_base.get(), m_clock, ProbeServerLimits(), m_probes)
     , m_metricsServer(m_base.get(), m_clock, ProbeServerLimits(), m_probes)
   {
@@ -169,6 +194,11 @@
         !Listen(m_probeServer, m_settings.m_probeAddress)) {
       return ExitCode::CannotListen;
     }
+    if (m_settings.m_forwardPort != 0 &&
+        !Listen(m_forwardServer,
+                { m_settings.m_address, m_settings.m_forwardPort })) {
+      return ExitCode::CannotListen;
+    }
     // Calls are served even if the metrics address is not available.
     if (!m_settings.m_metricsAddress.m_address.empty()) {
       Listen(m_metricsServer, m_settings.m_metricsAddress);
@@ -210,6 +240,26 @@
                               m_settings.m_clientConnections });
   }
 
+  /// Returns the limits for the calls that other entries forward.
+  [[nodiscard]] CallerServerLimits ForwardServerLimits(
+    const CallerLimits& aCallerLimits) const
+  {
+    CallerServerLimits limits = ServerLimits(aCallerLimits);
+    limits.m_maxConnections =
+      std::min(limits.m_maxConnections, kMaxForwardedConnections);
+    if (limits.m_maxHeldBytes != SIZE_MAX) {
+      limits.m_maxHeldBytes /= kForwardedMemoryDivisor;
+    }
+    return limits;
+  }
+
+  /// Returns whether other entries may forward calls to this one.
+  [[nodiscard]] bool TakesForwardedCalls() const
+  {
+    return m_settings.m_forwardPort != 0 && IsReady() &&
+           m_reach.CutOffPools().empty();
+  }
+
   bool Listen(CallerServer& aServer, const UpstreamAddress& aAddress)
   {
     if (!aServer.Listen(aAddress.m_address, aAddress.m_port)) {
@@ -254,6 +304,10 @@
       m_metrics.SetGauge("celeryspread_gateway_list_age_seconds",
                          std::chrono::duration<double>(*age).count());
     }
+    m_metrics.SetGauge("celeryspread_gateway_peers",
+                       static_cast<double>(m_peers.Size()));
+    m_metrics.SetGauge("celeryspread_gateway_pools_out_of_reach",
+                       static_cast<double>(m_reach.CutOffPools().size()));
     m_metrics.SetGauge("celeryspread_gateway_quota_held", m_quota.TotalHeld());
     m_directory.Routes().WriteGauges(m_metrics);
     if (m_settings.m_learnsEngines) {
@@ -291,6 +345,10 @@
       return false;
     }
     m_callServer.SetLimits(ServerLimits(config->Limits()));
+    m_forwardServer.SetLimits(ForwardServerLimits(config->Limits()));
+    if (m_settings.m_forwardPort != 0) {
+      m_probe.SetConfig(config);
+    }
     m_quota.SetTeams(config->Teams());
     m_gateway.SetConfig(std::move(config));
     return true;
@@ -328,11 +386,14 @@
     m_log.Write(EventId::DrainStarted,
                 "calls=" + std::to_string(m_gateway.CallCount()));
     m_callServer.AnnounceDrain();
+    m_forwardServer.AnnounceDrain();
     m_drainTimer = m_timers.After(kDrainDelay, [this] {
       m_callServer.BeginDrain();
+      m_forwardServer.BeginDrain();
       m_drainCheckTimer = m_timers.Every(kDrainCheckPeriod, [this] {
         if (m_gateway.CallCount() == 0 &&
-            m_callServer.BusyConnectionCount() == 0) {
+            m_callServer.BusyConnectionCount() == 0 &&
+            m_forwardServer.BusyConnectionCount() == 0) {
           event_base_loopbreak(m_base.get());
         }
       });
@@ -363,11 +424,17 @@
   CrashWatch m_crashes;
   OverloadControl m_overload;
   const RequestNamer m_requests;
+  UpstreamReach m_reach;
+  PeerList m_peers;
+  ReachProbe m_probe;
+  CallForwarding m_forwarding;
   GatewayContext m_context;
   Gateway m_gateway;
   ProbeHandler m_probes;
   ClientLimitLog m_clientLimits;
   CallerServer m_callServer;
+  ForwardedCallHandler m_forwardedCalls;
+  CallerServer m_forwardServer;
   CallerServer m_probeServer;
   CallerServer m_metricsServer;
   std::unique_ptr<Timer> m_drainTimer;
--- a/gateway/routed_call.h
+++ b/gateway/routed_call.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "gateway/call_fields.h"
+#include "gateway/forwarding_protocol.h"
 #include "routes/route_config.h"
 #include "teams/access_control.h"
 
@@ -27,6 +28,8 @@
   /// Software of the engine that began the stream, the only one that can go on
   /// with it; empty before the first event.
   std::optional<SoftwareVersion> m_software;
+  /// What the entry states that forwarded the call; empty for a caller's own.
+  std::optional<ForwardedFields> m_forwarded;
   TimePoint m_arrivedAt;
   TimePoint m_deadline;
 
--- a/settings/node_settings.cpp
+++ b/settings/node_settings.cpp
@@ -159,6 +159,8 @@
   settings.m_address = reader.RequiredString("address");
   settings.m_wirePort =
     static_cast<uint16_t>(reader.Integer("wire_port", 1, kMaxPort, 0));
+  settings.m_forwardPort =
+    static_cast<uint16_t>(reader.Integer("forward_port", 0, kMaxPort, 0));
   settings.m_callAddress = fields.Address("call_address");
   settings.m_probeAddress = fields.Address("probe_address");
   settings.m_operatorAddress = fields.Address("operator_address");
--- a/settings/node_settings.h
+++ b/settings/node_settings.h
@@ -25,6 +25,9 @@
   std::string m_address;
   /// Port of the internal RPC protocol, the same on every instance.
   uint16_t m_wirePort = 0;
+  /// Entries: port for calls that other entries forward; 0 to neither take nor
+  /// forward any.
+  uint16_t m_forwardPort = 0;
   /// Entries: listening addresses for calls and for the load balancer's probes.
   UpstreamAddress m_callAddress;
   UpstreamAddress m_probeAddress;
