Entries learn by the control instances who takes forwarded calls

Cause: an entry that is cut off has to know its peers before that.

Change: a follow call says where the entry takes forwarded calls, only while it is ready, does not drain and reaches its upstreams. Relays report their entries to the owner and hear of others from it, once a second each. Replies name a sample, not before a new owner can know all entries, so that old lists stay until then. In GatewayProcess the peers and the reach of upstreams are made before the link that uses them.

The whole suite was not run.

--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -300,6 +300,7 @@
     m_fleet = std::make_unique<FleetService>(
       FleetService::Dependencies{ m_port,
                                   m_clock,
+                                  m_random,
                                   *m_host,
                                   *m_fleetOwner,
                                   *m_platform->m_documentReader,
--- a/control/directory_relay.cpp
+++ b/control/directory_relay.cpp
@@ -7,6 +7,7 @@
 #include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
+#include "wire/peer_codec.h"
 #include "wire/retry_loop.h"
 
 namespace celeryspread {
@@ -107,6 +108,11 @@
   for (const UpstreamId& engine : failing) {
     failingList.set(at++, engine.Value());
   }
+  const TimePoint now = m_deps.m_clock.Now();
+  if (m_deps.m_roster.IsReportDue(now)) {
+    const std::vector<EntryPeer> peers = m_deps.m_roster.Report(now);
+    WritePeers(peers, aOut.initPeers(static_cast<unsigned>(peers.size())));
+  }
 }
 
 void DirectoryRelay::Apply(wire::FollowReply::Reader aReply)
@@ -135,6 +141,11 @@
     m_suspectEpoch = aReply.getSuspectEpoch();
     m_suspectVersion = aReply.getSuspectVersion();
   }
+  if (aReply.getHasPeers()) {
+    m_deps.m_roster.RecordNamed(
+      ReadPeers(aReply.getPeers(), PeerRoster::kMaxSample),
+      m_deps.m_clock.Now());
+  }
   m_relays.clear();
   for (const auto relay : aReply.getRelays()) {
     m_relays.push_back({ TextOf(relay.getAddress()),
--- a/control/directory_relay.h
+++ b/control/directory_relay.h
@@ -7,6 +7,7 @@
 #include "control/peer_links.h"
 #include "control/replica_host.h"
 #include "fleet/engine_directory.h"
+#include "fleet/peer_roster.h"
 #include "quarantine/crash_investigation.h"
 #include "routes/call_demand.h"
 #include "wire/event_loop_port.h"
@@ -45,6 +46,7 @@
     const Clock& m_clock;
     ReplicaHost& m_host;
     PeerLinks& m_peers;
+    PeerRoster& m_roster;
   };
 
   /// Starts to follow whichever instance leads. @pre none.
--- a/control/fleet_service.cpp
+++ b/control/fleet_service.cpp
@@ -4,6 +4,7 @@
 #include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
+#include "wire/peer_codec.h"
 
 namespace celeryspread {
 
@@ -37,9 +38,11 @@
   : m_deps(aDeps)
   , m_self(std::move(aSelf))
   , m_domain(std::move(aDomain))
-  , m_relay({ aDeps.m_port, aDeps.m_clock, aDeps.m_host, aDeps.m_peers },
-            m_self,
-            m_domain)
+  , m_roster(aDeps.m_random)
+  , m_relay(
+      { aDeps.m_port, aDeps.m_clock, aDeps.m_host, aDeps.m_peers, m_roster },
+      m_self,
+      m_domain)
   , m_quotas(aDeps.m_clock, aQuotaBounds)
   , m_streams(aDeps.m_clock, aDeps.m_host, aDeps.m_log)
   , m_routeFetch(
@@ -246,6 +249,22 @@
   }
 }
 
+void FleetService::RecordPeers(wire::FollowRequest::Reader aRequest)
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  const InstanceId sender(TextOf(aRequest.getInstance()));
+  if (aRequest.getIsRelay()) {
+    if (aRequest.hasPeers()) {
+      m_roster.RecordRelayed(
+        sender, ReadPeers(aRequest.getPeers(), PeerRoster::kMaxReported), now);
+    }
+  } else if (const auto peer = ReadForwardAddress(aRequest)) {
+    m_roster.RecordEntry(*peer, now);
+  } else {
+    m_roster.RecordNoEntry(sender, now);
+  }
+}
+
 void FleetService::RecordReport(wire::FollowRequest::Reader aRequest)
 {
   const TimePoint now = m_deps.m_clock.Now();
@@ -257,6 +276,7 @@
   } else {
     m_entriesSeenAt[sender] = now;
   }
+  RecordPeers(aRequest);
   const bool isOwner = m_deps.m_owner.Term().has_value();
   for (const auto& [key, demand] : ReadDemand(aRequest)) {
     if (isOwner) {
@@ -287,7 +307,10 @@
                            aRequest.getDirectoryVersion(),
                            aRequest.getSuspectEpoch(),
                            aRequest.getSuspectVersion(),
-                           aRequest.getIsRelay() };
+                           aRequest.getIsRelay(),
+                           InstanceId(TextOf(aRequest.getInstance())),
+                           FailureDomainId(
+                             TextOf(aRequest.getFailureDomain())) };
   const auto answer = [=, this] { WriteReply(state, aReply()); };
   if (IsAnswerDue(state)) {
     answer();
@@ -437,6 +460,21 @@
   }
 }
 
+void FleetService::WritePeerSample(const FollowState& aState,
+                                   wire::FollowReply::Builder aOut)
+{
+  const TimePoint now = m_deps.m_clock.Now();
+  // A new owner does not know all entries yet; their old lists are better.
+  if (EntryCount(now) == 0) {
+    return;
+  }
+  if (const auto peers =
+        m_roster.Sample(aState.m_sender, aState.m_senderDomain, now)) {
+    aOut.setHasPeers(true);
+    WritePeers(*peers, aOut.initPeers(static_cast<unsigned>(peers->size())));
+  }
+}
+
 void FleetService::WriteReply(const FollowState& aState,
                               wire::FollowReply::Builder aOut)
 {
@@ -459,6 +497,7 @@
     return;
   }
   aOut.setEntryCount(EntryCount(m_deps.m_clock.Now()));
+  WritePeerSample(aState, aOut);
   if (directory == nullptr) {
     return;
   }
--- a/control/fleet_service.h
+++ b/control/fleet_service.h
@@ -11,6 +11,7 @@
 #include "control/route_source.h"
 #include "control/stream_service.h"
 #include "fleet/fleet_owner.h"
+#include "fleet/peer_roster.h"
 #include "wire/celeryspread.capnp.h"
 #include "wire/event_loop_port.h"
 #include "wire/route_fetch.h"
@@ -28,6 +29,7 @@
   {
     EventLoopPort& m_port;
     const Clock& m_clock;
+    RandomSource& m_random;
     ReplicaHost& m_host;
     FleetOwner& m_owner;
     RouteDocumentReader& m_reader;
@@ -96,6 +98,8 @@
     uint64_t m_suspectEpoch = 0;
     uint64_t m_suspectVersion = 0;
     bool m_isRelay = false;
+    InstanceId m_sender;
+    FailureDomainId m_senderDomain;
   };
   /// A follow call that waits.
   struct WaitingFollow
@@ -144,6 +148,8 @@
   /// Returns the version of the served list of suspect parts.
   /// @pre ServedDirectory() is not null.
   [[nodiscard]] uint64_t ServedSuspectVersion() const;
+  /// Records which entries take forwarded calls, as an entry or a relay says.
+  void RecordPeers(wire::FollowRequest::Reader aRequest);
   /// Passes on what an entry or a relay reports.
   void RecordReport(wire::FollowRequest::Reader aRequest);
   /// Writes the routes that the sender of a follow call lacks.
@@ -151,6 +157,9 @@
   /// Writes which route version is the newest, if this instance can prove it.
   void WriteRouteProof(wire::FollowReply::Builder aOut) const;
   void WriteRelays(wire::FollowReply::Builder aOut) const;
+  /// Writes which entries take forwarded calls, if that is due.
+  void WritePeerSample(const FollowState& aState,
+                       wire::FollowReply::Builder aOut);
   void WriteReply(const FollowState& aState, wire::FollowReply::Builder aOut);
   void WriteSuspectList(const FollowState& aState,
                         wire::FollowReply::Builder aOut) const;
@@ -165,6 +174,7 @@
   Dependencies m_deps;
   InstanceId m_self;
   FailureDomainId m_domain;
+  PeerRoster m_roster;
   DirectoryRelay m_relay;
   QuotaService m_quotas;
   StreamService m_streams;
--- a/gateway/directory_link.cpp
+++ b/gateway/directory_link.cpp
@@ -6,6 +6,7 @@
 #include "wire/demand_codec.h"
 #include "wire/engine_codec.h"
 #include "wire/message_bytes.h"
+#include "wire/peer_codec.h"
 #include "wire/retry_loop.h"
 
 namespace celeryspread {
@@ -191,6 +192,10 @@
   for (unsigned i = 0; i < failing.size(); ++i) {
     failingList.set(i, failing[i].Value());
   }
+  if (m_settings.m_forwardPort != 0 && m_deps.m_takesForwardedCalls()) {
+    request.setForwardAddress(m_settings.m_address);
+    request.setForwardPort(m_settings.m_forwardPort);
+  }
   auto demand = std::make_shared<DemandReport>(TakeDemand());
   WriteDemand(*demand, request);
   const TimePoint sentAt = m_deps.m_clock.Now();
@@ -280,6 +285,7 @@
   if (aReply.getEntryCount() != 0) {
     m_entryCount = aReply.getEntryCount();
   }
+  ApplyPeers(aReply);
   ApplySuspects(aReply);
   if (aReply.getHasDirectory()) {
     ApplyEngines(aReply);
@@ -293,6 +299,14 @@
   }
 }
 
+void DirectoryLink::ApplyPeers(wire::FollowReply::Reader aReply)
+{
+  constexpr size_t kMaxPeers = 16;
+  if (aReply.getHasPeers()) {
+    m_deps.m_peers.Set(ReadPeers(aReply.getPeers(), kMaxPeers));
+  }
+}
+
 void DirectoryLink::ApplySuspects(wire::FollowReply::Reader aReply)
 {
   const TimePoint now = m_deps.m_clock.Now();
--- a/gateway/directory_link.h
+++ b/gateway/directory_link.h
@@ -10,6 +10,7 @@
 #include "gateway/engine_table.h"
 #include "gateway/gateway_context.h"
 #include "gateway/instance_avoidance.h"
+#include "gateway/peer_list.h"
 #include "gateway/route_follower.h"
 #include "routes/call_demand.h"
 #include "settings/node_settings.h"
@@ -41,6 +42,9 @@
     RetryBudgetShare& m_retries;
     PartQuarantine& m_quarantine;
     AccessControl& m_access;
+    PeerList& m_peers;
+    /// Returns whether other entries may forward calls to this one now.
+    std::function<bool()> m_takesForwardedCalls;
   };
 
   /// Starts to follow the control instances. @pre the settings were checked.
@@ -113,6 +117,7 @@
   void HandleFollowFailure(const kj::Exception& aException);
   void Apply(wire::FollowReply::Reader aReply, TimePoint aSentAt);
   void ApplyEngines(wire::FollowReply::Reader aReply);
+  void ApplyPeers(wire::FollowReply::Reader aReply);
   void ApplySuspects(wire::FollowReply::Reader aReply);
   void AddControlLinks(wire::FollowReply::Reader aReply);
   void LogFollowFailure(const std::string& aReason);
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -104,13 +104,21 @@
                              m_settings.m_retryWindow },
                 m_clock.Now())
     , m_access({ m_settings.m_keysFailClosed, m_settings.m_keyProofTime })
-    , m_directory(
-        { m_port, m_clock, m_log, m_table, m_retries, m_quarantine, m_access },
-        ClusterKey(kDefaultClusterKey),
-        m_settings,
-        [this](Revision, const std::string& aDocument) {
-          return ApplyDocument(aDocument);
-        })
+    , m_peers(m_settings.m_failureDomain, m_settings.m_regions, m_random)
+    , m_directory({ m_port,
+                    m_clock,
+                    m_log,
+                    m_table,
+                    m_retries,
+                    m_quarantine,
+                    m_access,
+                    m_peers,
+                    [this] { return TakesForwardedCalls(); } },
+                  ClusterKey(kDefaultClusterKey),
+                  m_settings,
+                  [this](Revision, const std::string& aDocument) {
+                    return ApplyDocument(aDocument);
+                  })
     , m_quota({ m_clock, m_timers, m_metrics },
               m_settings.m_instance,
               std::random_device()(),
@@ -127,7 +135,6 @@
                   m_log })
     , m_overload(m_random, m_selector, m_prefill, m_metrics)
     , m_requests(kDefaultClusterKey)
-    , m_peers(m_settings.m_failureDomain, m_settings.m_regions, m_random)
     , m_probe({ m_clock, m_timers, m_client, m_table, m_reach, m_log })
     , m_forwarding(m_reach,
                    m_peers,
@@ -418,14 +425,14 @@
   PrefillEstimator m_prefill;
   PartQuarantine m_quarantine;
   AccessControl m_access;
+  UpstreamReach m_reach;
+  PeerList m_peers;
   DirectoryLink m_directory;
   QuotaLink m_quota;
   StreamOriginLink m_streams;
   CrashWatch m_crashes;
   OverloadControl m_overload;
   const RequestNamer m_requests;
-  UpstreamReach m_reach;
-  PeerList m_peers;
   ReachProbe m_probe;
   CallForwarding m_forwarding;
   GatewayContext m_context;
--- a/tests/gateway/directory_link_test.cpp
+++ b/tests/gateway/directory_link_test.cpp
@@ -251,7 +251,9 @@
                                    m_table,
                                    m_retries,
                                    m_quarantine,
-                                   m_access },
+                                   m_access,
+                                   m_peers,
+                                   [] { return false; } },
       m_key,
       settings,
       [this](Revision aVersion, const std::string& aDocument) {
@@ -301,6 +303,8 @@
   RetryBudgetShare m_retries{ RetryBounds{}, TimePoint() };
   PartQuarantine m_quarantine;
   AccessControl m_access{ {} };
+  SeededRandomSource m_random{ 1 };
+  PeerList m_peers{ FailureDomainId("here"), {}, m_random };
   std::unique_ptr<DirectoryLink> m_link;
   /// Documents that can't be put in force before one can.
   size_t m_failingDocuments = 0;
--- a/tests/support/control_instance_fixture.h
+++ b/tests/support/control_instance_fixture.h
@@ -15,6 +15,7 @@
 #include "tests/support/null_event_log.h"
 #include "tests/support/test_loop.h"
 #include "wire/message_bytes.h"
+#include "wire/peer_codec.h"
 #include "wire/wire_server.h"
 
 namespace celeryspread::test {
@@ -33,13 +34,22 @@
   /// Negative for no proof.
   milliseconds m_proofAge{ 0 };
   uint64_t m_version = kProvenVersion;
+  /// Whether a reply has a whole directory, without which relays have none.
+  bool m_isWhole = false;
+  milliseconds m_answerTime{ 0 };
+  uint32_t m_entryCount = 0;
+  /// Entries that take forwarded calls, named in each reply.
+  std::vector<EntryPeer> m_peers;
+  /// What the relay reported last of its entries.
+  std::vector<EntryPeer> m_reported;
 };
 
 class FakeOwnerNode : public wire::ControlNode::Server
 {
 public:
-  explicit FakeOwnerNode(OwnerScript& aScript)
-    : m_script(aScript)
+  FakeOwnerNode(EventLoopPort& aPort, OwnerScript& aScript)
+    : m_port(aPort)
+    , m_script(aScript)
   {
   }
 
@@ -49,14 +59,28 @@
     if (m_script.m_isSilent) {
       return kj::NEVER_DONE;
     }
+    const auto request = aContext.getParams().getRequest();
+    if (request.hasPeers()) {
+      m_script.m_reported =
+        ReadPeers(request.getPeers(), PeerRoster::kMaxReported);
+    }
     auto reply = aContext.getResults().initReply();
+    reply.setEntryCount(m_script.m_entryCount);
+    reply.setHasPeers(true);
+    WritePeers(m_script.m_peers,
+               reply.initPeers(static_cast<unsigned>(m_script.m_peers.size())));
     reply.setIsLeader(true);
+    reply.setIsWhole(m_script.m_isWhole);
     reply.setHasDirectory(m_script.m_hasDirectory);
     reply.setEpoch(2);
     if (m_script.m_proofAge >= milliseconds::zero()) {
       reply.setProvenRouteVersion(m_script.m_version);
       reply.setRouteProofAgeMicros(Duration(m_script.m_proofAge).count());
     }
+    if (m_script.m_answerTime > milliseconds::zero()) {
+      return PromiseAfter(m_port.Base(),
+                          Duration(m_script.m_answerTime).count());
+    }
     return kj::READY_NOW;
   }
 
@@ -72,6 +96,7 @@
   }
 
 private:
+  EventLoopPort& m_port;
   OwnerScript& m_script;
 };
 
@@ -153,12 +178,18 @@
         [this](const PoolId& aPool, const SoftwareVersion& aVersion) {
           return m_host->State().HasRecorded(aPool, aVersion);
         } });
-    m_fleet = std::make_unique<FleetService>(
-      FleetService::Dependencies{
-        m_port, m_clock, *m_host, *m_fleetOwner, m_documents, *m_peers, m_log },
-      InstanceId("c2"),
-      FailureDomainId("here"),
-      QuotaBounds{});
+    m_fleet =
+      std::make_unique<FleetService>(FleetService::Dependencies{ m_port,
+                                                                 m_clock,
+                                                                 m_random,
+                                                                 *m_host,
+                                                                 *m_fleetOwner,
+                                                                 m_documents,
+                                                                 *m_peers,
+                                                                 m_log },
+                                     InstanceId("c2"),
+                                     FailureDomainId("here"),
+                                     QuotaBounds{});
     m_tick = m_timers.Every(milliseconds(10), [this, aIsAlone] {
       if (!aIsAlone) {
         SendHeartbeat();
@@ -238,7 +269,9 @@
   const ClusterKey m_key{ "sixteen bytes and more" };
   NullEventLog m_log;
   OwnerScript m_script;
-  WireServer m_ownerServer{ m_port, m_key, kj::heap<FakeOwnerNode>(m_script) };
+  WireServer m_ownerServer{ m_port,
+                            m_key,
+                            kj::heap<FakeOwnerNode>(m_port, m_script) };
   ReplicaAddress m_ownerPlace;
   SeededRandomSource m_random{ 1 };
   FakeFileSystem m_disk;
