An answer that follows a dropped one is read although the connection ends

Callers saw: 502 for a call whose upstream wrote a late copy, the answer and the end of the connection at once; the same after an interim answer.

Cause: evhttp goes through its writing state before it reads another head, and drops what is in the buffer if the connection ends meanwhile.

Change: reading stops until evhttp begins with the next head.

--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -309,6 +309,7 @@
   if (status == HttpStatus::kContinue && self->m_headCheck.IsValid()) {
     // An interim answer; evhttp would add the fields of the final one to its.
     evhttp_clear_headers(evhttp_request_get_input_headers(aRequest));
+    self->HoldReading();
     return 0;
   }
   self->m_hasHeaders = true;
@@ -346,6 +347,12 @@
   return true;
 }
 
+void EvhttpUpstreamCall::HoldReading()
+{
+  m_awaitsNextHead = true;
+  event_active(m_deferredEvent, 0, 0);
+}
+
 void EvhttpUpstreamCall::AwaitNextAnswer()
 {
   m_isDiscarding = false;
@@ -356,6 +363,7 @@
   // evhttp reads another head after an interim answer.
   m_evhttpRequest->response_code = HttpStatus::kContinue;
   SetTimeout(m_request.m_firstByteTimeout);
+  HoldReading();
   SkipBody(
     bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection)));
 }
@@ -518,6 +526,12 @@
   if (self->m_hasEnded) {
     return;
   }
+  if (self->m_awaitsNextHead) {
+    // evhttp enables reading again when it begins with the head.
+    self->m_awaitsNextHead = false;
+    bufferevent_disable(evhttp_connection_get_bufferevent(self->m_connection),
+                        EV_READ);
+  }
   if (!self->m_hasStarted) {
     self->Fail(UpstreamFailureKind::ConnectFailed,
                "no connection to the upstream");
--- a/http/evhttp_upstream_call.h
+++ b/http/evhttp_upstream_call.h
@@ -65,6 +65,8 @@
   void Fail(UpstreamFailureKind aKind, std::string aReason);
   void RemoveBufferCallbacks();
   void SetTimeout(Duration aTimeout);
+  /// Stops reading until evhttp begins with another head.
+  void HoldReading();
   /// Makes evhttp read another head after the answer that is discarded.
   void AwaitNextAnswer();
   /// Drops bytes of the body of a discarded answer.
@@ -100,6 +102,9 @@
   bool m_hasHeaders = false;
   bool m_hasSentBytes = false;
   bool m_isPaused = false;
+  /// evhttp is about to read another head, and would drop what has arrived at
+  /// the end of the connection before that.
+  bool m_awaitsNextHead = false;
   /// The upstream sends more bytes than an answer may hold back.
   bool m_isOversized = false;
   /// An evhttp_request_error; -1 without an error.
--- a/tests/gateway/repeated_rejection_test.cpp
+++ b/tests/gateway/repeated_rejection_test.cpp
@@ -167,6 +167,30 @@
   }
 }
 
+/// The upstream closes right behind the answer. What had arrived was dropped
+/// with the end of the connection, and the call failed.
+TEST_F(RepeatedRejectionTest, AnswerBetweenACopyAndTheEndIsRead)
+{
+  const std::string copy = "HTTP/1.1 503 X\r\nid: a1\r\nnot-run: 1\r\n"
+                           "Content-Length: 0\r\n\r\n";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string answer = "HTTP/1.1 200 X\r\nid: a2\r\nsigned: x\r\n"
+                             "Connection: close\r\nContent-Length: 4\r\n\r\n"
+                             "paid";
+  m_script = [&](const ScriptedServer::Request&) { return kAnswer; };
+  CallAndWait("/pay/1", "a1");
+  m_server.CloseAfterAnswers();
+  m_script = [&](const ScriptedServer::Request& aRequest) {
+    return aRequest.m_earlier > 0 ? copy + answer : interim + answer;
+  };
+  for (int i = 0; i < 2; ++i) {
+    CallAndWait("/pay/1", "a2");
+    EXPECT_EQ(m_caller.m_status, 200) << i;
+    EXPECT_EQ(m_caller.m_body, "paid") << i;
+    m_loop.RunFor(std::chrono::milliseconds(2));
+  }
+}
+
 /// Copies without end, or whose own end is not known, end the attempt.
 TEST_F(RepeatedRejectionTest, CopiesThatCannotBeDiscardedEndTheAttempt)
 {
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <sys/socket.h>
+
 #include <functional>
 #include <string>
 #include <vector>
 
+#include <gtest/gtest.h>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -60,9 +64,20 @@
     return m_requests;
   }
   [[nodiscard]] size_t ConnectionCount() const { return m_connections.size(); }
+  /// Ends each connection right behind the next answer.
+  void CloseAfterAnswers() { m_closes = true; }
   /// Writes bytes that answer no request.
   void Send(size_t aConnection, const std::string& aBytes)
   {
+    if (m_closes) {
+      // Past the buffer, so that bytes and end arrive together.
+      const evutil_socket_t fd =
+        bufferevent_getfd(m_connections.at(aConnection).m_bev);
+      EXPECT_EQ(send(fd, aBytes.data(), aBytes.size(), 0),
+                static_cast<ssize_t>(aBytes.size()));
+      shutdown(fd, SHUT_WR);
+      return;
+    }
     bufferevent_write(
       m_connections.at(aConnection).m_bev, aBytes.data(), aBytes.size());
   }
@@ -110,6 +125,7 @@
   }
 
   Script m_script;
+  bool m_closes = false;
   std::vector<Request> m_requests;
   evconnlistener* m_listener;
   std::vector<Connection> m_connections;
