A late copy without a body is dropped without what follows it

Callers saw: 502 after a copy of an answer to a HEAD request or of a 304, which state a length and have no body (found in review).

Cause: the stated length was dropped as a body, and with it the head of the right answer.

Change: 204 and 304 have no body to drop; a connection that carried a HEAD request is not kept.

Measured: in the reviewer's trial such copies gave 502; the case of 304 in RepeatedRejectionTest and KeptConnectionTest.AnswerToAHeadRequestEndsItsConnection pass, with the other tests of the client (31).

--- a/http/evhttp_upstream_call.cpp
+++ b/http/evhttp_upstream_call.cpp
@@ -336,7 +336,10 @@
 
 bool EvhttpUpstreamCall::DiscardAnswer()
 {
-  const auto length = BodyLength(m_evhttpRequest);
+  const int status = evhttp_request_get_response_code(m_evhttpRequest);
+  const auto length = HttpStatus::HasNoBody(status)
+                        ? std::optional<size_t>(0)
+                        : BodyLength(m_evhttpRequest);
   if (!length || *length > kMaxDiscardedBytes ||
       m_discardedAnswers >= kMaxDiscardedAnswers) {
     return false;
@@ -452,8 +455,10 @@
     m_request.m_exchange.empty() &&
     evhttp_request_get_response_code(aRequest) >= kFirstErrorStatus;
   m_history.Add(m_request.m_exchange);
+  // A copy of the answer to a HEAD request states a length without a body.
+  const bool hasBodilessAnswer = m_request.m_method == "HEAD";
   if (AsksToClose(aRequest) || !IsSelfDelimited(aRequest) || hasExtraBytes ||
-      mayBringCopy || m_history.IsFull()) {
+      mayBringCopy || hasBodilessAnswer || m_history.IsFull()) {
     m_client.FreeLater(m_connection, std::move(m_callbackArgument));
   } else {
     m_client.KeepIdle(m_request.m_address,
--- a/http/http_status.h
+++ b/http/http_status.h
@@ -7,6 +7,8 @@
 {
   static constexpr int kContinue = 100;
   static constexpr int kOk = 200;
+  static constexpr int kNoContent = 204;
+  static constexpr int kNotModified = 304;
   static constexpr int kBadRequest = 400;
   static constexpr int kUnauthorized = 401;
   static constexpr int kForbidden = 403;
@@ -39,6 +41,12 @@
     constexpr int kLastServerError = 599;
     return aStatus >= kOk && aStatus <= kLastServerError;
   }
+  /// Returns whether an answer has no body whatever length it states.
+  /// @pre none. @thread any.
+  static constexpr bool HasNoBody(int aStatus)
+  {
+    return aStatus == kNoContent || aStatus == kNotModified;
+  }
   /// Returns whether callers take a status as a guarantee that the call did not
   /// run. @pre none. @thread any.
   static constexpr bool PromisesNoRun(int aStatus)
--- a/tests/gateway/repeated_rejection_test.cpp
+++ b/tests/gateway/repeated_rejection_test.cpp
@@ -119,6 +119,8 @@
     head + "Content-Length: 0\r\n\r\n",
     head + "Content-Length: 4\r\n\r\nfull",
     head + "Content-Length: 0\r\n\r\n" + head + "Content-Length: 4\r\n\r\nfull",
+    // A status without a body, whatever its length says.
+    "HTTP/1.1 304 X\r\nid: a1\r\nContent-Length: 4\r\n\r\n",
     // Its bytes look like another answer.
     head + "Content-Length: " + std::to_string(kRejection.size()) + "\r\n\r\n" +
       kRejection,
--- a/tests/http/kept_connection_test.cpp
+++ b/tests/http/kept_connection_test.cpp
@@ -32,11 +32,12 @@
 {
 protected:
   /// Calls and returns the status that the call got, 0 if it failed.
-  int Call(const std::string& aExchange = "")
+  int Call(const std::string& aExchange = "",
+           const std::string& aMethod = "GET")
   {
     UpstreamRequest request;
     request.m_address = { "127.0.0.1", m_server.Port() };
-    request.m_method = "GET";
+    request.m_method = aMethod;
     request.m_path = "/";
     request.m_firstByteTimeout = std::chrono::seconds(30);
     request.m_progressTimeout = std::chrono::seconds(30);
@@ -46,15 +47,16 @@
     EXPECT_TRUE(m_loop.RunUntil([&] { return recorder.m_hasEnded; }));
     return recorder.m_status;
   }
-  static std::string AnswerOf(int aStatus)
+  [[nodiscard]] std::string AnswerOf(int aStatus) const
   {
     return "HTTP/1.1 " + std::to_string(aStatus) +
-           " X\r\nContent-Length: 4\r\n\r\nbody";
+           " X\r\nContent-Length: 4\r\n\r\n" + m_body;
   }
 
   TestLoop m_loop;
   EvhttpUpstreamClient m_client{ m_loop.Base(), m_loop.GetClock() };
   int m_status = 200;
+  std::string m_body = "body";
   ScriptedServer m_server{ m_loop, [this](const ScriptedServer::Request&) {
                             return AnswerOf(m_status);
                           } };
@@ -98,4 +100,13 @@
   EXPECT_EQ(m_server.ConnectionCount(), 1U);
 }
 
+/// A copy of such an answer states a length, and what follows it would be
+/// dropped as its body: the right answer.
+TEST_F(KeptConnectionTest, AnswerToAHeadRequestEndsItsConnection)
+{
+  m_body.clear();
+  EXPECT_EQ(Call("a1", "HEAD"), 200);
+  EXPECT_EQ(m_client.IdleConnectionCount(), 0U);
+}
+
 } // namespace celeryspread::test
