The check of repeated rejections counts calls that came twice to an address

Cause: after the fix no copy bears the id of the call under way, so the check could pass in a run in which no call ever returned to an address. Change: such a run counts as not run.

--- a/tests/processes/repeated_rejections.py
+++ b/tests/processes/repeated_rejections.py
@@ -57,6 +57,8 @@
         super().__init__(run, number, POOL, slots=64)
         self.rejected_share = rejected_share
         self.copies = 0
+        # Attempts by call that came to this address.
+        self.arrivals = collections.Counter()
         self.writers = set()
 
     async def start(self):
@@ -70,6 +72,7 @@
         try:
             while True:
                 request = await read_request(reader)
+                self.arrivals[request.headers.get("attempt-id", "")] += 1
                 if rejection is not None and random.random() < COPY_SHARE:
                     self.copies += 1
                     writer.write(rejection)
@@ -158,7 +161,9 @@
     copies = sum(engine.copies for engine in run.engines)
     print(f"{case}: {len(statuses)} calls, {copies} copies; {len(refused)} refused, "
           f"{len(ran)} of these ran; {len(twice)} ran twice; {len(failed)} failed")
-    if copies == 0 or not statuses:
+    twice_there = sum(attempt != "" and count > 1 for engine in run.engines
+                      for attempt, count in engine.arrivals.items())
+    if copies == 0 or not statuses or (case == "restarts" and twice_there == 0):
         return NOT_RUN
     # An upstream that starts anew breaks off the calls in progress.
     lost = len(failed) if case == "rejections" else 0
