The test of the settings templates fills in the port for forwarded calls

Cause: the entry's template names the last port of the range since calls are forwarded; the test did not know the field, and its settings could not be read. Change: one more field in the test; what it checks stays.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -637,6 +637,7 @@
     { "Zones", R"({"z":"r"})" },
     { "Ip", R"("10.1.0.30")" },
     { "PortRange.0", "7380" },
+    { "PortRange.1", "7395" },
     { "Seeds", R"(["10.1.0.33:8144"])" },
     { "Listen.ControlPlane", R"("10.1.0.30:8144")" },
     { "Listen.Frontend", R"("10.1.0.30:8149")" },
