--- a/gateway/call_forwarding.h
+++ b/gateway/call_forwarding.h
@@ -6,8 +6,9 @@
 
 namespace celeryspread {
 
-/// Sends the calls of an entry that is cut off from upstreams by way of entries
-/// that are not; see docs/design/call-forwarding.md.
+/// What an entry needs to forward calls while it is cut off from upstreams: the
+/// pools that are out of reach, the entries that may serve instead, and the
+/// protocol between entries. See docs/design/call-forwarding.md.
 /// @thread loop thread only.
 class CallForwarding
 {
--- a/gateway/forwarded_call_handler.cpp
+++ b/gateway/forwarded_call_handler.cpp
@@ -24,7 +24,7 @@
     return;
   }
   if (!m_takesCalls()) {
-    HttpHeaders headers = m_gateway.OwnAnswerHeaders(*aCall);
+    HttpHeaders headers = m_gateway.RefusalHeaders(*aCall);
     ForwardingProtocol::WriteUnable(headers);
     aCall->Reply(HttpStatus::kUnavailable, headers, "");
     return;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -123,7 +123,7 @@
   Accept(std::make_unique<ForwardedCallerCall>(std::move(aCall)), aFields);
 }
 
-HttpHeaders Gateway::OwnAnswerHeaders(const CallerCall& aCall)
+HttpHeaders Gateway::RefusalHeaders(const CallerCall& aCall)
 {
   const auto callFields = m_context.m_codec.ReadCall(aCall);
   return m_context.m_codec.GatewayAnswerHeaders(
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -38,9 +38,9 @@
   /// Receives a call that another entry forwards. @pre aCall is not null.
   void OnForwardedCall(std::unique_ptr<CallerCall> aCall,
                        const ForwardedFields& aFields);
-  /// Returns the headers of an answer that this entry gives without the call's
-  /// being taken. @pre none.
-  [[nodiscard]] HttpHeaders OwnAnswerHeaders(const CallerCall& aCall);
+  /// Returns the headers of an answer that turns a call away for good.
+  /// @pre none.
+  [[nodiscard]] HttpHeaders RefusalHeaders(const CallerCall& aCall);
   /// Returns the number of calls in progress. @pre none.
   [[nodiscard]] size_t CallCount() const { return m_calls.size(); }
 
--- a/gateway/gateway_call.h
+++ b/gateway/gateway_call.h
@@ -19,6 +19,8 @@
 /// takes its cost from its team's quota. Then each attempt goes through three
 /// stages: EngineChoice finds its upstream, CallAttempt sends it, AnswerRelay
 /// passes the answer on. This class decides what follows when a stage ends.
+/// While the entry is cut off from the upstreams, an attempt is forwarded to
+/// another entry instead, which runs the call in the same way.
 ///
 /// A call of a route that must run at most once is retried only if it is
 /// certain that no earlier attempt has run. Only on the same condition is a
@@ -81,7 +83,8 @@
   /// Records at which software the stream begins. @return false if that is not
   /// known, so that no other engine may go on with it.
   bool RecordOrigin();
-  /// Keeps the headers of an answer, those between two entries apart.
+  /// Keeps the headers of an answer for the caller. Those of a forwarded call
+  /// also name the upstream to the entry that forwarded it.
   void SetAnswerHeaders(const HttpHeaders& aHeaders);
   /// Whether the bytes that arrive are events of the caller's stream.
   [[nodiscard]] bool IsReceivingEvents() const;
