A call that may have run at a peer is not sent anywhere else

Cause: the forwarding entry counted the peer's attempts as one run. The peer had sent the call to two engines, which answered 500, and the call was forwarded to a third entry.

Change: after a forwarded attempt that may have run the call there is no other.

CallForwardingTest.CallThatRanAtAPeerIsNotForwardedAgain fails without the change and passes with it.

--- a/gateway/call_attempt.cpp
+++ b/gateway/call_attempt.cpp
@@ -31,6 +31,7 @@
 {
   m_upstream = aUpstream;
   m_peer.reset();
+  m_wasForwarded = false;
   m_forwardedAnswer = {};
   m_startedAt = aNow;
   m_runsSince = aNow;
@@ -69,6 +70,7 @@
   CallForwarding& forwarding = *m_context.m_forwarding;
   Begin(UpstreamId(aPeer.m_instance.Value()), now);
   m_peer = aPeer;
+  m_wasForwarded = true;
   m_triedPeers.insert(aPeer.m_instance);
   // The other entry identifies the caller itself.
   AttemptFields fields;
--- a/gateway/call_attempt.h
+++ b/gateway/call_attempt.h
@@ -70,6 +70,8 @@
 
   /// Returns whether the open attempt is forwarded. @pre none.
   [[nodiscard]] bool IsForwarded() const { return m_peer.has_value(); }
+  /// Returns whether the last attempt was forwarded. @pre none.
+  [[nodiscard]] bool WasForwarded() const { return m_wasForwarded; }
   /// Returns the entries to which the call was forwarded. @pre none.
   [[nodiscard]] const std::set<InstanceId>& TriedPeers() const
   {
@@ -140,6 +142,7 @@
   std::set<UpstreamId> m_tried;
   /// The entry to which the open attempt is forwarded.
   std::optional<EntryPeer> m_peer;
+  bool m_wasForwarded = false;
   std::set<InstanceId> m_triedPeers;
   /// What that entry states about its answer.
   ForwardedAnswer m_forwardedAnswer;
--- a/gateway/gateway_call.cpp
+++ b/gateway/gateway_call.cpp
@@ -492,6 +492,10 @@
 bool GatewayCall::TryRetry(bool aMayHaveRun)
 {
   m_possibleRuns += aMayHaveRun ? 1 : 0;
+  if (aMayHaveRun && m_attempt.WasForwarded()) {
+    // The other entry may have used all runs that the route allows.
+    return false;
+  }
   const TimePoint now = m_context.m_clock.Now();
   const auto peer = ChoosePeer();
   const uint32_t maxDispatches =
--- a/tests/gateway/call_forwarding_test.cpp
+++ b/tests/gateway/call_forwarding_test.cpp
@@ -150,6 +150,26 @@
   EXPECT_EQ(m_caller.m_status, 502);
 }
 
+/// The other entry had sent the call to as many engines as the route allows,
+/// and it was forwarded once more to a third entry: one run too many.
+TEST_F(CallForwardingTest, CallThatRanAtAPeerIsNotForwardedAgain)
+{
+  m_peers.Set({ kFirstPeer, kSecondPeer });
+  CutOff();
+  Call("/look/1");
+  HttpHeaders headers = m_good;
+  ForwardingProtocol::WriteUpstream(UpstreamId("e2"), headers);
+  Answer(0, 500, headers);
+  Attempt(0).m_observer->OnUpstreamEnd();
+  EXPECT_EQ(m_client.m_attempts.size(), 1U);
+  EXPECT_EQ(m_caller.m_status, 500);
+  m_caller = CallerRecord();
+  Call("/look/1");
+  LoseConnection(1);
+  EXPECT_EQ(m_client.m_attempts.size(), 2U);
+  EXPECT_EQ(m_caller.m_status, 502);
+}
+
 /// A link to the other entry that breaks leaves the call in doubt.
 TEST_F(CallForwardingTest, BrokenForwardedCallIsNotRefused)
 {
