--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -77,8 +77,8 @@
 class Record:
     """The file record.txt of a case."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.begin = time.monotonic()
 
     def write(self, text):
