review: leave with 2 for errors of the stand-ins

Cause: an exception of a case's own, such as an address in use, ended it with 1, which says that the rule was broken; a process could be started again after the case was done.

--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -15,6 +15,7 @@
 import subprocess
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BROKEN, HELD, NOT_RUN = 1, 0, 2
@@ -288,7 +289,8 @@
                 self.run.record.write(f"{self.name} ended: {code}")
                 self.ends.append(code)
                 await asyncio.sleep(RESTART_S)
-                self.start()
+                if self.is_wanted:
+                    self.start()
 
     def stop(self):
         self.is_wanted = False
@@ -447,6 +449,10 @@
             code = await asyncio.wait_for(case(), limit_s)
         except asyncio.TimeoutError:
             code = NOT_RUN
+        except Exception:  # pylint: disable=broad-except
+            # Whatever kept the case from running says nothing about the rule.
+            traceback.print_exc()
+            code = NOT_RUN
         print({BROKEN: "the rule was broken", HELD: "the rule held",
                NOT_RUN: "the case could not run"}[code], flush=True)
         # All processes have ended; what the stand-ins still do is of no interest.
