--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -31,7 +31,9 @@
 # Memory in MB and descriptors of a process, by class of machine.
 LIMITS = {"frontend": (112, 2870), "core": (256, 4096)}
 RESTART_S = 0.5
-MAX_SEND_BUFFER = 4096
+# Time to load a model, LoadTimeS of the sheet.
+LOAD_S = 1.2
+METRICS_PORT = 9464
 
 
 def new_attempt():
@@ -52,6 +54,20 @@
             continue
 
 
+def free_network():
+    """Returns the first three numbers of loopback addresses on which the port for
+    metrics, which the templates fix, is free."""
+    while True:
+        prefix = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
+        try:
+            for last in range(1, 16):
+                with socket.socket() as probe:
+                    probe.bind((f"{prefix}.{last}", METRICS_PORT))
+            return prefix
+        except OSError:
+            continue
+
+
 def render(text, fields):
     """Fills the placeholders of a settings template."""
 
@@ -139,9 +155,14 @@
         self.port = run.engine_port
         self.zone = run.zones[number % len(run.zones)]
         self.models = {name: set() for name in models}
+        self.has_models = bool(models)
+        self.loading = None
+        self.fence = 0
         self.state = "ready"
         self.sequence = 0
+        # Requests that run or wait for one of the slots.
         self.running = 0
+        self.places = asyncio.Semaphore(slots)
         self.born = int(time.time() * 1000)
         self.server = None
         run.engines.append(self)
@@ -152,7 +173,8 @@
 
     def stamp(self, request):
         return {"Attempt-Id": request.attempt, "Server-Stamp": f"{self.id}.{request.attempt}",
-                "Instance-Load": f"{self.running},0,{self.slots},100"}
+                "Instance-Load": f"{min(self.running, self.slots)},"
+                                 f"{max(0, self.running - self.slots)},{self.slots},100"}
 
     def held(self):
         return [{"Name": name, "Version": 1, "Adapters": sorted(adapters)}
@@ -165,7 +187,7 @@
                 "Models": self.held(), "born": self.born}
 
     def report(self):
-        return {"Phase": "colocated", "Models": self.held(), "Busy": False,
+        return {"Phase": "colocated", "Models": self.held(), "Busy": self.loading is not None,
                 "Seq": self.sequence, "Waiting": 0, "Running": self.running,
                 "KvUsed": 0, "KvTotal": 90000, "Handles": 0, "born": self.born}
 
@@ -184,11 +206,7 @@
                 elif request.path == "/api/order":
                     writer.write(answer_bytes(self.order(request), {}, b""))
                 else:
-                    self.running += 1
-                    try:
-                        await self.run(request, reader, writer)
-                    finally:
-                        self.running -= 1
+                    await self.admit(request, reader, writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError,
                 ValueError, asyncio.LimitOverrunError):
@@ -196,20 +214,54 @@
         finally:
             writer.close()
 
+    async def admit(self, request, reader, writer):
+        model = request.headers.get("model", "").split("/")[0]
+        status = None
+        if self.has_models and model and model == self.loading:
+            status = 503
+        elif self.has_models and model and model not in self.models:
+            status = 421
+        elif self.running >= 2 * self.slots:
+            status = 503
+        if status is not None:
+            headers = {**self.stamp(request), "Not-Executed": "1"}
+            del headers["Server-Stamp"]
+            writer.write(answer_bytes(status, headers, b""))
+            return
+        self.running += 1
+        try:
+            async with self.places:
+                await self.run(request, reader, writer)
+        finally:
+            self.running -= 1
+
     def order(self, request):
+        """Takes an order; these servers have no adapters."""
         order = json.loads(request.body)
-        if order.get("Expect", self.sequence) != self.sequence:
-            return 409
+        if "Holder" not in order or "Fence" not in order or "Adapter" in order:
+            return 400
+        if order["Fence"] < self.fence:
+            return 412
+        self.fence = order["Fence"]
         name = order["Model"]
+        if self.loading or order.get("Expect", self.sequence) != self.sequence:
+            return 409
         if (name in self.models) == (order["Op"] == "load"):
             return 200
+        self.sequence += 1
         if order["Op"] == "load":
-            self.models[name] = set()
+            self.loading = name
+            self.run_.spawn(self.load(name, self.born))
         else:
             del self.models[name]
-        self.sequence += 1
         return 202
 
+    async def load(self, name, born):
+        await asyncio.sleep(LOAD_S)
+        if self.born == born:
+            self.loading = None
+            self.models[name] = set()
+
     async def run(self, request, reader, writer):
         writer.write(answer_bytes(200, self.stamp(request), b"x" * 800))
 
@@ -222,6 +274,7 @@
         self.machine_class, self.zone, self.ip = machine_class, zone, ip
         self.memory_mb, self.descriptors = LIMITS[machine_class]
         self.process = None
+        self.started_at = 0.0
         self.ends = []
         self.peak_mb = 0.0
         self.is_wanted = False
@@ -257,6 +310,7 @@
             shlex.split(role["run"]), cwd=ROOT, stdout=log, stderr=log, preexec_fn=limit,
             env={"PATH": os.environ.get("PATH", ""), "CELERYSPREAD_CONFIG": str(settings)})
         log.close()
+        self.started_at = time.monotonic()
         self.is_wanted = True
 
     def rss_mb(self):
@@ -306,8 +360,9 @@
     def __init__(self, folder, record, cores=3, entries=1):
         self.folder, self.record = pathlib.Path(folder), record
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        self.prefix = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
+        self.lag = 0.0
         self.last = 0
+        self.prefix = free_network()
         self.zones = ["dar-a", "arusha-a", "mwanza-a"]
         self.engines, self.tasks, self.nodes = [], [], []
         platform = self.address()
@@ -360,6 +415,22 @@
         for node in self.nodes:
             node.start()
             self.spawn(node.supervise())
+        self.spawn(self.watch_lag())
+
+    async def watch_lag(self):
+        """Notes by how much the stand-ins' own loop is late."""
+        while True:
+            begin = time.monotonic()
+            await asyncio.sleep(0.02)
+            self.lag = max(self.lag, time.monotonic() - begin - 0.02)
+
+    async def wait_in_touch(self):
+        """Waits until all machines are in touch and the core is stable: ContactMs
+        after the last start. Returns whether no process has ended."""
+        begin = max(node.started_at for node in self.nodes)
+        await asyncio.sleep(max(0, begin + BOUNDS["ContactMs"] / 1000 + 0.5
+                                - time.monotonic()))
+        return not any(node.ends for node in self.nodes)
 
     async def replace(self, document, timeout=30):
         end = time.monotonic() + timeout
@@ -421,6 +492,12 @@
             writer.close()
 
 
+def retry_wait(headers, deadline_s, otherwise=0.3):
+    """Returns how long a client waits that honours Retry-After, which it does up to a
+    third of its time."""
+    return min(float(headers.get("retry-after", otherwise)), deadline_s / 3)
+
+
 def route(name, prefix, kind, pool, timeout_ms=12_000, attempts=2, **more):
     return {"Name": name, "Hostname": HOST, "PathPrefix": prefix, "RouteKind": kind,
             "TimeoutMs": timeout_ms, "AimMs": 500, "Priority": 1, "Service": pool,
